--- /dev/null
+++ b/marbleglade/__init__.py
@@ -0,0 +1,1 @@
+"""marbleglade: a front for caches of large objects behind thin links."""
--- /dev/null
+++ b/marbleglade/choice.py
@@ -0,0 +1,529 @@
+"""Every decision of marbleglade: which cache takes a retrieval, who fills a miss, when to move on or give up.
+
+A front makes one `Choice` an instance and calls it as `interface.Decisions` says; the module answers through
+`interface.Actions`. A retrieval runs down the chain Door, Again, Place, Source, Send; a stage passes it on
+or ends it. What comes back of a launch runs up the same chain. `docs/design.md` gives the reasons.
+"""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections import OrderedDict
+from hashlib import blake2b
+
+from .interface import (
+    NEVER_RAN,
+    Actions,
+    Cache,
+    Ground,
+    Group,
+    Launch,
+    Outcome,
+    Repeat,
+    Retrieval,
+    Role,
+    State,
+    Told,
+)
+
+SHUT_AT = 0.4           # share of launches gone wrong, lately, above which a cache or source is left alone
+FURTHER_SHARE = 0.2     # further launches that each first one pays for
+FURTHER_BURST = 12      # further launches that may be saved up
+CROWD_MARGIN = 1.0      # predicted time over agreed time up to which a retrieval is taken
+LISTED = 1 << 13        # most objects in the directory, and in the record of sightings
+
+
+class Standing:
+    """What this front has seen of one cache, parent or origin."""
+
+    def __init__(self, now: int, spell: int) -> None:
+        self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
+        self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
+        self.wrong = 0.0                     # share of launches gone wrong, lately
+        self.shut = 0                        # left alone until then; from then on one trial at a time
+        self.spell = self.least = spell
+        self.trial: Launch | None = None
+        self.room = 0.0                      # transfers that it carries at full pace; 0: no limit seen
+        self.first_byte = 0.0                # as a source: time that it adds to an answer
+        self.truth = 1.0                     # as a sibling: share of named fills that it did hold
+        self.paid, self.paid_at = 0.0, now   # budget of a cold start, in sending time
+
+    def judge(self, wrong: bool, now: int, weight: float = 1 / 6) -> bool:
+        """Counts one outcome; true if it shuts the place."""
+        self.wrong += (wrong - self.wrong) * weight
+        if not wrong:
+            if self.shut and now >= self.shut:   # a trial came back: open, but on probation
+                self.shut, self.wrong = 0, SHUT_AT * 0.7
+            elif self.wrong < SHUT_AT / 8:
+                self.spell = self.least
+            return False
+        if self.wrong < SHUT_AT or now < self.shut:
+            return False
+        self.shut, self.spell = now + self.spell, min(self.spell * 2, self.least * 8)
+        return True
+
+    def usable(self, now: int) -> bool:
+        return not self.shut or (now >= self.shut and self.trial is None)
+
+
+class Plan:
+    """What the stages note on one retrieval."""
+
+    def __init__(self) -> None:
+        self.work = 0               # its sending time at full pace
+        self.agreed = 0             # when its agreed time ends
+        self.age = 0                # oldest copy that will do; 0: the fresh time
+        self.purged = False
+        self.rank = 1
+        self.tried: list[Cache] = []
+        self.lost: list[Cache] = []     # sources that failed it or lacked the object
+        self.begun = False              # its answer has started: the client owns it
+
+
+class Rate:
+    """A decaying mean of sending time asked for, over the time it covers."""
+
+    def __init__(self, now: int, over: int) -> None:
+        self.sum, self.span, self.at, self.over = 0.0, 0.0, now, over
+
+    def add(self, work: float, now: int) -> None:
+        step = now - self.at
+        keep = max(0.0, 1 - step / self.over)
+        self.sum, self.span, self.at = self.sum * keep + work, self.span * keep + step, now
+
+    def value(self, least: int) -> float:
+        return self.sum / max(self.span, least)
+
+
+class Stage:
+    """One link of the chain: `take` runs towards the caches, `back` towards the client."""
+
+    def __init__(self, choice: Choice) -> None:
+        self.choice, self.ground, self.actions = choice, choice.ground, choice.actions
+        self.next: Stage = self
+
+    def take(self, retrieval: Retrieval) -> None:
+        self.next.take(retrieval)
+
+    def back(self, launch: Launch) -> bool:
+        """True passes the launch on towards the client."""
+        return True
+
+
+class Door(Stage):
+    """Reads the retrieval once: its size, its repeat use, what purges ask. Gives the last answer."""
+
+    def take(self, retrieval: Retrieval) -> None:
+        now, profile = self.actions.now(), retrieval.profile
+        plan = retrieval.plan = Plan()
+        key, seen = (retrieval.object, retrieval.part), self.choice.seen
+        uses, work = seen.pop(key, (0, 0))
+        if retrieval.size_kb and self.ground.pace_kb_s:
+            work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9)
+        plan.work = work or self.choice.mean_work(profile)
+        seen[key] = (uses + (not retrieval.repeated), work)
+        if len(seen) > LISTED:
+            seen.popitem(last=False)
+        if work:
+            profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
+        # An object asked for once may take only the room of its like.
+        plan.rank = 0 if profile.never_kept else 1 + (uses > 0) + (uses > 3)
+        plan.agreed = min(retrieval.taken + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
+        plan.age, plan.purged = self.choice.age_limit(retrieval, now)
+        self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
+        self.next.take(retrieval)
+
+    def back(self, launch: Launch) -> bool:
+        self.choice.give_up(launch.retrieval)
+        return True
+
+
+class Again(Stage):
+    """Decides on further launches, within the rule on repeats, the budget and what time is left."""
+
+    def back(self, launch: Launch) -> bool:
+        retrieval, plan, now = launch.retrieval, launch.retrieval.plan, self.actions.now()
+        if retrieval.over or plan.begun:
+            return False
+        if any(one.outcome is None for one in retrieval.launches):
+            return False      # another launch is out and may still answer
+        stale = launch.outcome is Outcome.MISS and launch.source.role is Role.CACHE
+        if launch.outcome is Outcome.MOOT or len(retrieval.launches) >= self.ground.most_launches:
+            return True
+        if not self.choice.may_repeat(retrieval) or now + plan.work >= retrieval.until:
+            return True
+        if not stale:
+            if self.choice.budget < 1:
+                return True
+            self.choice.budget -= 1
+        self.next.take(retrieval)
+        return False
+
+
+class Place(Stage):
+    """The shared hash ranks the location's caches; the first usable one takes the retrieval."""
+
+    def take(self, retrieval: Retrieval) -> None:
+        now, plan, choice = self.actions.now(), retrieval.plan, self.choice
+        options = [cache for cache in choice.ranked(retrieval, choice.near) if choice.may_go(retrieval, cache)
+                   and cache.memory.usable(now) and choice.in_slice(retrieval, cache, now)]
+        fresh = [cache for cache in options if cache not in plan.tried] or options
+        if not fresh:
+            self.straight(retrieval, now)
+            return
+        pick = fresh[0]
+        # Departure: a cache too crowded to answer in time passes the retrieval on to the next that is not.
+        if choice.predicted(pick, plan.work) > plan.agreed - now:
+            pick = min(fresh, key=lambda cache: choice.predicted(cache, plan.work))
+            if (choice.predicted(pick, plan.work) > (plan.agreed - now) * CROWD_MARGIN
+                    and not retrieval.launches and retrieval.profile.repeat is Repeat.PURE):
+                choice.give_up(retrieval)
+                return
+        self.next.to(retrieval, pick)
+
+    def straight(self, retrieval: Retrieval, now: int) -> None:
+        """No cache of the location can be used: a parent answers itself, where that is allowed."""
+        choice = self.choice
+        parent = choice.parent_for(retrieval, now) if self.ground.direct else None
+        if parent is None or not choice.may_go(retrieval, parent):
+            choice.give_up(retrieval)
+        else:
+            self.next.next.send(retrieval, parent, parent)
+
+
+class Source(Stage):
+    """Names who fills a miss: a listed sibling, or the object's parent. Learns the directory."""
+
+    def to(self, retrieval: Retrieval, cache: Cache) -> None:
+        now, plan, choice = self.actions.now(), retrieval.plan, self.choice
+        parent = choice.parent_for(retrieval, now) or choice.origin or cache
+        source = parent
+        if self.ground.siblings and not plan.purged and not retrieval.profile.never_kept:
+            listed = [one for one in choice.holders(retrieval, now) if one is not cache and one not in plan.lost
+                      and one.memory.usable(now) and not one.memory.shut and one.memory.truth > 0.5]
+            if listed:
+                sibling = min(listed, key=lambda one: len(one.memory.out))
+                if sibling.memory.first_byte <= parent.memory.first_byte or parent is cache:
+                    source = sibling
+        self.next.send(retrieval, cache, source)
+
+    def back(self, launch: Launch) -> bool:
+        retrieval, now = launch.retrieval, self.actions.now()
+        cache, source = launch.cache, launch.source
+        if launch.outcome is Outcome.OK:
+            if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
+                self.choice.enter(retrieval, cache, now)
+            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or not self.ground.tells_hits:
+                extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
+                source.memory.first_byte += (extra - source.memory.first_byte) / 16
+                source.memory.truth += (1 - source.memory.truth) / 16
+        elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
+            # Guards against a flush, an eviction or a restart behind the directory's back: a sibling that
+            # often lacks what it is listed for is not named until its entries are new.
+            retrieval.plan.lost.append(source)
+            self.choice.strike(retrieval, source)
+            source.memory.truth -= source.memory.truth / 8
+            if source.memory.truth < 0.5:
+                source.memory.emptied, source.memory.truth = now, 1.0
+        return True
+
+
+class Send(Stage):
+    """Launches, and judges places by what comes back."""
+
+    def send(self, retrieval: Retrieval, cache: Cache, source: Cache) -> None:
+        now, plan, choice = self.actions.now(), retrieval.plan, self.choice
+        renew = retrieval.profile.fresh > 0 and not plan.purged
+        launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
+                                     plan.rank if cache.role is Role.CACHE else 0, plan.age,
+                                     self.ground.join, renew)
+        plan.tried.append(cache)
+        standing = cache.memory
+        standing.out[launch] = None
+        if standing.shut and now >= standing.shut:
+            standing.trial = launch
+        mean = choice.mean_work(retrieval.profile)
+        choice.asked.add(mean, now)
+        standing.paid -= mean
+        if source.role is Role.PARENT:
+            source.memory.paid -= mean
+        launch.plan = (choice.predicted(cache, plan.work) + int(source.memory.first_byte), len(standing.out))
+        choice.remind(now + max(launch.plan[0] * 2, retrieval.profile.agreed // 2), launch)
+
+    def back(self, launch: Launch) -> bool:
+        now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
+        standing, outcome = cache.memory, launch.outcome
+        standing.out.pop(launch, None)
+        if standing.trial is launch:
+            standing.trial = None
+        if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
+            standing.heard = now
+        if outcome is Outcome.OK:
+            standing.judge(False, now)
+            if source is not cache:
+                source.memory.judge(False, now, 1 / 16)
+            self.learn(launch)
+        elif outcome is Outcome.TIMEOUT and standing.heard > launch.sent and source is not cache:
+            choice.blame(source, now)
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT):
+            choice.blame(cache, now)
+        return True
+
+    def learn(self, launch: Launch) -> None:
+        """The size of an object where it is not told, and how many transfers a cache carries at full pace."""
+        retrieval, standing = launch.retrieval, launch.cache.memory
+        work, key = retrieval.plan.work, (retrieval.object, retrieval.part)
+        if not retrieval.size_kb:
+            uses, known = self.choice.seen.get(key, (0, 0))
+            self.choice.seen[key] = (uses, min(known or launch.lag, launch.lag))
+            return
+        if launch.told in (Told.HIT, Told.NOTHING) and launch.lag > 0:
+            share = work / launch.lag
+            carried = launch.plan[1] * share
+            if share < 0.5 and launch.plan[1] > 2:
+                standing.room += ((carried if standing.room else launch.plan[1]) - standing.room) / 8 \
+                    if standing.room else launch.plan[1]
+            elif standing.room and carried > standing.room:
+                standing.room += (carried - standing.room) / 4
+
+
+class Choice:
+    """The decisions of one instance."""
+
+    def __init__(self, ground: Ground, actions: Actions) -> None:
+        self.ground, self.actions = ground, actions
+        now = actions.now()
+        self.known: dict[Cache, None] = {}
+        self.near: list[Cache] = []
+        self.parents: list[Cache] = []
+        self.origin: Cache | None = None
+        self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
+        self.seen: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
+        self.purges: dict[tuple[str, int], int] = {}
+        self.due: list[tuple[int, int, Launch]] = []
+        self.count, self.budget = 0, float(FURTHER_BURST)
+        self.agreed = min(profile.agreed for profile in ground.profiles)
+        self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
+        self.asked = Rate(now, max(ground.cold_time, 1) // 2)
+        stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
+        for one, after in zip(stages, stages[1:]):
+            one.next = after
+        self.stages = stages
+        self.pulse = max(self.agreed // 16, ground.resolution)
+        actions.wake(self.pulse)
+        if ground.must_ask:
+            actions.watch_list()
+
+    # What the front calls.
+
+    def listed(self, entries: list[Cache], whole: bool) -> None:
+        now = self.actions.now()
+        if whole:
+            for cache in [one for one in self.known if one not in entries]:
+                self.drop(cache, now)
+        for cache in entries:
+            if cache.state is State.LEFT:
+                self.drop(cache, now)
+                continue
+            if cache.memory is None:
+                cache.memory = Standing(now, self.agreed * 2)
+            elif cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
+                cache.memory.emptied, cache.memory.shut, cache.memory.wrong = cache.born, 0, 0.0
+            self.known[cache] = None
+        self.near = [one for one in self.known if one.role is Role.CACHE and one.zone == self.ground.zone
+                     and one.state is State.ACTIVE]
+        self.parents = [one for one in self.known if one.role is Role.PARENT]
+        self.origin = next((one for one in self.known if one.role is Role.ORIGIN and one.state is State.ACTIVE), None)
+
+    def drop(self, cache: Cache, now: int) -> None:
+        self.known.pop(cache, None)
+        cache.state = State.LEFT
+        if cache.memory:
+            cache.memory.emptied = now
+
+    def list_failed(self) -> None:
+        if self.ground.must_ask:
+            self.actions.watch_list()
+
+    def take(self, retrieval: Retrieval) -> None:
+        self.stages[0].take(retrieval)
+
+    def gone(self, retrieval: Retrieval) -> None:
+        """The client has left: its launches would only take room."""
+        if self.ground.may_call_off:
+            for launch in retrieval.launches:
+                if launch.outcome is None:
+                    self.actions.call_off(launch)
+
+    def begun(self, launch: Launch) -> None:
+        launch.retrieval.plan.begun = True
+        launch.cache.memory.heard = self.actions.now()
+
+    def ended(self, launch: Launch, report: dict[str, float]) -> None:
+        for stage in reversed(self.stages):
+            if not stage.back(launch):
+                return
+
+    def woken(self) -> None:
+        now = self.actions.now()
+        self.actions.wake(self.pulse)
+        while self.due and self.due[0][0] <= now:
+            self.overdue(heapq.heappop(self.due)[2], now)
+
+    def purged(self, thing: int, group: int, at: int) -> None:
+        now = self.actions.now()
+        place = ("object", thing) if thing else ("group", group)
+        self.purges[place] = max(at, self.purges.get(place, 0))
+        self.purges = {one: when for one, when in self.purges.items() if when + self.ground.purge_time * 2 > now}
+        gone = [key for key, (of, _) in self.directory.items() if key[0] == thing or (not thing and of == group)]
+        for key in gone:
+            del self.directory[key]
+
+    def probed(self, cache: Cache, ok: bool, lag: int, report: dict[str, float]) -> None:
+        if ok and cache.memory:
+            cache.memory.heard = self.actions.now()
+
+    # What the stages share.
+
+    def chance(self) -> float:
+        self.count += 1
+        return zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
+
+    def mean_work(self, profile) -> int:
+        """Sending time of a profile: what was seen, else the agreed time that its stretch is meant to add to."""
+        return int(profile.memory or profile.agreed / 4)
+
+    def age_limit(self, retrieval: Retrieval, now: int) -> tuple[int, bool]:
+        """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
+        at = max(self.purges.get(("object", retrieval.object), 0), self.purges.get(("group", retrieval.group), 0))
+        if not at or now - at > self.ground.purge_time * 3 // 2:
+            return 0, False
+        age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
+        fresh = retrieval.profile.fresh
+        return (0 if fresh and fresh < age else age), True
+
+    def score(self, thing: int, part: int, cache: Cache) -> int:
+        return int.from_bytes(blake2b(b"%d %d " % (thing, part) + cache.mark, digest_size=8).digest())
+
+    def ranked(self, retrieval: Retrieval, caches: list[Cache]) -> list[Cache]:
+        """Caches in the order that every front gives this object; a copy is a copy of one part."""
+        return sorted(caches, key=lambda one: self.score(retrieval.object, retrieval.part, one), reverse=True)
+
+    def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
+        """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
+        sending time than its present part of what one of its like is asked for, by this front."""
+        ground, parent = self.ground, cache.role is Role.PARENT
+        least, span, factor, like = ((ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor,
+                                      len(self.parents)) if parent else
+                                     (ground.cold_share, ground.cold_time, ground.cold_factor, len(self.near)))
+        age = now - cache.born
+        if not cache.born or age >= span:
+            return True
+        share = least + (1 - least) * max(age, 0) / span
+        if self.score(retrieval.object, -1, cache) / 2**64 >= share:
+            return False
+        standing = cache.memory
+        rate = share * self.asked.value(ground.fall_window) / max(like, 1) * min(factor / 2, 1.25)
+        step, standing.paid_at = now - max(standing.paid_at, cache.born), now
+        standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
+        return standing.paid >= 0
+
+    def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
+        """The hash over all listed parents, moving on in order."""
+        usable = [one for one in self.ranked_parents(retrieval) if one.state is State.ACTIVE
+                  and one.memory.usable(now) and one not in retrieval.plan.lost]
+        return next((one for one in usable if self.in_slice(retrieval, one, now)), None)
+
+    def ranked_parents(self, retrieval: Retrieval) -> list[Cache]:
+        return sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
+
+    def predicted(self, cache: Cache, work: int) -> int:
+        standing = cache.memory
+        crowd = (len(standing.out) + 1) / standing.room if standing.room else 1.0
+        return int(work * max(1.0, crowd))
+
+    def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
+        """The location's caches that the directory lists for the object."""
+        _, entries = self.directory.get((retrieval.object, retrieval.part), (0, {}))
+        return [one for one, at in entries.items() if now - at < self.entry_age and one.state is State.ACTIVE
+                and at > one.memory.emptied]
+
+    def enter(self, retrieval: Retrieval, cache: Cache, now: int) -> None:
+        key = (retrieval.object, retrieval.part)
+        _, entries = self.directory.pop(key, (0, {}))
+        entries[cache] = now
+        self.directory[key] = (retrieval.group, entries)
+        if len(self.directory) > LISTED:
+            self.directory.popitem(last=False)
+
+    def strike(self, retrieval: Retrieval, cache: Cache) -> None:
+        _, entries = self.directory.get((retrieval.object, retrieval.part), (0, {}))
+        entries.pop(cache, None)
+
+    def may_repeat(self, retrieval: Retrieval) -> bool:
+        """Rule 2, whatever the place: whether any further launch is allowed."""
+        risky = [one for one in retrieval.launches if one.outcome not in NEVER_RAN]
+        return not risky or retrieval.profile.repeat is not Repeat.EFFECTFUL
+
+    def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
+        """Rule 2, for one place: a receipted retrieval that may have run stays where its repeats are dropped."""
+        profile = retrieval.profile
+        first = next((one for one in retrieval.launches if one.outcome not in NEVER_RAN), None)
+        if first is None or profile.repeat is Repeat.PURE:
+            return True
+        if profile.repeat is Repeat.EFFECTFUL or self.actions.now() >= first.sent + profile.window:
+            return False
+        return (profile.group is Group.ALL or (profile.group is Group.ZONE and cache.zone == first.cache.zone)
+                or (profile.group is Group.CELL and cache.cell == first.cache.cell))
+
+    def give_up(self, retrieval: Retrieval) -> None:
+        """The final answer at once: a pushback where a new try is harmless, else a break-off."""
+        if retrieval.over:
+            return
+        profile = retrieval.profile
+        ran = any(one.outcome not in NEVER_RAN for one in retrieval.launches)
+        if ran and not (profile.repeat is Repeat.PURE
+                        or (profile.repeat is Repeat.RECEIPTED and profile.group is Group.ALL)):
+            self.actions.break_off(retrieval)
+            return
+        wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
+        self.actions.push_back(retrieval, int(wait * (0.5 + self.chance())) if wait else 0)
+
+    def blame(self, cache: Cache, now: int) -> None:
+        if cache.memory.judge(True, now):
+            cache.memory.emptied = now
+            self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
+            self.rescue(cache)
+
+    def rescue(self, cache: Cache) -> None:
+        """A place shut because nothing comes back: what waits there moves on."""
+        for launch in list(cache.memory.out):
+            if launch.sent > cache.memory.heard and launch.outcome is None:
+                self.move_on(launch)
+
+    def remind(self, due: int, launch: Launch) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (due, self.count, launch))
+
+    def overdue(self, launch: Launch, now: int) -> None:
+        """Guards against anything that takes work and answers none: a cache that has answered nothing since
+        the launch went out is suspect; if it answers others, the source is."""
+        if launch.outcome is not None or launch.retrieval.over or launch.retrieval.plan.begun:
+            return
+        if launch.cache.memory.heard <= launch.sent:
+            self.blame(launch.cache, now)
+            self.move_on(launch)
+        elif launch.source is not launch.cache:
+            if now < launch.source.memory.shut:
+                self.move_on(launch)
+            else:
+                self.remind(now + launch.plan[0], launch)
+
+    def move_on(self, launch: Launch) -> None:
+        """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
+        if self.ground.may_call_off and self.may_repeat_after(launch.retrieval):
+            self.actions.call_off(launch)
+
+    def may_repeat_after(self, retrieval: Retrieval) -> bool:
+        return retrieval.profile.repeat is not Repeat.EFFECTFUL and self.budget >= 1
--- /dev/null
+++ b/marbleglade/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the drill wire and the decisions."""
--- /dev/null
+++ b/marbleglade/drill/__main__.py
@@ -0,0 +1,12 @@
+"""`python -m marbleglade.drill`: decisions on the wire of standard input and output."""
+
+import sys
+
+from .wire import Malformed, serve
+
+if __name__ == "__main__":
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except Malformed as trouble:
+        print(f"marbleglade.drill: {trouble}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/marbleglade/drill/ground.py
@@ -0,0 +1,80 @@
+"""Translates the settings of an instance, once, into the `Ground` that the decisions read."""
+
+from __future__ import annotations
+
+import json
+
+from ..interface import Ground, Group, Profile, Repeat
+
+REPEATS = {"free": Repeat.PURE, "guarded": Repeat.RECEIPTED, "single_shot": Repeat.EFFECTFUL}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+class Missing(ValueError):
+    """A setting that is needed is absent or of the wrong shape."""
+
+
+class Reader:
+    """One object of the settings; a needed key that is absent is named, an unknown one ignored."""
+
+    def __init__(self, value: object, path: str) -> None:
+        if not isinstance(value, dict):
+            raise Missing(f"setting {path or 'Options'} is no object")
+        self.value, self.path = value, path
+
+    def need(self, key: str, kind: type | tuple[type, ...] = (int, float)):
+        if not isinstance(self.value.get(key), kind):
+            raise Missing(f"setting {self.path}{key} is missing or malformed")
+        return self.value[key]
+
+    def time(self, key: str) -> int:
+        return round(self.need(key) * 1e6)
+
+    def optional_time(self, key: str) -> int:
+        return self.time(key) if self.value.get(key) is not None else 0
+
+    def within(self, key: str) -> Reader:
+        return Reader(self.value.get(key), f"{self.path}{key}.")
+
+
+def at(values: list, place: int, other):
+    return values[place] if place < len(values) else other
+
+
+def read_ground(text: str, seed: int) -> tuple[Ground, int, int]:
+    """The ground, and the machine kinds of parents and origin."""
+    top = Reader(json.loads(text), "")
+    limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
+    report = top.within("Report")
+    fresh, grace = own.need("MaxAge", list), own.need("GraceFor", list)
+    never_kept, zone = own.need("NeverKept", list), int(top.need("Zone"))
+    profiles = []
+    for place, value in enumerate(top.need("Classes", list)):
+        one = Reader(value, f"Classes[{place}].")
+        repeat, group = one.need("Repeat", str), one.value.get("Group", "all")
+        if repeat not in REPEATS or group not in GROUPS:
+            raise Missing(f"setting Classes[{place}].Repeat or Group is unknown")
+        profiles.append(Profile(
+            agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0, client_timeout=one.time("Deadline"),
+            repeat=REPEATS[repeat], group=GROUPS[group], window=one.optional_time("KeyTtl"),
+            fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
+            never_kept=bool(at(never_kept, place, False))))
+    hubs, crews = own.need("HomeHub", list), own.need("CrewByZone", list)
+    ground = Ground(
+        profiles=profiles, seed=seed, zone=zone, crew=max(1, at(crews, zone, 1)), hubs=hubs, hub=at(hubs, zone, 0),
+        pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0, resolution=top.time("Resolution"),
+        drain_grace=rules.time("DrainGrace"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
+        cold_factor=rules.need("OverloadFactor"), fall_window=rules.time("Fall"),
+        parent_cold_share=own.value.get("UpperColdFrom") or 0.0,
+        parent_cold_time=own.optional_time("ParentWarmsIn"), parent_factor=own.value.get("ParentBreaksAt") or 0.0,
+        purge_time=own.optional_time("ClearedWithin"), idle_close=limits.optional_time("IdleClose"),
+        connect_timeout=limits.time("ConnectTimeout"), most_launches=int(limits.need("MaxAttempts")),
+        longest_retry_after=limits.optional_time("MaxRetryAfter"),
+        may_call_off=bool(limits.need("Cancel", (bool, int))),
+        may_duplicate=bool(limits.need("MayDuplicate", (bool, int))),
+        may_probe=bool(limits.value.get("Probing")), retry_after=bool(limits.value.get("RetryAfter")),
+        reports_by_probe=report.value.get("Via") == "probe", direct=bool(own.value.get("Direct")),
+        siblings=own.value.get("Sideways", "none") != "none", far_siblings=own.value.get("Sideways") == "any",
+        join=bool(own.value.get("CanJoin")), tells_hits=own.value.get("Tells", "none") != "none",
+        must_ask=top.value.get("MembershipMode") == "ask", ask_every=rules.optional_time("AskEvery"))
+    return ground, int(own.value.get("ParentKind", -1)), int(own.need("StoreKind"))
--- /dev/null
+++ b/marbleglade/drill/wire.py
@@ -0,0 +1,285 @@
+"""Reads batches, calls the decisions, writes replies. Ids live here and nowhere else."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import BinaryIO
+
+from ..choice import Choice
+from ..interface import Cache, Ground, Launch, Outcome, Retrieval, Role, State, Told
+from .ground import Missing, read_ground
+
+OUTCOMES = {200: Outcome.OK, 500: Outcome.ERROR, 503: Outcome.FULL, 504: Outcome.TIMEOUT,
+            502: Outcome.UNREACHED, 598: Outcome.RESET, 499: Outcome.CALLED_OFF, 410: Outcome.MOOT,
+            404: Outcome.MISS}
+STATES = {"active": State.ACTIVE, "leaving": State.LEAVING, "left": State.LEFT}
+
+Call = Callable[[], None]
+
+
+def nothing() -> None:
+    """The call that a line asks for which only the door heeds."""
+
+
+class Malformed(Exception):
+    """A line that the wire does not allow; says which and where."""
+
+
+def ns(text: str) -> int:
+    """Milliseconds of the wire as whole nanoseconds."""
+    return 0 if text == "-" else round(float(text) * 1e6)
+
+
+def number(text: str) -> int:
+    return 0 if text == "-" else int(float(text)) if "." in text else int(text)
+
+
+def ms(value: int) -> str:
+    """Nanoseconds as milliseconds of the wire, rounded down to its microsecond."""
+    return f"{value // 1000 / 1000:.3f}"
+
+
+def pairs(text: str) -> dict[str, float]:
+    return {} if text == "-" else {name: float(value) for name, value in
+                                   (one.split(":") for one in text.split(","))}
+
+
+class Seat:
+    """One instance: its decisions, the ids it knows and the lines it has to send."""
+
+    def __init__(self, clock: list[int], ground: Ground, parent_kind: int, origin_kind: int) -> None:
+        self.clock, self.lines = clock, []
+        self.retrievals: dict[str, Retrieval] = {}
+        self.ids: dict[Retrieval, str] = {}
+        self.open: dict[str, int] = {}
+        self.caches: dict[str, Cache] = {}
+        self.parent_kind, self.origin_kind = parent_kind, origin_kind
+        self.choice = Choice(ground, self)
+
+    def now(self) -> int:
+        return self.clock[0]
+
+    def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
+               age: int = 0, join: bool = False, renew: bool = False) -> Launch:
+        launch = Launch(retrieval, cache, source, self.now(), within, rank)
+        tid = self.ids[retrieval]
+        retrieval.launches.append(launch)
+        self.open[tid] += 1
+        self.lines.append(f"ANSWER_FROM {tid} {cache.mark.decode()} {ms(within)} {source.mark.decode()} {rank} "
+                          f"{ms(age) if age else 0} {join + 8 * renew}")
+        return launch
+
+    def call_off(self, launch: Launch) -> None:
+        retrieval = launch.retrieval
+        self.lines.append(f"ABANDON {self.ids[retrieval]} {retrieval.launches.index(launch)}")
+
+    def push_back(self, retrieval: Retrieval, retry_after: int = 0) -> None:
+        self.lines.append(f"BOUNCE {self.ids[retrieval]} {ms(retry_after)}")
+        self.close(retrieval)
+
+    def break_off(self, retrieval: Retrieval) -> None:
+        self.lines.append(f"END_FAILED {self.ids[retrieval]}")
+        self.close(retrieval)
+
+    def wake(self, after: int) -> None:
+        self.lines.append(f"ARM {ms(after)} 1")
+
+    def probe(self, cache: Cache) -> None:
+        self.lines.append(f"HEALTH_CHECK {cache.mark.decode()}")
+
+    def watch_list(self) -> None:
+        self.lines.append("WATCH 1")
+
+    def note(self, text: str) -> None:
+        self.lines.append(f"RECORD {text}")
+
+    def close(self, retrieval: Retrieval) -> None:
+        retrieval.over = True
+        tid = self.ids[retrieval]
+        if not self.open[tid]:
+            self.forget(retrieval, tid)
+
+    def forget(self, retrieval: Retrieval, tid: str) -> None:
+        del self.retrievals[tid], self.ids[retrieval], self.open[tid]
+
+    # Events, by their name on the wire.
+
+    def on_endpoints(self, form: str, entries: list[list[str]] | None) -> Call:
+        if form == "error":
+            return self.choice.list_failed
+        told = []
+        for fields in entries or ():
+            cache = self.caches.get(fields[0])
+            if cache is None:
+                cache = self.caches[fields[0]] = Cache(fields[0].encode())
+            kind = number(fields[1])
+            cache.role = (Role.PARENT if kind == self.parent_kind else
+                          Role.ORIGIN if kind == self.origin_kind else Role.CACHE)
+            cache.model, cache.born = kind, ns(fields[2])
+            cache.weight = 1.0 if fields[3] == "-" else float(fields[3])
+            cache.zone, cache.state, cache.cell = number(fields[4]), STATES[fields[5]], number(fields[6])
+            told.append(cache)
+        return partial(self.choice.listed, told, form != "diff")
+
+    def on_accept(self, tid: str, cls: str, _group: str, thing: str, left: str, size: str, group: str, part: str,
+                  opts: str) -> Call:
+        now, flags = self.now(), number(opts)
+        retrieval = Retrieval(self.choice.ground.profiles[number(cls)], number(thing), number(part), number(group),
+                              0.0 if size == "-" else float(size), now, now + ns(left), bool(flags & 2))
+        self.retrievals[tid], self.ids[retrieval], self.open[tid] = retrieval, tid, 0
+        return partial(self.choice.take, retrieval)
+
+    def on_gone(self, tid: str) -> Call:
+        retrieval = self.retrievals.get(tid)
+        if not retrieval or retrieval.over:
+            return nothing
+        retrieval.over = True
+
+        def left() -> None:
+            self.choice.gone(retrieval)
+            self.close(retrieval)
+        return left
+
+    def on_begun(self, tid: str, leg: str, _cache: str, lag: str) -> Call:
+        place, _ = int(leg), ns(lag)
+        retrieval = self.retrievals.get(tid)
+        if not retrieval or place >= len(retrieval.launches):
+            return nothing
+        return partial(self.choice.begun, retrieval.launches[place])
+
+    def on_end(self, tid: str, leg: str, lag: str, over: str, detail: str, waited: str, result: str, _cache: str,
+               metrics: str) -> Call:
+        outcome, place, report = OUTCOMES[int(result)], int(leg), pairs(metrics)
+        told, took, fill = Told(number(detail)), ns(lag), ns(waited)
+        retrieval = self.retrievals.get(tid)
+        if not retrieval or place >= len(retrieval.launches) or retrieval.launches[place].outcome is not None:
+            return nothing
+        launch = retrieval.launches[place]
+        launch.outcome, launch.lag, launch.told, launch.waited = outcome, took, told, fill
+        self.open[tid] -= 1
+        retrieval.over = retrieval.over or over == "1"
+
+        def done() -> None:
+            self.choice.ended(launch, report)
+            if retrieval.over and tid in self.open and not self.open[tid]:
+                self.forget(retrieval, tid)
+        return done
+
+    def on_sampled(self, name: str, result: str, lag: str, metrics: str) -> Call:
+        ok, took, report = OUTCOMES[int(result)] is Outcome.OK, ns(lag), pairs(metrics)
+        if name not in self.caches:
+            return nothing
+        return partial(self.choice.probed, self.caches[name], ok, took, report)
+
+
+class Drill:
+    """The process: the batch in hand, the shared numbered lists and the seats."""
+
+    def __init__(self) -> None:
+        self.clock = [0]
+        self.seats: dict[int, Seat] = {}
+        self.lists: dict[int, list[list[str]]] = {}
+        self.batch: str | None = None
+        self.current = -1
+        self.filling: list[list[str]] = []
+        self.due_entries = 0
+
+    def seat(self) -> Seat:
+        if self.current not in self.seats:
+            raise Malformed(f"instance {self.current} was never started")
+        return self.seats[self.current]
+
+    def reply(self) -> bytes:
+        """What the instances said since the last reply; the words of one that died are gone with it."""
+        lines = []
+        for place, seat in self.seats.items():
+            if seat.lines:
+                lines += [f"AS {place}", *seat.lines]
+                seat.lines.clear()
+        return "".join(f"{line}\n" for line in (*lines, f"ACK {self.batch}")).encode()
+
+    def read(self, line: str) -> Call | bytes:
+        """Decodes one line; gives the call that it asks for, or the reply where it closes a batch."""
+        name, _, rest = line.partition(" ")
+        if self.due_entries:
+            if name != "ENTRY" or len(fields := rest.split(" ")) < 7 or fields[5] not in STATES:
+                raise Malformed("an ENTRY of a LIST was expected")
+            self.filling.append(fields)
+            self.due_entries -= 1
+            return nothing
+        if name == "ROUND":
+            if self.batch is not None:
+                raise Malformed("a batch is open already")
+            clock, self.batch = rest.split(" ")
+            int(self.batch)
+            self.clock[0] = ns(clock)
+            return nothing
+        if self.batch is None:
+            raise Malformed("no batch is open")
+        if name == "COMMIT":
+            reply = self.reply()
+            self.batch = None
+            return reply
+        return self.event(name, rest)
+
+    def event(self, name: str, rest: str) -> Call:
+        if name == "SWITCH_TO":
+            self.current = int(rest)
+        elif name == "LIST":
+            place, count = rest.split(" ")
+            self.filling = self.lists[int(place)] = []
+            self.due_entries = int(count)
+        elif name == "INIT":
+            seed, _, options = rest.partition(" ")
+            self.seats.pop(self.current, None)
+            ground = read_ground(options, int(seed))
+            return partial(self.start, *ground)
+        elif name == "SHUTDOWN":
+            self.seat()
+            del self.seats[self.current]
+        elif name == "ENDPOINTS":
+            form, place, _version = rest.split(" ")
+            if form not in ("diff", "snapshot", "disk", "error"):
+                raise Malformed(f"unknown list form {form}")
+            return self.seat().on_endpoints(form, None if form == "error" else self.lists[int(place)])
+        elif name == "ACCEPT":
+            return self.seat().on_accept(*rest.split(" "))
+        elif name == "ATTEMPT_END":
+            return self.seat().on_end(*rest.split(" "))
+        elif name == "CLIENT_GONE":
+            return self.seat().on_gone(rest)
+        elif name == "ESTABLISHED":
+            return self.seat().on_begun(*rest.split(" "))
+        elif name == "ELAPSED":
+            int(rest)
+            return self.seat().choice.woken
+        elif name == "EXPIRED_NOW":
+            thing, group, age = rest.split(" ")
+            return partial(self.seat().choice.purged, number(thing), number(group), self.clock[0] - ns(age))
+        elif name == "SAMPLED":
+            return self.seat().on_sampled(*rest.split(" "))
+        elif name == "FROM_PEER":
+            self.seat()
+        else:
+            raise Malformed(f"unknown message {name}")
+        return nothing
+
+    def start(self, ground: Ground, parent_kind: int, origin_kind: int) -> None:
+        self.seats[self.current] = Seat(self.clock, ground, parent_kind, origin_kind)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    drill = Drill()
+    for place, raw in enumerate(source, 1):
+        line = ""
+        try:
+            line = raw.decode().rstrip("\n")
+            asked = drill.read(line) if line else nothing
+        except (Malformed, Missing, ValueError, KeyError, TypeError, IndexError) as trouble:
+            raise Malformed(f"line {place}: {line[:200]!r}: {trouble}") from trouble
+        if isinstance(asked, bytes):
+            sink.write(asked)
+            sink.flush()
+        else:
+            asked()
--- /dev/null
+++ b/marbleglade/interface.py
@@ -0,0 +1,219 @@
+"""What a front hands to the decisions and what the decisions may ask of it.
+
+A front (today the drill adapter, later one on sockets) makes one `Choice` for each instance, calls its
+methods with the objects below and carries out the calls on `Actions`. Times are whole nanoseconds of one
+monotonic clock; an absent time or figure is 0.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+
+class Role(Enum):
+    CACHE = 0
+    PARENT = 1
+    ORIGIN = 2
+
+
+class State(Enum):
+    ACTIVE = 0
+    LEAVING = 1
+    LEFT = 2
+
+
+class Repeat(Enum):
+    """What a second run of a retrieval would do: no harm, none within its group and window, or harm."""
+
+    PURE = 0
+    RECEIPTED = 1
+    EFFECTFUL = 2
+
+
+class Group(Enum):
+    """Which caches drop the repeats of a receipted retrieval."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Outcome(Enum):
+    OK = 0
+    ERROR = 1
+    FULL = 2
+    TIMEOUT = 3
+    UNREACHED = 4
+    RESET = 5
+    CALLED_OFF = 6
+    MOOT = 7
+    MISS = 8
+
+
+# Outcomes that prove that the launch never ran.
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT, Outcome.MISS))
+
+
+class Told(Enum):
+    """What an answer says of where it came from, where answers say it."""
+
+    NOTHING = 0
+    HIT = 1
+    FILLED = 2
+    BY_ORIGIN = 3
+    JOINED = 4
+    AGED = 5
+    SOURCE_REFUSED = 6
+    SOURCE_LOST = 7
+    SOURCE_LACKS = 8
+    NO_FILL_PLACE = 9
+    ORIGIN_FAILED = 10
+
+
+@dataclass(slots=True, eq=False)
+class Cache:
+    """A place that the list names: a cache, a parent or the origin. `mark` names it the same at every front."""
+
+    mark: bytes
+    role: Role = Role.CACHE
+    model: int = 0
+    zone: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    born: int = 0
+    state: State = State.ACTIVE
+    memory: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Profile:
+    """One kind of retrieval: what it is worth and what may be done with it."""
+
+    agreed: int
+    stretch: float
+    client_timeout: int
+    repeat: Repeat = Repeat.PURE
+    group: Group = Group.ALL
+    window: int = 0
+    fresh: int = 0
+    grace: int = 0
+    never_kept: bool = False
+    memory: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Ground:
+    """The ground an instance stands on: its profiles, its place, the rules' figures and what is allowed."""
+
+    profiles: list[Profile]
+    seed: int
+    zone: int
+    crew: int
+    hubs: list[int]
+    hub: int
+    pace_kb_s: float
+    resolution: int
+    drain_grace: int
+    cold_share: float
+    cold_time: int
+    cold_factor: float
+    fall_window: int
+    parent_cold_share: float
+    parent_cold_time: int
+    parent_factor: float
+    purge_time: int
+    idle_close: int
+    connect_timeout: int
+    most_launches: int
+    longest_retry_after: int
+    may_call_off: bool
+    may_duplicate: bool
+    may_probe: bool
+    retry_after: bool
+    reports_by_probe: bool
+    direct: bool
+    siblings: bool
+    far_siblings: bool
+    join: bool
+    tells_hits: bool
+    must_ask: bool
+    ask_every: int
+
+
+@dataclass(slots=True, eq=False)
+class Retrieval:
+    profile: Profile
+    object: int
+    part: int
+    group: int
+    size_kb: float
+    taken: int
+    until: int
+    repeated: bool = False
+    launches: list[Launch] = field(default_factory=list)
+    over: bool = False
+    plan: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Launch:
+    """One try of a retrieval at one cache; `source` supplies a miss (the cache itself: no fill)."""
+
+    retrieval: Retrieval
+    cache: Cache
+    source: Cache
+    sent: int
+    within: int
+    rank: int
+    outcome: Outcome | None = None
+    told: Told = Told.NOTHING
+    lag: int = 0
+    waited: int = 0
+    plan: Any = None
+
+
+class Actions(Protocol):
+    """What the decisions may ask of the front that hosts them."""
+
+    def now(self) -> int: ...
+
+    def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
+               age: int = 0, join: bool = False, renew: bool = False) -> Launch: ...
+
+    def call_off(self, launch: Launch) -> None: ...
+
+    def push_back(self, retrieval: Retrieval, retry_after: int = 0) -> None: ...
+
+    def break_off(self, retrieval: Retrieval) -> None: ...
+
+    def wake(self, after: int) -> None: ...
+
+    def probe(self, cache: Cache) -> None: ...
+
+    def watch_list(self) -> None: ...
+
+    def note(self, text: str) -> None: ...
+
+
+class Decisions(Protocol):
+    """What a front calls: every event of an instance, in order."""
+
+    def listed(self, entries: list[Cache], whole: bool) -> None: ...
+
+    def list_failed(self) -> None: ...
+
+    def take(self, retrieval: Retrieval) -> None: ...
+
+    def gone(self, retrieval: Retrieval) -> None: ...
+
+    def begun(self, launch: Launch) -> None: ...
+
+    def ended(self, launch: Launch, report: dict[str, float]) -> None: ...
+
+    def woken(self) -> None: ...
+
+    def purged(self, thing: int, group: int, at: int) -> None: ...
+
+    def probed(self, cache: Cache, ok: bool, lag: int, report: dict[str, float]) -> None: ...
