--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import OrderedDict
 from hashlib import blake2b
+from itertools import pairwise
 
 from .interface import (
     NEVER_RAN,
@@ -73,8 +74,6 @@
     def __init__(self) -> None:
         self.work = 0               # its sending time at full pace
         self.agreed = 0             # when its agreed time ends
-        self.age = 0                # oldest copy that will do; 0: the fresh time
-        self.purged = False
         self.rank = 1
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
@@ -129,8 +128,7 @@
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         # An object asked for once may take only the room of its like.
         plan.rank = 0 if profile.never_kept else 1 + (uses > 0) + (uses > 3)
-        plan.agreed = min(retrieval.taken + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
-        plan.age, plan.purged = self.choice.age_limit(retrieval, now)
+        plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
         self.next.take(retrieval)
 
@@ -199,9 +197,9 @@
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
         parent = choice.parent_for(retrieval, now) or choice.origin or cache
         source = parent
-        if self.ground.siblings and not plan.purged and not retrieval.profile.never_kept:
-            listed = [one for one in choice.holders(retrieval, now) if one is not cache and one not in plan.lost
-                      and one.memory.usable(now) and not one.memory.shut and one.memory.truth > 0.5]
+        if self.ground.siblings and not choice.age_limit(retrieval, now) and not retrieval.profile.never_kept:
+            listed = [one for one in choice.holders(retrieval, now) if one is not cache
+                      and one not in plan.lost and not one.memory.shut]
             if listed:
                 sibling = min(listed, key=lambda one: len(one.memory.out))
                 if sibling.memory.first_byte <= parent.memory.first_byte or parent is cache:
@@ -234,10 +232,11 @@
 
     def send(self, retrieval: Retrieval, cache: Cache, source: Cache) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        renew = retrieval.profile.fresh > 0 and not plan.purged
+        # The age is worked out at each launch: a purge may have been told since the retrieval came.
+        age = choice.age_limit(retrieval, now)
         launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
-                                     plan.rank if cache.role is Role.CACHE else 0, plan.age,
-                                     self.ground.join, renew)
+                                     plan.rank if cache.role is Role.CACHE else 0, age,
+                                     self.ground.join, retrieval.profile.fresh > 0 and not age)
         plan.tried.append(cache)
         standing = cache.memory
         standing.out[launch] = None
@@ -307,7 +306,7 @@
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         self.asked = Rate(now, max(ground.cold_time, 1) // 2)
         stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
-        for one, after in zip(stages, stages[1:]):
+        for one, after in pairwise(stages):
             one.next = after
         self.stages = stages
         self.pulse = max(self.agreed // 16, ground.resolution)
@@ -334,7 +333,7 @@
         self.near = [one for one in self.known if one.role is Role.CACHE and one.zone == self.ground.zone
                      and one.state is State.ACTIVE]
         self.parents = [one for one in self.known if one.role is Role.PARENT]
-        self.origin = next((one for one in self.known if one.role is Role.ORIGIN and one.state is State.ACTIVE), None)
+        self.origin = next((one for one in self.known if one.role is Role.ORIGIN), None)
 
     def drop(self, cache: Cache, now: int) -> None:
         self.known.pop(cache, None)
@@ -375,9 +374,10 @@
         now = self.actions.now()
         place = ("object", thing) if thing else ("group", group)
         self.purges[place] = max(at, self.purges.get(place, 0))
-        self.purges = {one: when for one, when in self.purges.items() if when + self.ground.purge_time * 2 > now}
-        gone = [key for key, (of, _) in self.directory.items() if key[0] == thing or (not thing and of == group)]
-        for key in gone:
+        for one in [one for one, when in self.purges.items() if when + self.ground.purge_time * 2 < now]:
+            del self.purges[one]
+        for key in [key for key, (of, _) in self.directory.items() if thing in (0, key[0])
+                    and (thing or of == group)]:
             del self.directory[key]
 
     def probed(self, cache: Cache, ok: bool, lag: int, report: dict[str, float]) -> None:
@@ -391,17 +391,17 @@
         return zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
 
     def mean_work(self, profile) -> int:
-        """Sending time of a profile: what was seen, else the agreed time that its stretch is meant to add to."""
+        """Sending time of a profile: what was seen, else a part of its agreed time."""
         return int(profile.memory or profile.agreed / 4)
 
-    def age_limit(self, retrieval: Retrieval, now: int) -> tuple[int, bool]:
+    def age_limit(self, retrieval: Retrieval, now: int) -> int:
         """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
-        at = max(self.purges.get(("object", retrieval.object), 0), self.purges.get(("group", retrieval.group), 0))
+        places = ("object", retrieval.object), ("group", retrieval.group)
+        at = max(self.purges.get(place, 0) for place in places)
         if not at or now - at > self.ground.purge_time * 3 // 2:
-            return 0, False
+            return 0
         age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
-        fresh = retrieval.profile.fresh
-        return (0 if fresh and fresh < age else age), True
+        return 0 if 0 < retrieval.profile.fresh < age else age
 
     def score(self, thing: int, part: int, cache: Cache) -> int:
         return int.from_bytes(blake2b(b"%d %d " % (thing, part) + cache.mark, digest_size=8).digest())
@@ -414,9 +414,11 @@
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
         ground, parent = self.ground, cache.role is Role.PARENT
-        least, span, factor, like = ((ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor,
-                                      len(self.parents)) if parent else
-                                     (ground.cold_share, ground.cold_time, ground.cold_factor, len(self.near)))
+        if parent:
+            least, span, factor = ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
+        else:
+            least, span, factor = ground.cold_share, ground.cold_time, ground.cold_factor
+        like = len(self.parents if parent else self.near)
         age = now - cache.born
         if not cache.born or age >= span:
             return True
@@ -467,7 +469,7 @@
         return not risky or retrieval.profile.repeat is not Repeat.EFFECTFUL
 
     def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
-        """Rule 2, for one place: a receipted retrieval that may have run stays where its repeats are dropped."""
+        """Rule 2, for one place: what may have run stays where its repeats are dropped."""
         profile = retrieval.profile
         first = next((one for one in retrieval.launches if one.outcome not in NEVER_RAN), None)
         if first is None or profile.repeat is Repeat.PURE:
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -55,18 +55,21 @@
         if repeat not in REPEATS or group not in GROUPS:
             raise Missing(f"setting Classes[{place}].Repeat or Group is unknown")
         profiles.append(Profile(
-            agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0, client_timeout=one.time("Deadline"),
+            agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0,
+            client_timeout=one.time("Deadline"),
             repeat=REPEATS[repeat], group=GROUPS[group], window=one.optional_time("KeyTtl"),
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
             never_kept=bool(at(never_kept, place, False))))
     hubs, crews = own.need("HomeHub", list), own.need("CrewByZone", list)
     ground = Ground(
-        profiles=profiles, seed=seed, zone=zone, crew=max(1, at(crews, zone, 1)), hubs=hubs, hub=at(hubs, zone, 0),
+        profiles=profiles, seed=seed, zone=zone, crew=max(1, at(crews, zone, 1)),
+        hubs=hubs, hub=at(hubs, zone, 0),
         pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0, resolution=top.time("Resolution"),
         drain_grace=rules.time("DrainGrace"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
         cold_factor=rules.need("OverloadFactor"), fall_window=rules.time("Fall"),
         parent_cold_share=own.value.get("UpperColdFrom") or 0.0,
-        parent_cold_time=own.optional_time("ParentWarmsIn"), parent_factor=own.value.get("ParentBreaksAt") or 0.0,
+        parent_cold_time=own.optional_time("ParentWarmsIn"),
+        parent_factor=own.value.get("ParentBreaksAt") or 0.0,
         purge_time=own.optional_time("ClearedWithin"), idle_close=limits.optional_time("IdleClose"),
         connect_timeout=limits.time("ConnectTimeout"), most_launches=int(limits.need("MaxAttempts")),
         longest_retry_after=limits.optional_time("MaxRetryAfter"),
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -66,8 +66,8 @@
         tid = self.ids[retrieval]
         retrieval.launches.append(launch)
         self.open[tid] += 1
-        self.lines.append(f"ANSWER_FROM {tid} {cache.mark.decode()} {ms(within)} {source.mark.decode()} {rank} "
-                          f"{ms(age) if age else 0} {join + 8 * renew}")
+        self.lines.append(f"ANSWER_FROM {tid} {cache.mark.decode()} {ms(within)} {source.mark.decode()} "
+                          f"{rank} {ms(age) if age else 0} {join + 8 * renew}")
         return launch
 
     def call_off(self, launch: Launch) -> None:
@@ -122,11 +122,12 @@
             told.append(cache)
         return partial(self.choice.listed, told, form != "diff")
 
-    def on_accept(self, tid: str, cls: str, _group: str, thing: str, left: str, size: str, group: str, part: str,
-                  opts: str) -> Call:
+    def on_accept(self, tid: str, cls: str, _group: str, thing: str, left: str, size: str, group: str,
+                  part: str, opts: str) -> Call:
         now, flags = self.now(), number(opts)
-        retrieval = Retrieval(self.choice.ground.profiles[number(cls)], number(thing), number(part), number(group),
-                              0.0 if size == "-" else float(size), now, now + ns(left), bool(flags & 2))
+        retrieval = Retrieval(self.choice.ground.profiles[number(cls)], number(thing), number(part),
+                              number(group), 0.0 if size == "-" else float(size), now, now + ns(left),
+                              bool(flags & 2))
         self.retrievals[tid], self.ids[retrieval], self.open[tid] = retrieval, tid, 0
         return partial(self.choice.take, retrieval)
 
@@ -148,8 +149,8 @@
             return nothing
         return partial(self.choice.begun, retrieval.launches[place])
 
-    def on_end(self, tid: str, leg: str, lag: str, over: str, detail: str, waited: str, result: str, _cache: str,
-               metrics: str) -> Call:
+    def on_end(self, tid: str, leg: str, lag: str, over: str, detail: str, waited: str, result: str,
+               _cache: str, metrics: str) -> Call:
         outcome, place, report = OUTCOMES[int(result)], int(leg), pairs(metrics)
         told, took, fill = Told(number(detail)), ns(lag), ns(waited)
         retrieval = self.retrievals.get(tid)
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True, eq=False)
 class Cache:
-    """A place that the list names: a cache, a parent or the origin. `mark` names it the same at every front."""
+    """A place that the list names: a cache, a parent or the origin. `mark` is its name at every front."""
 
     mark: bytes
     role: Role = Role.CACHE
