Blame is shared by record and peers; silence means several usual gaps

Cause: errors and overdue launches were laid on caches and parents that a slow origin or a flush had slowed, so all were shut in turn and fills moved to parents that held nothing.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -28,10 +28,12 @@
     Told,
 )
 
-SHUT_AT = 0.4           # share of launches gone wrong, lately, above which a cache or source is left alone
+SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
+QUIET = 6               # usual gaps between answers after which a place with work counts as silent
+PEERS_ADD = 1.5         # and that is raised by so many times its peers' share
+LATELY = 1 / 10         # weight of one outcome in that share
 FURTHER_SHARE = 0.2     # further launches that each first one pays for
 FURTHER_BURST = 12      # further launches that may be saved up
-CROWD_MARGIN = 1.0      # predicted time over agreed time up to which a retrieval is taken
 LISTED = 1 << 13        # most objects in the directory, and in the record of sightings
 
 
@@ -41,6 +43,7 @@
     def __init__(self, now: int, spell: int) -> None:
         self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
         self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
+        self.gap = 0                         # usual time between two signs of life
         self.wrong = 0.0                     # share of launches gone wrong, lately
         self.shut = 0                        # left alone until then; from then on one trial at a time
         self.spell = self.least = spell
@@ -50,19 +53,14 @@
         self.truth = 1.0                     # as a sibling: share of named fills that it did hold
         self.paid, self.paid_at = 0.0, now   # budget of a cold start, in sending time
 
-    def judge(self, wrong: bool, now: int, weight: float = 1 / 6) -> bool:
-        """Counts one outcome; true if it shuts the place."""
-        self.wrong += (wrong - self.wrong) * weight
+    def judge(self, wrong: float, now: int) -> None:
+        """Counts one outcome, or the part of a failure that is laid on this place."""
+        self.wrong += (wrong - self.wrong) * LATELY
         if not wrong:
             if self.shut and now >= self.shut:   # a trial came back: open, but on probation
                 self.shut, self.wrong = 0, SHUT_AT * 0.7
             elif self.wrong < SHUT_AT / 8:
                 self.spell = self.least
-            return False
-        if self.wrong < SHUT_AT or now < self.shut:
-            return False
-        self.shut, self.spell = now + self.spell, min(self.spell * 2, self.least * 8)
-        return True
 
     def usable(self, now: int) -> bool:
         return not self.shut or (now >= self.shut and self.trial is None)
@@ -75,6 +73,7 @@
         self.work = 0               # its sending time at full pace
         self.agreed = 0             # when its agreed time ends
         self.rank = 1
+        self.expected = 0           # 0: a copy is listed where it goes, 1: asked for before, 2: new here
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
         self.begun = False              # its answer has started: the client owns it
@@ -127,6 +126,7 @@
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         # An object asked for once may take only the room of its like.
+        plan.expected = 1 if uses else 2
         plan.rank = 0 if profile.never_kept else 1 + (uses > 0) + (uses > 3)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
@@ -171,11 +171,12 @@
             self.straight(retrieval, now)
             return
         pick = fresh[0]
-        # Departure: a cache too crowded to answer in time passes the retrieval on to the next that is not.
-        if choice.predicted(pick, plan.work) > plan.agreed - now:
+        # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
+        left = plan.agreed - now
+        if choice.predicted(pick, plan.work) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(cache, plan.work))
-            if (choice.predicted(pick, plan.work) > (plan.agreed - now) * CROWD_MARGIN
-                    and not retrieval.launches and retrieval.profile.repeat is Repeat.PURE):
+            if (choice.predicted(pick, plan.work) > left and not retrieval.launches
+                    and retrieval.profile.repeat is Repeat.PURE):
                 choice.give_up(retrieval)
                 return
         self.next.to(retrieval, pick)
@@ -209,7 +210,7 @@
     def back(self, launch: Launch) -> bool:
         retrieval, now = launch.retrieval, self.actions.now()
         cache, source = launch.cache, launch.source
-        if launch.outcome is Outcome.OK:
+        if launch.outcome is Outcome.OK and not retrieval.plan.begun:
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.enter(retrieval, cache, now)
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or not self.ground.tells_hits:
@@ -247,8 +248,9 @@
         standing.paid -= mean
         if source.role is Role.PARENT:
             source.memory.paid -= mean
-        launch.plan = (choice.predicted(cache, plan.work) + int(source.memory.first_byte), len(standing.out))
-        choice.remind(now + max(launch.plan[0] * 2, retrieval.profile.agreed // 2), launch)
+        launch.plan = choice.expectation(retrieval, cache), len(standing.out)
+        usual = plan.work + retrieval.profile.agreed // 2
+        choice.remind(now + min(usual * 3 // 2, max(plan.agreed - now - plan.work, usual // 2)), launch)
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
@@ -257,34 +259,39 @@
         if standing.trial is launch:
             standing.trial = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
+            standing.gap += (min(now - standing.heard, choice.agreed) - standing.gap) / 8
             standing.heard = now
         if outcome is Outcome.OK:
-            standing.judge(False, now)
-            if source is not cache:
-                source.memory.judge(False, now, 1 / 16)
+            standing.judge(0, now)
+            if launch.plan[0] and launch.told is not Told.HIT:
+                source.memory.judge(0, now)
+            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (launch.plan[0] == 2 and
+                                                               launch.told is Told.NOTHING):
+                source.memory.heard = now    # a fill for certain, or all but certain
             self.learn(launch)
-        elif outcome is Outcome.TIMEOUT and standing.heard > launch.sent and source is not cache:
-            choice.blame(source, now)
-        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT):
-            choice.blame(cache, now)
+        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or source is cache:
+            choice.blame(cache, 1, now)
+        elif outcome is Outcome.ERROR:
+            # Either of the two: each takes the part that its own record lately makes likely.
+            mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
+            choice.blame(cache, mine / (mine + other), now)
+            choice.blame(source, other / (mine + other), now)
         return True
 
     def learn(self, launch: Launch) -> None:
         """The size of an object where it is not told, and how many transfers a cache carries at full pace."""
         retrieval, standing = launch.retrieval, launch.cache.memory
-        work, key = retrieval.plan.work, (retrieval.object, retrieval.part)
         if not retrieval.size_kb:
+            key = (retrieval.object, retrieval.part)
             uses, known = self.choice.seen.get(key, (0, 0))
             self.choice.seen[key] = (uses, min(known or launch.lag, launch.lag))
-            return
-        if launch.told in (Told.HIT, Told.NOTHING) and launch.lag > 0:
-            share = work / launch.lag
-            carried = launch.plan[1] * share
-            if share < 0.5 and launch.plan[1] > 2:
-                standing.room += ((carried if standing.room else launch.plan[1]) - standing.room) / 8 \
-                    if standing.room else launch.plan[1]
-            elif standing.room and carried > standing.room:
-                standing.room += (carried - standing.room) / 4
+        elif launch.told in (Told.HIT, Told.NOTHING) and launch.lag > 0:
+            held = launch.plan[1]
+            share = retrieval.plan.work / launch.lag
+            if share < 0.5 and held > 2:
+                standing.room += (held * share - standing.room) / 8 if standing.room else held
+            elif standing.room and held * share > standing.room:
+                standing.room += (held * share - standing.room) / 4
 
 
 class Choice:
@@ -440,10 +447,12 @@
     def ranked_parents(self, retrieval: Retrieval) -> list[Cache]:
         return sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
 
+    def expectation(self, retrieval: Retrieval, cache: Cache) -> int:
+        return 0 if cache in self.holders(retrieval, self.actions.now()) else retrieval.plan.expected
+
     def predicted(self, cache: Cache, work: int) -> int:
         standing = cache.memory
-        crowd = (len(standing.out) + 1) / standing.room if standing.room else 1.0
-        return int(work * max(1.0, crowd))
+        return int(work * max(1.0, (len(standing.out) + 1) / standing.room if standing.room else 1.0))
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
         """The location's caches that the directory lists for the object."""
@@ -492,11 +501,20 @@
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
         self.actions.push_back(retrieval, int(wait * (0.5 + self.chance())) if wait else 0)
 
-    def blame(self, cache: Cache, now: int) -> None:
-        if cache.memory.judge(True, now):
-            cache.memory.emptied = now
-            self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
-            self.rescue(cache)
+    def blame(self, cache: Cache, part: float, now: int) -> None:
+        """Lays a failure on a place; leaves it alone for a while if it does worse than its peers. Where all
+        do badly the cause lies behind them or in the load, and shutting one would only move it on."""
+        standing = cache.memory
+        standing.judge(part, now)
+        peers = [one.memory.wrong for one in (self.parents if cache.role is Role.PARENT else self.near)
+                 if one is not cache]
+        if (now < standing.shut or not peers
+                or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers)):
+            return
+        standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
+        standing.emptied = now
+        self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
+        self.rescue(cache)
 
     def rescue(self, cache: Cache) -> None:
         """A place shut because nothing comes back: what waits there moves on."""
@@ -513,14 +531,18 @@
         the launch went out is suspect; if it answers others, the source is."""
         if launch.outcome is not None or launch.retrieval.over or launch.retrieval.plan.begun:
             return
-        if launch.cache.memory.heard <= launch.sent:
-            self.blame(launch.cache, now)
+        cache, source = launch.cache.memory, launch.source.memory
+        quiet = now - max(cache.heard, launch.sent)
+        if cache.heard <= launch.sent and quiet > QUIET * cache.gap:
+            self.blame(launch.cache, 1, now)
             self.move_on(launch)
-        elif launch.source is not launch.cache:
-            if now < launch.source.memory.shut:
+        elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
+            if source.heard <= launch.sent:
+                self.blame(launch.source, 1, now)
+            if now < source.shut:
                 self.move_on(launch)
-            else:
-                self.remind(now + launch.plan[0], launch)
+        else:
+            self.remind(now + self.agreed // 2, launch)
 
     def move_on(self, launch: Launch) -> None:
         """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -45,7 +45,6 @@
     """The ground, and the machine kinds of parents and origin."""
     top = Reader(json.loads(text), "")
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
-    report = top.within("Report")
     fresh, grace = own.need("MaxAge", list), own.need("GraceFor", list)
     never_kept, zone = own.need("NeverKept", list), int(top.need("Zone"))
     profiles = []
@@ -57,27 +56,23 @@
         profiles.append(Profile(
             agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0,
             client_timeout=one.time("Deadline"),
-            repeat=REPEATS[repeat], group=GROUPS[group], window=one.optional_time("KeyTtl"),
+            credit=one.need("Gain"), repeat=REPEATS[repeat], group=GROUPS[group],
+            window=one.optional_time("KeyTtl"),
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
             never_kept=bool(at(never_kept, place, False))))
-    hubs, crews = own.need("HomeHub", list), own.need("CrewByZone", list)
     ground = Ground(
-        profiles=profiles, seed=seed, zone=zone, crew=max(1, at(crews, zone, 1)),
-        hubs=hubs, hub=at(hubs, zone, 0),
-        pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0, resolution=top.time("Resolution"),
-        drain_grace=rules.time("DrainGrace"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
+        profiles=profiles, seed=seed, zone=zone, pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0,
+        resolution=top.time("Resolution"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
         cold_factor=rules.need("OverloadFactor"), fall_window=rules.time("Fall"),
         parent_cold_share=own.value.get("UpperColdFrom") or 0.0,
         parent_cold_time=own.optional_time("ParentWarmsIn"),
         parent_factor=own.value.get("ParentBreaksAt") or 0.0,
-        purge_time=own.optional_time("ClearedWithin"), idle_close=limits.optional_time("IdleClose"),
-        connect_timeout=limits.time("ConnectTimeout"), most_launches=int(limits.need("MaxAttempts")),
+        purge_time=own.optional_time("ClearedWithin"), most_launches=int(limits.need("MaxAttempts")),
         longest_retry_after=limits.optional_time("MaxRetryAfter"),
         may_call_off=bool(limits.need("Cancel", (bool, int))),
         may_duplicate=bool(limits.need("MayDuplicate", (bool, int))),
-        may_probe=bool(limits.value.get("Probing")), retry_after=bool(limits.value.get("RetryAfter")),
-        reports_by_probe=report.value.get("Via") == "probe", direct=bool(own.value.get("Direct")),
-        siblings=own.value.get("Sideways", "none") != "none", far_siblings=own.value.get("Sideways") == "any",
-        join=bool(own.value.get("CanJoin")), tells_hits=own.value.get("Tells", "none") != "none",
-        must_ask=top.value.get("MembershipMode") == "ask", ask_every=rules.optional_time("AskEvery"))
+        retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
+        siblings=own.value.get("Sideways", "none") != "none", join=bool(own.value.get("CanJoin")),
+        tells_hits=own.value.get("Tells", "none") != "none",
+        must_ask=top.value.get("MembershipMode") == "ask")
     return ground, int(own.value.get("ParentKind", -1)), int(own.need("StoreKind"))
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -94,6 +94,7 @@
     agreed: int
     stretch: float
     client_timeout: int
+    credit: float = 1.0
     repeat: Repeat = Repeat.PURE
     group: Group = Group.ALL
     window: int = 0
@@ -110,12 +111,8 @@
     profiles: list[Profile]
     seed: int
     zone: int
-    crew: int
-    hubs: list[int]
-    hub: int
     pace_kb_s: float
     resolution: int
-    drain_grace: int
     cold_share: float
     cold_time: int
     cold_factor: float
@@ -124,22 +121,16 @@
     parent_cold_time: int
     parent_factor: float
     purge_time: int
-    idle_close: int
-    connect_timeout: int
     most_launches: int
     longest_retry_after: int
     may_call_off: bool
     may_duplicate: bool
-    may_probe: bool
     retry_after: bool
-    reports_by_probe: bool
     direct: bool
     siblings: bool
-    far_siblings: bool
     join: bool
     tells_hits: bool
     must_ask: bool
-    ask_every: int
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,93 @@
+"""A front on paper: records what the decisions ask for and hands back what the test says."""
+
+import pytest
+
+from marbleglade.choice import Choice
+from marbleglade.interface import (
+    Cache,
+    Ground,
+    Group,
+    Launch,
+    Outcome,
+    Profile,
+    Repeat,
+    Retrieval,
+    Role,
+    Told,
+)
+
+MS = 1_000_000
+ERA = 1_000_000 * MS
+
+
+class Paper:
+    def __init__(self, repeat=Repeat.PURE, group=Group.ALL, **changes):
+        self.clock, self.sent, self.said, self.notes = ERA, [], [], []
+        profile = dict(agreed=300 * MS, stretch=2.0, client_timeout=2500 * MS, repeat=repeat, group=group,
+                       window=2000 * MS, fresh=changes.pop("fresh", 0), grace=0)
+        figures = dict(
+            profiles=[Profile(**profile)], seed=7, zone=1, pace_kb_s=1000.0,
+            resolution=2 * MS, cold_share=0.2, cold_time=10_000 * MS, cold_factor=3.0,
+            fall_window=1000 * MS, parent_cold_share=0.1, parent_cold_time=20_000 * MS, parent_factor=2.0,
+            purge_time=6000 * MS, most_launches=6,
+            longest_retry_after=500 * MS, may_call_off=True, may_duplicate=False,
+            retry_after=True, direct=False, siblings=True, join=False,
+            tells_hits=False, must_ask=False)
+        self.ground = Ground(**(figures | changes))
+        self.choice = Choice(self.ground, self)
+        self.caches = [Cache(b"c%d" % n, zone=1, cell=n) for n in range(4)]
+        self.parents = [Cache(b"p%d" % n, Role.PARENT) for n in range(3)]
+        self.origin = Cache(b"o", Role.ORIGIN)
+        self.choice.listed([*self.caches, *self.parents, self.origin], True)
+
+    def now(self):
+        return self.clock
+
+    def launch(self, retrieval, cache, source, within, rank=0, age=0, join=False, renew=False):
+        one = Launch(retrieval, cache, source, self.clock, within, rank)
+        retrieval.launches.append(one)
+        self.sent.append(one)
+        return one
+
+    def call_off(self, launch):
+        self.said.append(("call off", launch))
+
+    def push_back(self, retrieval, retry_after=0):
+        retrieval.over = True
+        self.said.append(("push back", retrieval))
+
+    def break_off(self, retrieval):
+        retrieval.over = True
+        self.said.append(("break off", retrieval))
+
+    def wake(self, after):
+        pass
+
+    def watch_list(self):
+        self.said.append(("watch", None))
+
+    def note(self, text):
+        self.notes.append(text)
+
+    def ask(self, thing=1, size=50.0, wait=2500):
+        one = Retrieval(self.ground.profiles[0], thing, 0, thing % 8, size, self.clock,
+                        self.clock + wait * MS)
+        self.choice.take(one)
+        return one
+
+    def end(self, launch, outcome=Outcome.OK, after=60, told=Told.NOTHING):
+        self.clock += after * MS
+        launch.outcome, launch.lag, launch.told = outcome, self.clock - launch.sent, told
+        launch.retrieval.over = launch.retrieval.over or outcome is Outcome.OK
+        self.choice.ended(launch, {})
+        return self.sent[-1]
+
+    def pass_time(self, ms, step=20):
+        for _ in range(ms // step):
+            self.clock += step * MS
+            self.choice.woken()
+
+
+@pytest.fixture
+def front():
+    return Paper
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,214 @@
+"""Tables of cases for the mechanism, the five rules and each failure that was found."""
+
+import pytest
+
+from marbleglade.interface import Group, Outcome, Repeat, Role, State, Told
+
+from .conftest import ERA, MS
+
+
+def home(front, thing):
+    """The cache and parent that an undisturbed front picks."""
+    launch = front().ask(thing).launches[0]
+    return launch.cache.mark, launch.source.mark
+
+
+@pytest.mark.parametrize("thing", range(1, 12))
+def test_fronts_agree_on_cache_and_parent(front, thing):
+    assert home(front, thing) == home(lambda: front(seed=99), thing)
+    parts = {front().ask(thing).launches[0].source.role}
+    assert parts == {Role.PARENT}
+
+
+def test_hash_spreads_over_all_caches_and_parents(front):
+    picks = [home(front, thing) for thing in range(1, 200)]
+    for place, count in ((0, 4), (1, 3)):
+        tally = [sum(pick[place] == one for pick in picks) for one in {pick[place] for pick in picks}]
+        assert len(tally) == count and min(tally) > 199 / count / 2
+
+
+def test_listed_sibling_fills_and_parent_is_the_fallback(front):
+    paper = front()
+    first = paper.ask(5).launches[0]
+    paper.end(first)
+    first.cache.state = State.LEAVING      # its copy stays listed, but nothing new goes there
+    paper.choice.listed([first.cache], False)
+    assert paper.ask(5).launches[0].source.role is Role.PARENT
+    first.cache.state = State.ACTIVE
+    paper.choice.listed([first.cache], False)
+    paper.end(paper.ask(5).launches[0])
+    first.cache.memory.shut = paper.clock + 100 * MS
+    first.cache.memory.trial = None
+    second = paper.ask(5).launches[0]
+    assert second.cache is not first.cache
+    first.cache.memory.shut = 0
+    paper.end(second)
+    second.cache.memory.emptied = paper.clock      # only the first still counts as a holder
+    first.cache.memory.room, first.cache.memory.out = 0.01, dict.fromkeys(range(4))
+    third = paper.ask(5)
+    assert third.launches[0].source is first.cache
+    after = paper.end(third.launches[0], Outcome.MISS, 3)
+    assert after.retrieval is third and after.source.role is Role.PARENT
+
+
+def test_directory_entries_age_and_are_bounded(front):
+    paper = front()
+    launch = paper.ask(5).launches[0]
+    paper.end(launch)
+    holders = paper.choice.holders
+    assert holders(launch.retrieval, paper.clock) == [launch.cache]
+    assert holders(launch.retrieval, paper.clock + paper.choice.entry_age) == []
+
+
+@pytest.mark.parametrize("uses, rank", [(1, 1), (2, 2), (6, 3)])
+def test_rank_grows_with_repeat_use(front, uses, rank):
+    paper = front()
+    for _ in range(uses):
+        launch = paper.ask(3).launches[0]
+        paper.end(launch)
+    assert launch.rank == rank
+
+
+RAN, NEVER = Outcome.ERROR, Outcome.FULL
+
+
+@pytest.mark.parametrize("repeat, group, outcome, late, again, answer", [
+    (Repeat.PURE, Group.ALL, RAN, 60, True, None),
+    (Repeat.EFFECTFUL, Group.ALL, RAN, 60, False, "break off"),
+    (Repeat.EFFECTFUL, Group.ALL, Outcome.RESET, 60, False, "break off"),
+    (Repeat.EFFECTFUL, Group.ALL, NEVER, 60, True, None),
+    (Repeat.RECEIPTED, Group.ALL, RAN, 60, True, None),
+    (Repeat.RECEIPTED, Group.ALL, RAN, 2001, False, "push back"),
+    (Repeat.RECEIPTED, Group.ZONE, RAN, 60, True, None),
+    (Repeat.RECEIPTED, Group.ZONE, RAN, 2001, False, "break off"),
+    (Repeat.RECEIPTED, Group.CELL, RAN, 60, False, "break off"),
+    (Repeat.RECEIPTED, Group.CELL, NEVER, 60, True, None),
+])
+def test_no_effect_twice(front, repeat, group, outcome, late, again, answer):
+    paper = front(repeat, group)
+    for cache in paper.caches:
+        cache.cell = paper.caches.index(cache)
+    retrieval = paper.ask(4, wait=4000)
+    first = retrieval.launches[0]
+    if group is Group.CELL and outcome is RAN:
+        first.cache.state = State.LEAVING
+        paper.choice.listed([first.cache], False)
+    paper.end(first, outcome, late)
+    assert (len(retrieval.launches) == 2) is again
+    assert [word for word, _ in paper.said] == ([answer] if answer else [])
+
+
+@pytest.mark.parametrize("state", [State.LEAVING, State.LEFT])
+@pytest.mark.parametrize("role", [Role.CACHE, Role.PARENT])
+def test_drains_are_kept_as_target_and_source(front, state, role):
+    paper = front()
+    for thing in range(1, 60):
+        paper.end(paper.ask(thing).launches[0])
+    place = (paper.caches if role is Role.CACHE else paper.parents)[1]
+    place.state = state
+    paper.choice.listed([place], False)
+    for thing in range(1, 60):
+        launch = paper.ask(thing).launches[0]
+        assert place not in (launch.cache, launch.source)
+        paper.end(launch)
+
+
+def test_a_list_that_leaves_a_cache_out_has_dropped_it(front):
+    paper = front()
+    paper.choice.listed([*paper.caches[1:], *paper.parents, paper.origin], True)
+    assert all(paper.ask(thing).launches[0].cache is not paper.caches[0] for thing in range(1, 60))
+
+
+@pytest.mark.parametrize("role", [Role.CACHE, Role.PARENT])
+def test_a_cold_place_gets_a_thin_slice_that_widens(front, role):
+    paper = front(siblings=False)
+    cold = (paper.caches if role is Role.CACHE else paper.parents)[0]
+    span = paper.ground.cold_time if role is Role.CACHE else paper.ground.parent_cold_time
+    cold.born = paper.clock
+    paper.choice.listed([cold], False)
+    shares = []
+    for age in (span // 20, span // 2, span * 11 // 10):
+        before = len(paper.sent)
+        while paper.clock < cold.born + age:
+            paper.end(paper.ask(len(paper.sent) + 1).launches[0], after=10)
+        last = paper.sent[max(before, len(paper.sent) - 300):]
+        shares.append(sum(cold in (one.cache, one.source) for one in last) / len(last))
+    assert shares[0] < shares[1] <= shares[2] and shares[0] < 0.1 and shares[2] > 0.15
+
+
+@pytest.mark.parametrize("thing, group, asked, limited", [
+    (5, 5, 5, True), (5, 5, 13, False), (0, 5, 13, True), (0, 5, 6, False)])
+@pytest.mark.parametrize("told, age", [(0, 1000), (85 * MS, 85 * MS - 1000), (5000 * MS, 5000 * MS - 1000)])
+def test_purges_limit_the_age_and_empty_the_directory(front, thing, group, asked, limited, told, age):
+    paper, ages = front(), []
+    plain = paper.launch
+    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    paper.end(paper.ask(asked).launches[0])
+    paper.choice.purged(thing, group, paper.clock - told)
+    launch = paper.ask(asked).launches[0]
+    assert ages[-1] == (age if limited else 0)
+    assert (launch.cache in paper.choice.holders(launch.retrieval, paper.clock)) is not limited
+
+
+def test_a_purge_told_between_two_launches_binds_the_second(front):
+    """Found on a day with a flush: the age was worked out once, when the retrieval came."""
+    paper, ages = front(), []
+    plain = paper.launch
+    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    first = paper.ask(5).launches[0]
+    paper.choice.purged(5, 5, paper.clock)
+    paper.end(first, Outcome.FULL, 40)
+    assert ages == [0, 40 * MS - 1000]
+
+
+def test_given_up_means_answered_at_once(front):
+    paper = front()
+    for cache in paper.caches:
+        cache.state = State.LEAVING
+    paper.choice.listed(paper.caches, False)
+    retrieval = paper.ask(5)
+    assert paper.said == [("push back", retrieval)] and retrieval.over and not paper.sent
+
+
+def test_further_launches_are_bounded(front):
+    paper = front()
+    for thing in range(1, 300):
+        launch = paper.ask(thing).launches[0]
+        while not launch.retrieval.over:
+            launch = paper.end(launch, Outcome.FULL, 1)
+    assert len(paper.sent) < 299 * 1.25 + 15
+    assert max(len(one.retrieval.launches) for one in paper.sent) <= paper.ground.most_launches
+
+
+def test_a_silent_cache_is_left_alone_and_its_work_moves_on(front):
+    """A cache that takes work and answers none; the others answer all the while."""
+    paper = front()
+    silent = paper.caches[2]
+    for thing in range(1, 400):
+        launch = paper.ask(thing).launches[0]
+        if launch.cache is not silent:
+            paper.end(launch, after=15)
+        paper.choice.woken()
+    moved = [one for word, one in paper.said if word == "call off"]
+    assert moved and all(one.cache is silent for one in moved) and paper.notes
+    assert paper.end(moved[-1], Outcome.CALLED_OFF, 1).cache is not silent
+    assert silent.memory.shut > ERA
+
+
+def test_when_all_do_badly_none_is_shut(front):
+    """A slow origin or a crowded link shows at every place alike; shutting one only moves the load on."""
+    paper = front()
+    for thing in range(1, 200):
+        launch = paper.ask(thing).launches[0]
+        paper.end(launch, Outcome.ERROR if thing % 3 == 0 else Outcome.OK)
+    assert not paper.notes
+
+
+@pytest.mark.parametrize("bad", ["cache", "source"])
+def test_fast_errors_are_laid_on_the_place_that_makes_them(front, bad):
+    paper = front(siblings=False)
+    culprit = paper.caches[1] if bad == "cache" else paper.parents[1]
+    for thing in range(1, 400):
+        launch = paper.ask(thing).launches[0]
+        paper.end(launch, Outcome.ERROR if getattr(launch, bad) is culprit else Outcome.OK, 10, Told.NOTHING)
+    assert paper.notes and {note.split()[-1] for note in paper.notes} == {culprit.mark.decode()}
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,83 @@
+"""Tables of cases for the wire's awkward sides, played through the adapter."""
+
+import io
+import json
+
+import pytest
+
+from marbleglade.drill.wire import Malformed, serve
+
+OPTIONS = json.dumps({
+    "Classes": [{"Aim": 300.0, "AimStretch": 2.0, "Deadline": 2500.0, "Gain": 1.0, "Group": "all",
+                 "KeyTtl": 5000.0, "Repeat": "free"}],
+    "Limits": {"Cancel": True, "MaxAttempts": 6, "MayDuplicate": False, "MaxRetryAfter": 500.0,
+               "RetryAfter": True},
+    "MembershipMode": "push", "Resolution": 2.0, "Unknown": {"Odd": 1}, "Zone": 1,
+    "Rules": {"Cold": 10000.0, "ColdFrom": 0.2, "Fall": 1000.0, "OverloadFactor": 3.0},
+    "Specifics": {"MaxAge": [0.0], "GraceFor": [0.0], "NeverKept": [False], "ParentKind": 1, "StoreKind": 2,
+                  "Sideways": "location", "Tells": "none", "OneFlowKbPerS": 1000.0}})
+ENTRIES = "LIST 0 3\nENTRY a:1 0 - 1 1 active 0\nENTRY p:1 1 - 1 0 active 0\nENTRY o:1 2 - 1 0 active 0\n"
+START = f"INIT 5 {OPTIONS}\n{ENTRIES}ENDPOINTS disk 0 1\n"
+
+
+def play(*batches, opened=True):
+    body = "".join(f"ROUND {place * 10}.5 {place}\n{batch}COMMIT\n" for place, batch in enumerate(batches, 1))
+    sink = io.BytesIO()
+    serve(io.BytesIO(body.encode()), sink)
+    return sink.getvalue().decode().split("\n")[:-1]
+
+
+def asked(tid, left="2400.0"):
+    return f"ACCEPT {tid} 0 - 77 {left} - 3 - 0\n"
+
+
+SENT = "ANSWER_FROM t/a a:1 2400.000 p:1 1 0 0"
+
+
+@pytest.mark.parametrize("batches, wanted", [
+    (["", ""], ["ACK 1", "ACK 2"]),
+    (["SWITCH_TO 3\n" + START + asked("t/a")], ["AS 3", "ARM 18.750 1", SENT, "ACK 1"]),
+    # restarted under the same number in one batch: what the dead life said is gone with it
+    (["SWITCH_TO 3\n" + START + asked("t/b") + "SHUTDOWN\n" + START + asked("t/a")],
+     ["AS 3", "ARM 18.750 1", SENT, "ACK 1"]),
+    # a list number used again within a batch is resolved in the order of events
+    (["SWITCH_TO 3\n" + START + ENTRIES.replace("a:1", "b:1") + "ENDPOINTS snapshot 0 2\n" + asked("t/a")],
+     ["AS 3", "ARM 18.750 1", SENT.replace("a:1", "b:1"), "ACK 1"]),
+    # late news of a retrieval that is over, or of a cache that has left, is ignored
+    (["SWITCH_TO 3\n" + START, "SWITCH_TO 3\nCLIENT_GONE t/x\nATTEMPT_END t/x 0 5.0 1 - - 200 a:1 -\n"
+      "SAMPLED z:1 200 1.0 x0:0.5\nFROM_PEER 1 68\nESTABLISHED t/x 0 a:1 2.0\n"],
+     ["AS 3", "ARM 18.750 1", "ACK 1", "ACK 2"]),
+    (["SWITCH_TO 3\n" + START + asked("t/a"),
+      "SWITCH_TO 3\nATTEMPT_END t/a 0 9.0 0 - - 504 a:1 -\n",
+      "SWITCH_TO 3\nATTEMPT_END t/a 0 9.0 1 1 - 200 a:1 -\n"],
+     ["AS 3", "ARM 18.750 1", SENT, "ACK 1", "AS 3",
+      "ANSWER_FROM t/a a:1 2390.000 p:1 1 0 0", "ACK 2", "ACK 3"]),
+])
+def test_replies(batches, wanted):
+    assert play(*batches) == wanted
+
+
+@pytest.mark.parametrize("batch, word", [
+    ("SWITCH_TO 4\nELAPSED 1\n", "never started"),
+    ("SWITCH_TO 4\nHELLO\n", "unknown message HELLO"),
+    ("SWITCH_TO x\n", "line 2"),
+    ("SWITCH_TO 3\n" + START + "ACCEPT t/a 0\n", "ACCEPT"),
+    ("SWITCH_TO 3\n" + START + "ATTEMPT_END t/a 0 x 0 - - 200 a:1 -\n", "ATTEMPT_END"),
+    ("SWITCH_TO 3\nLIST 0 2\nENTRY a:1 0 - 1 1 asleep 0\n", "ENTRY"),
+    ("SWITCH_TO 3\nINIT 5 {}\n", "Limits"),
+    ("SWITCH_TO 3\n" + START.replace('"Zone": 1', '"Zones": 1'), "Zone"),
+    ("SWITCH_TO 3\nENDPOINTS odd 0 1\n", "unknown list form"),
+    ("ROUND 5.0 9\n", "open already"),
+])
+def test_malformed_lines_are_named(batch, word):
+    with pytest.raises(Malformed, match="line [0-9]+: ") as trouble:
+        play(batch)
+    assert word in str(trouble.value)
+
+
+def test_instances_share_nothing():
+    """One instance beside a busy other acts as it does alone."""
+    alone = play("SWITCH_TO 3\n" + START + asked("t/a"))
+    busy = play("SWITCH_TO 5\n" + START + "".join(asked(f"t/{n}") for n in range(2000))
+                + "SWITCH_TO 3\n" + START + asked("t/a"))
+    assert busy[busy.index("AS 3"):] == alone
