--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -48,7 +48,8 @@
         self.shut = 0                        # left alone until then; from then on one trial at a time
         self.spell = self.least = spell
         self.trial: Launch | None = None
-        self.room = 0.0                      # transfers that it carries at full pace; 0: no limit seen
+        self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
+        self.link = Link()
         self.first_byte = 0.0                # as a source: time that it adds to an answer
         self.truth = 1.0                     # as a sibling: share of named fills that it did hold
         self.paid, self.paid_at = 0.0, now   # budget of a cold start, in sending time
@@ -66,6 +67,25 @@
         return not self.shut or (now >= self.shut and self.trial is None)
 
 
+class Link:
+    """A link that transfers share: how many are out on it, and how many it carries at full pace."""
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.room = 0.0      # 0: no limit seen
+
+    def time(self, work: int) -> int:
+        """Predicted time of one more transfer."""
+        return int(work * max(1.0, (self.held + 1) / self.room)) if self.room else work
+
+    def learn(self, held: int, work: int, took: int) -> None:
+        carried = held * min(work / max(took, 1), 1.0)
+        if carried < held / 2 and held > 2:
+            self.room = self.room + (carried - self.room) / 8 if self.room else float(held)
+        elif self.room:
+            self.room = max(self.room, self.room + (carried - self.room) / 4)
+
+
 class Plan:
     """What the stages note on one retrieval."""
 
@@ -73,7 +93,8 @@
         self.work = 0               # its sending time at full pace
         self.agreed = 0             # when its agreed time ends
         self.rank = 1
-        self.expected = 0           # 0: a copy is listed where it goes, 1: asked for before, 2: new here
+        self.sized = False          # whether that time is of this object, or its profile's mean
+        self.new = False            # not asked for before, as far as this front remembers
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
         self.begun = False              # its answer has started: the client owns it
@@ -126,7 +147,7 @@
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         # An object asked for once may take only the room of its like.
-        plan.expected = 1 if uses else 2
+        plan.new, plan.sized = not uses, bool(work)
         plan.rank = 0 if profile.never_kept else 1 + (uses > 0) + (uses > 3)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
@@ -173,9 +194,9 @@
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
         left = plan.agreed - now
-        if choice.predicted(pick, plan.work) > left:
-            pick = min(fresh, key=lambda cache: choice.predicted(cache, plan.work))
-            if (choice.predicted(pick, plan.work) > left and not retrieval.launches
+        if choice.predicted(retrieval, pick) > left:
+            pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
+            if (choice.predicted(retrieval, pick) > left and not retrieval.launches
                     and retrieval.profile.repeat is Repeat.PURE):
                 choice.give_up(retrieval)
                 return
@@ -248,7 +269,12 @@
         standing.paid -= mean
         if source.role is Role.PARENT:
             source.memory.paid -= mean
-        launch.plan = choice.expectation(retrieval, cache), len(standing.out)
+        launch.links = choice.links(retrieval, cache)
+        for link in launch.links:
+            link.held += 1
+        launch.held = [link.held for link in launch.links]
+        launch.filled = len(launch.links) > 1
+        source.memory.feeds[launch] = None
         usual = plan.work + retrieval.profile.agreed // 2
         choice.remind(now + min(usual * 3 // 2, max(plan.agreed - now - plan.work, usual // 2)), launch)
 
@@ -256,6 +282,7 @@
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
         standing, outcome = cache.memory, launch.outcome
         standing.out.pop(launch, None)
+        source.memory.feeds.pop(launch, None)
         if standing.trial is launch:
             standing.trial = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
@@ -263,12 +290,11 @@
             standing.heard = now
         if outcome is Outcome.OK:
             standing.judge(0, now)
-            if launch.plan[0] and launch.told is not Told.HIT:
+            if launch.filled and launch.told is not Told.HIT:
                 source.memory.judge(0, now)
-            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (launch.plan[0] == 2 and
-                                                               launch.told is Told.NOTHING):
+            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
+                    launch.filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now    # a fill for certain, or all but certain
-            self.learn(launch)
         elif outcome in (Outcome.RESET, Outcome.UNREACHED) or source is cache:
             choice.blame(cache, 1, now)
         elif outcome is Outcome.ERROR:
@@ -276,22 +302,20 @@
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
             choice.blame(cache, mine / (mine + other), now)
             choice.blame(source, other / (mine + other), now)
+        self.learn(launch)
         return True
 
     def learn(self, launch: Launch) -> None:
-        """The size of an object where it is not told, and how many transfers a cache carries at full pace."""
-        retrieval, standing = launch.retrieval, launch.cache.memory
-        if not retrieval.size_kb:
+        """The size of an object where it is not told, and what the links on the way carry."""
+        retrieval, plan = launch.retrieval, launch.retrieval.plan
+        for link, held in zip(launch.links, launch.held, strict=True):
+            link.held -= 1
+            if plan.sized and (launch.outcome is Outcome.OK or launch.lag > retrieval.profile.agreed):
+                link.learn(held, plan.work, launch.lag - self.choice.slack(retrieval))
+        if not retrieval.size_kb and launch.outcome is Outcome.OK:
             key = (retrieval.object, retrieval.part)
             uses, known = self.choice.seen.get(key, (0, 0))
             self.choice.seen[key] = (uses, min(known or launch.lag, launch.lag))
-        elif launch.told in (Told.HIT, Told.NOTHING) and launch.lag > 0:
-            held = launch.plan[1]
-            share = retrieval.plan.work / launch.lag
-            if share < 0.5 and held > 2:
-                standing.room += (held * share - standing.room) / 8 if standing.room else held
-            elif standing.room and held * share > standing.room:
-                standing.room += (held * share - standing.room) / 4
 
 
 class Choice:
@@ -309,6 +333,7 @@
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []
         self.count, self.budget = 0, float(FURTHER_BURST)
+        self.fills = Link()     # the fills of this front: what they share of the location's link
         self.agreed = min(profile.agreed for profile in ground.profiles)
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         self.asked = Rate(now, max(ground.cold_time, 1) // 2)
@@ -447,12 +472,18 @@
     def ranked_parents(self, retrieval: Retrieval) -> list[Cache]:
         return sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
 
-    def expectation(self, retrieval: Retrieval, cache: Cache) -> int:
-        return 0 if cache in self.holders(retrieval, self.actions.now()) else retrieval.plan.expected
+    def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
+        """The links that an answer from there takes up: the cache's own, and the fills' if it is not listed."""
+        listed = cache.role is Role.CACHE and cache in self.holders(retrieval, self.actions.now())
+        return [cache.memory.link] if listed else [cache.memory.link, self.fills]
 
-    def predicted(self, cache: Cache, work: int) -> int:
-        standing = cache.memory
-        return int(work * max(1.0, (len(standing.out) + 1) / standing.room if standing.room else 1.0))
+    def slack(self, retrieval: Retrieval) -> int:
+        """What of the agreed time is meant for the way and the wait, not for sending."""
+        return retrieval.profile.agreed // 4
+
+    def predicted(self, retrieval: Retrieval, cache: Cache) -> int:
+        work = retrieval.plan.work
+        return max(link.time(work) for link in self.links(retrieval, cache)) + self.slack(retrieval)
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
         """The location's caches that the directory lists for the object."""
@@ -506,8 +537,11 @@
         do badly the cause lies behind them or in the load, and shutting one would only move it on."""
         standing = cache.memory
         standing.judge(part, now)
-        peers = [one.memory.wrong for one in (self.parents if cache.role is Role.PARENT else self.near)
-                 if one is not cache]
+        if cache.role is Role.CACHE:
+            peers = [one.memory.wrong for one in self.near if one is not cache]
+        else:   # the origin stands in where no other parent is open
+            peers = [one.memory.wrong for one in self.parents if one is not cache and not one.memory.shut]
+            peers = peers or ([self.origin.memory.wrong] if self.origin not in (None, cache) else [])
         if (now < standing.shut or not peers
                 or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers)):
             return
@@ -518,8 +552,11 @@
 
     def rescue(self, cache: Cache) -> None:
         """A place shut because nothing comes back: what waits there moves on."""
-        for launch in list(cache.memory.out):
-            if launch.sent > cache.memory.heard and launch.outcome is None:
+        standing, now = cache.memory, self.actions.now()
+        for launch in [*standing.out, *standing.feeds]:
+            if launch.sent > standing.heard and launch.outcome is None and (
+                    launch.cache is cache or now - launch.sent > self.slack(launch.retrieval)
+                    + launch.retrieval.plan.work):
                 self.move_on(launch)
 
     def remind(self, due: int, launch: Launch) -> None:
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -162,7 +162,9 @@
     told: Told = Told.NOTHING
     lag: int = 0
     waited: int = 0
-    plan: Any = None
+    links: list[Any] = field(default_factory=list)
+    held: list[int] = field(default_factory=list)
+    filled: bool = False
 
 
 class Actions(Protocol):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -44,7 +44,7 @@
     first.cache.memory.shut = 0
     paper.end(second)
     second.cache.memory.emptied = paper.clock      # only the first still counts as a holder
-    first.cache.memory.room, first.cache.memory.out = 0.01, dict.fromkeys(range(4))
+    first.cache.memory.link.room, first.cache.memory.link.held = 0.01, 4
     third = paper.ask(5)
     assert third.launches[0].source is first.cache
     after = paper.end(third.launches[0], Outcome.MISS, 3)
