A launch turned away as full counts half against its source; lost launches teach links

Cause: a crashed parent shows as FULL at the caches and was never blamed; launches that ran out of time taught nothing, so a jammed front kept sending.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -297,6 +297,8 @@
                 source.memory.heard = now    # a fill for certain, or all but certain
         elif outcome in (Outcome.RESET, Outcome.UNREACHED) or source is cache:
             choice.blame(cache, 1, now)
+        elif outcome is Outcome.FULL and launch.filled:
+            choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
         elif outcome is Outcome.ERROR:
             # Either of the two: each takes the part that its own record lately makes likely.
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
@@ -310,7 +312,7 @@
         retrieval, plan = launch.retrieval, launch.retrieval.plan
         for link, held in zip(launch.links, launch.held, strict=True):
             link.held -= 1
-            if plan.sized and (launch.outcome is Outcome.OK or launch.lag > retrieval.profile.agreed):
+            if plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed:
                 link.learn(held, plan.work, launch.lag - self.choice.slack(retrieval))
         if not retrieval.size_kb and launch.outcome is Outcome.OK:
             key = (retrieval.object, retrieval.part)
@@ -554,9 +556,9 @@
         """A place shut because nothing comes back: what waits there moves on."""
         standing, now = cache.memory, self.actions.now()
         for launch in [*standing.out, *standing.feeds]:
-            if launch.sent > standing.heard and launch.outcome is None and (
-                    launch.cache is cache or now - launch.sent > self.slack(launch.retrieval)
-                    + launch.retrieval.plan.work):
+            usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
+            if (launch.sent > standing.heard and launch.outcome is None
+                    and (launch.cache is cache or now - launch.sent > usual)):
                 self.move_on(launch)
 
     def remind(self, due: int, launch: Launch) -> None:
