--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -29,6 +29,7 @@
 )
 
 SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
+KEPT = 2.5              # entry ages for which a cache is expected to keep what it answered with
 QUIET = 6               # usual gaps between answers after which a place with work counts as silent
 PEERS_ADD = 1.5         # and that is raised by so many times its peers' share
 LATELY = 1 / 10         # weight of one outcome in that share
@@ -81,11 +82,20 @@
     def learn(self, held: int, work: int, took: int) -> None:
         carried = held * min(work / max(took, 1), 1.0)
         if carried < held / 2 and held > 2:
-            self.room = self.room + (carried - self.room) / 8 if self.room else float(held)
+            # Never under one: the next transfer on an idle link is always tried, and teaches anew.
+            self.room = max(1.0, self.room + (carried - self.room) / 8) if self.room else float(held)
         elif self.room:
             self.room = max(self.room, self.room + (carried - self.room) / 4)
 
 
+class Sighting:
+    """What a front remembers of one object's part, longer than the directory lists it."""
+
+    def __init__(self) -> None:
+        self.uses = self.work = self.kept_at = 0
+        self.kept: Cache | None = None      # the cache that answered last, which most likely keeps it
+
+
 class Plan:
     """What the stages note on one retrieval."""
 
@@ -94,6 +104,7 @@
         self.agreed = 0             # when its agreed time ends
         self.rank = 1
         self.sized = False          # whether that time is of this object, or its profile's mean
+        self.sight = Sighting()
         self.new = False            # not asked for before, as far as this front remembers
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
@@ -137,18 +148,20 @@
         now, profile = self.actions.now(), retrieval.profile
         plan = retrieval.plan = Plan()
         key, seen = (retrieval.object, retrieval.part), self.choice.seen
-        uses, work = seen.pop(key, (0, 0))
+        sight = seen[key] = seen.pop(key, None) or Sighting()
+        work = sight.work
         if retrieval.size_kb and self.ground.pace_kb_s:
             work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9)
         plan.work = work or self.choice.mean_work(profile)
-        seen[key] = (uses + (not retrieval.repeated), work)
+        plan.sight, plan.new = sight, not sight.uses
+        sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
         if len(seen) > LISTED:
             seen.popitem(last=False)
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         # An object asked for once may take only the room of its like.
-        plan.new, plan.sized = not uses, bool(work)
-        plan.rank = 0 if profile.never_kept else 1 + (uses > 0) + (uses > 3)
+        plan.sized = bool(work)
+        plan.rank = 0 if profile.never_kept else min(3, 1 + sight.uses // 2)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
         self.next.take(retrieval)
@@ -234,6 +247,7 @@
         if launch.outcome is Outcome.OK and not retrieval.plan.begun:
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.enter(retrieval, cache, now)
+                retrieval.plan.sight.kept, retrieval.plan.sight.kept_at = cache, now
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or not self.ground.tells_hits:
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
@@ -310,14 +324,16 @@
     def learn(self, launch: Launch) -> None:
         """The size of an object where it is not told, and what the links on the way carry."""
         retrieval, plan = launch.retrieval, launch.retrieval.plan
+        took, full = launch.lag - self.choice.slack(retrieval), launch.outcome is Outcome.FULL
+        if full:    # the last link on the way had no place for it
+            took = plan.work + retrieval.profile.agreed
         for link, held in zip(launch.links, launch.held, strict=True):
             link.held -= 1
-            if plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed:
-                link.learn(held, plan.work, launch.lag - self.choice.slack(retrieval))
+            if (full and link is launch.links[-1]) or (
+                    plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed):
+                link.learn(held, plan.work, took)
         if not retrieval.size_kb and launch.outcome is Outcome.OK:
-            key = (retrieval.object, retrieval.part)
-            uses, known = self.choice.seen.get(key, (0, 0))
-            self.choice.seen[key] = (uses, min(known or launch.lag, launch.lag))
+            plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
 
 
 class Choice:
@@ -331,11 +347,12 @@
         self.parents: list[Cache] = []
         self.origin: Cache | None = None
         self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
-        self.seen: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
+        self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []
         self.count, self.budget = 0, float(FURTHER_BURST)
         self.fills = Link()     # the fills of this front: what they share of the location's link
+        self.fetches = Link()   # those of them that no cache or parent is likely to hold
         self.agreed = min(profile.agreed for profile in ground.profiles)
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         self.asked = Rate(now, max(ground.cold_time, 1) // 2)
@@ -476,8 +493,11 @@
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
         """The links that an answer from there takes up: the cache's own, and the fills' if it is not listed."""
-        listed = cache.role is Role.CACHE and cache in self.holders(retrieval, self.actions.now())
-        return [cache.memory.link] if listed else [cache.memory.link, self.fills]
+        sight, now = retrieval.plan.sight, self.actions.now()
+        if (cache is sight.kept and sight.kept_at > max(cache.memory.emptied, now - self.entry_age * KEPT)
+                and not self.age_limit(retrieval, now)):
+            return [cache.memory.link]
+        return [cache.memory.link, self.fills, self.fetches][:3 if retrieval.plan.new else 2]
 
     def slack(self, retrieval: Retrieval) -> int:
         """What of the agreed time is meant for the way and the wait, not for sending."""
