Admission and spilling keep a margin of three tenths of the agreed time

Cause: taken up to the edge of the agreed time, a third of what was taken came late and its work was lost.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -206,7 +206,7 @@
             return
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
-        left = plan.agreed - now
+        left = (plan.agreed - now) * 7 // 10
         if choice.predicted(retrieval, pick) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
             if (choice.predicted(retrieval, pick) > left and not retrieval.launches
