--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -29,6 +29,7 @@
 )
 
 SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
+SLOW = 0.6              # pace of a link, against the full one, under which it counts as crowded
 KEPT = 2.5              # entry ages for which a cache is expected to keep what it answered with
 QUIET = 6               # usual gaps between answers after which a place with work counts as silent
 PEERS_ADD = 1.5         # and that is raised by so many times its peers' share
@@ -73,6 +74,7 @@
 
     def __init__(self) -> None:
         self.held = 0
+        self.work = self.took = self.load = 0.0
         self.room = 0.0      # 0: no limit seen
 
     def time(self, work: int) -> int:
@@ -80,12 +82,18 @@
         return int(work * max(1.0, (self.held + 1) / self.room)) if self.room else work
 
     def learn(self, held: int, work: int, took: int) -> None:
-        carried = held * min(work / max(took, 1), 1.0)
-        if carried < held / 2 and held > 2:
-            # Never under one: the next transfer on an idle link is always tried, and teaches anew.
-            self.room = max(1.0, self.room + (carried - self.room) / 8) if self.room else float(held)
+        """Pools the answers by the time they took, so that small ones, mostly wait, say little."""
+        took = max(took, work, 1)
+        self.work += work - self.work / 16
+        self.took += took - self.took / 16
+        self.load += held * took - self.load / 16
+        pace, busy = self.work / self.took, self.load / self.took
+        if pace < SLOW:
+            if busy > 2 or self.room:
+                # Never under one: the next transfer on an idle link is always tried, and teaches anew.
+                self.room = max(1.0, self.room + (busy * pace - self.room) / 8) if self.room else busy
         elif self.room:
-            self.room = max(self.room, self.room + (carried - self.room) / 4)
+            self.room = max(self.room * (1.02 if busy > self.room / 2 else 1), busy * pace)
 
 
 class Sighting:
