--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -337,6 +337,9 @@
             took = plan.work + retrieval.profile.agreed
         for link, held in zip(launch.links, launch.held, strict=True):
             link.held -= 1
+            # A new object is slow for its fetch: it teaches nothing of the links that others share.
+            if plan.new and launch.filled and link is not self.choice.fetches:
+                continue
             if (full and link is launch.links[-1]) or (
                     plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed):
                 link.learn(held, plan.work, took)
