Where only fills are crowded a cache gives what it holds and fetches nothing

Cause: under a slow origin all that was not surely held was refused, hits with it, and what is refused is forgotten.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -188,6 +188,8 @@
             return False
         if any(one.outcome is None for one in retrieval.launches):
             return False      # another launch is out and may still answer
+        if launch.outcome is Outcome.MISS and launch.source is launch.cache:
+            return True
         stale = launch.outcome is Outcome.MISS and launch.source.role is Role.CACHE
         if launch.outcome is Outcome.MOOT or len(retrieval.launches) >= self.ground.most_launches:
             return True
@@ -217,11 +219,15 @@
         left = (plan.agreed - now) * 7 // 10
         if choice.predicted(retrieval, pick) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
-            if (choice.predicted(retrieval, pick) > left and not retrieval.launches
-                    and retrieval.profile.repeat is Repeat.PURE):
-                choice.give_up(retrieval)
-                return
-        self.next.to(retrieval, pick)
+        if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
+            self.next.to(retrieval, pick)
+        elif retrieval.launches:
+            choice.give_up(retrieval)
+        elif pick.memory.link.time(plan.work) + choice.slack(retrieval) <= left:
+            # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
+            self.next.next.send(retrieval, fresh[0], fresh[0])
+        else:
+            choice.give_up(retrieval)
 
     def straight(self, retrieval: Retrieval, now: int) -> None:
         """No cache of the location can be used: a parent answers itself, where that is allowed."""
@@ -256,10 +262,14 @@
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.enter(retrieval, cache, now)
                 retrieval.plan.sight.kept, retrieval.plan.sight.kept_at = cache, now
-            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or not self.ground.tells_hits:
+            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
+                    not self.ground.tells_hits and source is not cache):
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
                 source.memory.truth += (1 - source.memory.truth) / 16
+        elif launch.outcome is Outcome.MISS and source is cache:
+            self.choice.strike(retrieval, cache)
+            retrieval.plan.sight.kept = None
         elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
             # Guards against a flush, an eviction or a restart behind the directory's back: a sibling that
             # often lacks what it is listed for is not named until its entries are new.
@@ -291,7 +301,7 @@
         standing.paid -= mean
         if source.role is Role.PARENT:
             source.memory.paid -= mean
-        launch.links = choice.links(retrieval, cache)
+        launch.links = [cache.memory.link] if source is cache else choice.links(retrieval, cache)
         for link in launch.links:
             link.held += 1
         launch.held = [link.held for link in launch.links]
@@ -317,7 +327,7 @@
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
                     launch.filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now    # a fill for certain, or all but certain
-        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or source is cache:
+        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (source is cache and outcome is Outcome.ERROR):
             choice.blame(cache, 1, now)
         elif outcome is Outcome.FULL and launch.filled:
             choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
