Links widen by a tenth of a transfer with each good answer

Cause: a narrow link grew by a fiftieth of itself, one answer after another, so refusals outlived the trouble.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -93,7 +93,7 @@
                 # Never under one: the next transfer on an idle link is always tried, and teaches anew.
                 self.room = max(1.0, self.room + (busy * pace - self.room) / 8) if self.room else busy
         elif self.room:
-            self.room = max(self.room * (1.02 if busy > self.room / 2 else 1), busy * pace)
+            self.room = max(self.room + (0.1 if busy > self.room / 2 else 0), busy * pace)
 
 
 class Sighting:
