--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -345,13 +345,12 @@
         took, full = launch.lag - self.choice.slack(retrieval), launch.outcome is Outcome.FULL
         if full:    # the last link on the way had no place for it
             took = plan.work + retrieval.profile.agreed
+        # A quick answer speaks for every link on its way, a slow one only against the most likely cause.
+        cause = launch.links[0 if launch.told is Told.HIT else -1]
+        heard = full or (plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed)
         for link, held in zip(launch.links, launch.held, strict=True):
             link.held -= 1
-            # A new object is slow for its fetch: it teaches nothing of the links that others share.
-            if plan.new and launch.filled and link is not self.choice.fetches:
-                continue
-            if (full and link is launch.links[-1]) or (
-                    plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed):
+            if heard and (link is cause or took * SLOW < plan.work):
                 link.learn(held, plan.work, took)
         if not retrieval.size_kb and launch.outcome is Outcome.OK:
             plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
