--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -216,7 +216,7 @@
             return
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
-        left = (plan.agreed - now) * 7 // 10
+        left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
         if choice.predicted(retrieval, pick) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
