A source comes back by one trial launch at a time, as a cache does

Cause: after each spell every fill went to a hung parent again until it was shut anew. Probes, which nothing asked for, are out of the interface.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -13,20 +13,8 @@
 from hashlib import blake2b
 from itertools import pairwise
 
-from .interface import (
-    NEVER_RAN,
-    Actions,
-    Cache,
-    Ground,
-    Group,
-    Launch,
-    Outcome,
-    Repeat,
-    Retrieval,
-    Role,
-    State,
-    Told,
-)
+from .interface import (NEVER_RAN, Actions, Cache, Ground, Group, Launch, Outcome, Profile, Repeat, Retrieval,
+                        Role, State, Told)
 
 SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
 SLOW = 0.6              # pace of a link, against the full one, under which it counts as crowded
@@ -188,14 +176,12 @@
             return False
         if any(one.outcome is None for one in retrieval.launches):
             return False      # another launch is out and may still answer
-        if launch.outcome is Outcome.MISS and launch.source is launch.cache:
+        missed = launch.outcome is Outcome.MISS
+        if ((missed and launch.source is launch.cache) or launch.outcome is Outcome.MOOT
+                or len(retrieval.launches) >= self.ground.most_launches
+                or now + plan.work >= retrieval.until):
             return True
-        stale = launch.outcome is Outcome.MISS and launch.source.role is Role.CACHE
-        if launch.outcome is Outcome.MOOT or len(retrieval.launches) >= self.ground.most_launches:
-            return True
-        if not self.choice.may_repeat(retrieval) or now + plan.work >= retrieval.until:
-            return True
-        if not stale:
+        if not (missed and launch.source.role is Role.CACHE):
             if self.choice.budget < 1:
                 return True
             self.choice.budget -= 1
@@ -212,8 +198,7 @@
                    and cache.memory.usable(now) and choice.in_slice(retrieval, cache, now)]
         fresh = [cache for cache in options if cache not in plan.tried] or options
         if not fresh:
-            self.straight(retrieval, now)
-            return
+            return self.straight(retrieval, now)
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
         left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
@@ -221,13 +206,10 @@
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
             self.next.to(retrieval, pick)
-        elif retrieval.launches:
+        elif retrieval.launches or pick.memory.link.time(plan.work) + choice.slack(retrieval) > left:
             choice.give_up(retrieval)
-        elif pick.memory.link.time(plan.work) + choice.slack(retrieval) <= left:
-            # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
+        else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
             self.next.next.send(retrieval, fresh[0], fresh[0])
-        else:
-            choice.give_up(retrieval)
 
     def straight(self, retrieval: Retrieval, now: int) -> None:
         """No cache of the location can be used: a parent answers itself, where that is allowed."""
@@ -268,13 +250,12 @@
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
                 source.memory.truth += (1 - source.memory.truth) / 16
         elif launch.outcome is Outcome.MISS and source is cache:
-            self.choice.strike(retrieval, cache)
             retrieval.plan.sight.kept = None
         elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
             # Guards against a flush, an eviction or a restart behind the directory's back: a sibling that
             # often lacks what it is listed for is not named until its entries are new.
             retrieval.plan.lost.append(source)
-            self.choice.strike(retrieval, source)
+            self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
             source.memory.truth -= source.memory.truth / 8
             if source.memory.truth < 0.5:
                 source.memory.emptied, source.memory.truth = now, 1.0
@@ -294,8 +275,9 @@
         plan.tried.append(cache)
         standing = cache.memory
         standing.out[launch] = None
-        if standing.shut and now >= standing.shut:
-            standing.trial = launch
+        for place in (standing, source.memory):
+            if place.shut and now >= place.shut:
+                place.trial = launch
         mean = choice.mean_work(retrieval.profile)
         choice.asked.add(mean, now)
         standing.paid -= mean
@@ -315,8 +297,9 @@
         standing, outcome = cache.memory, launch.outcome
         standing.out.pop(launch, None)
         source.memory.feeds.pop(launch, None)
-        if standing.trial is launch:
-            standing.trial = None
+        for place in (standing, source.memory):
+            if place.trial is launch:
+                place.trial = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             standing.gap += (min(now - standing.heard, choice.agreed) - standing.gap) / 8
             standing.heard = now
@@ -327,7 +310,7 @@
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
                     launch.filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now    # a fill for certain, or all but certain
-        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (source is cache and outcome is Outcome.ERROR):
+        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (outcome is Outcome.ERROR and source is cache):
             choice.blame(cache, 1, now)
         elif outcome is Outcome.FULL and launch.filled:
             choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
@@ -347,12 +330,13 @@
             took = plan.work + retrieval.profile.agreed
         # A quick answer speaks for every link on its way, a slow one only against the most likely cause.
         cause = launch.links[0 if launch.told is Told.HIT else -1]
-        heard = full or (plan.sized if launch.outcome is Outcome.OK else launch.lag > retrieval.profile.agreed)
+        ok = launch.outcome is Outcome.OK
+        heard = full or (plan.sized if ok else launch.lag > retrieval.profile.agreed)
         for link, held in zip(launch.links, launch.held, strict=True):
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
                 link.learn(held, plan.work, took)
-        if not retrieval.size_kb and launch.outcome is Outcome.OK:
+        if not retrieval.size_kb and ok:
             plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
 
 
@@ -430,7 +414,7 @@
         launch.retrieval.plan.begun = True
         launch.cache.memory.heard = self.actions.now()
 
-    def ended(self, launch: Launch, report: dict[str, float]) -> None:
+    def ended(self, launch: Launch) -> None:
         for stage in reversed(self.stages):
             if not stage.back(launch):
                 return
@@ -451,17 +435,9 @@
                     and (thing or of == group)]:
             del self.directory[key]
 
-    def probed(self, cache: Cache, ok: bool, lag: int, report: dict[str, float]) -> None:
-        if ok and cache.memory:
-            cache.memory.heard = self.actions.now()
-
     # What the stages share.
 
-    def chance(self) -> float:
-        self.count += 1
-        return zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
-
-    def mean_work(self, profile) -> int:
+    def mean_work(self, profile: Profile) -> int:
         """Sending time of a profile: what was seen, else a part of its agreed time."""
         return int(profile.memory or profile.agreed / 4)
 
@@ -484,12 +460,11 @@
     def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
-        ground, parent = self.ground, cache.role is Role.PARENT
-        if parent:
+        ground, like = self.ground, len(self.near)
+        least, span, factor = ground.cold_share, ground.cold_time, ground.cold_factor
+        if cache.role is Role.PARENT:
             least, span, factor = ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
-        else:
-            least, span, factor = ground.cold_share, ground.cold_time, ground.cold_factor
-        like = len(self.parents if parent else self.near)
+            like = len(self.parents)
         age = now - cache.born
         if not cache.born or age >= span:
             return True
@@ -504,18 +479,15 @@
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
-        usable = [one for one in self.ranked_parents(retrieval) if one.state is State.ACTIVE
-                  and one.memory.usable(now) and one not in retrieval.plan.lost]
-        return next((one for one in usable if self.in_slice(retrieval, one, now)), None)
-
-    def ranked_parents(self, retrieval: Retrieval) -> list[Cache]:
-        return sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
+        ranked = sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
+        return next((one for one in ranked if one.state is State.ACTIVE and one.memory.usable(now)
+                     and one not in retrieval.plan.lost and self.in_slice(retrieval, one, now)), None)
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
         """The links that an answer from there takes up: the cache's own, and the fills' if it is not listed."""
         sight, now = retrieval.plan.sight, self.actions.now()
-        if (cache is sight.kept and sight.kept_at > max(cache.memory.emptied, now - self.entry_age * KEPT)
-                and not self.age_limit(retrieval, now)):
+        since = max(cache.memory.emptied, now - self.entry_age * KEPT)
+        if cache is sight.kept and sight.kept_at > since and not self.age_limit(retrieval, now):
             return [cache.memory.link]
         return [cache.memory.link, self.fills, self.fetches][:3 if retrieval.plan.new else 2]
 
@@ -541,17 +513,8 @@
         if len(self.directory) > LISTED:
             self.directory.popitem(last=False)
 
-    def strike(self, retrieval: Retrieval, cache: Cache) -> None:
-        _, entries = self.directory.get((retrieval.object, retrieval.part), (0, {}))
-        entries.pop(cache, None)
-
-    def may_repeat(self, retrieval: Retrieval) -> bool:
-        """Rule 2, whatever the place: whether any further launch is allowed."""
-        risky = [one for one in retrieval.launches if one.outcome not in NEVER_RAN]
-        return not risky or retrieval.profile.repeat is not Repeat.EFFECTFUL
-
     def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
-        """Rule 2, for one place: what may have run stays where its repeats are dropped."""
+        """Rule 2: what may have run stays where its repeats are dropped, or goes nowhere any more."""
         profile = retrieval.profile
         first = next((one for one in retrieval.launches if one.outcome not in NEVER_RAN), None)
         if first is None or profile.repeat is Repeat.PURE:
@@ -572,7 +535,9 @@
             self.actions.break_off(retrieval)
             return
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
-        self.actions.push_back(retrieval, int(wait * (0.5 + self.chance())) if wait else 0)
+        self.count += 1
+        chance = zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
+        self.actions.push_back(retrieval, int(wait * (0.5 + chance)))
 
     def blame(self, cache: Cache, part: float, now: int) -> None:
         """Lays a failure on a place; leaves it alone for a while if it does worse than its peers. Where all
@@ -625,8 +590,6 @@
 
     def move_on(self, launch: Launch) -> None:
         """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
-        if self.ground.may_call_off and self.may_repeat_after(launch.retrieval):
+        pure = launch.retrieval.profile.repeat is not Repeat.EFFECTFUL
+        if self.ground.may_call_off and pure and self.budget >= 1:
             self.actions.call_off(launch)
-
-    def may_repeat_after(self, retrieval: Retrieval) -> bool:
-        return retrieval.profile.repeat is not Repeat.EFFECTFUL and self.budget >= 1
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -85,9 +85,6 @@
     def wake(self, after: int) -> None:
         self.lines.append(f"ARM {ms(after)} 1")
 
-    def probe(self, cache: Cache) -> None:
-        self.lines.append(f"HEALTH_CHECK {cache.mark.decode()}")
-
     def watch_list(self) -> None:
         self.lines.append("WATCH 1")
 
@@ -151,7 +148,7 @@
 
     def on_end(self, tid: str, leg: str, lag: str, over: str, detail: str, waited: str, result: str,
                _cache: str, metrics: str) -> Call:
-        outcome, place, report = OUTCOMES[int(result)], int(leg), pairs(metrics)
+        outcome, place, _ = OUTCOMES[int(result)], int(leg), pairs(metrics)
         told, took, fill = Told(number(detail)), ns(lag), ns(waited)
         retrieval = self.retrievals.get(tid)
         if not retrieval or place >= len(retrieval.launches) or retrieval.launches[place].outcome is not None:
@@ -162,17 +159,11 @@
         retrieval.over = retrieval.over or over == "1"
 
         def done() -> None:
-            self.choice.ended(launch, report)
+            self.choice.ended(launch)
             if retrieval.over and tid in self.open and not self.open[tid]:
                 self.forget(retrieval, tid)
         return done
 
-    def on_sampled(self, name: str, result: str, lag: str, metrics: str) -> Call:
-        ok, took, report = OUTCOMES[int(result)] is Outcome.OK, ns(lag), pairs(metrics)
-        if name not in self.caches:
-            return nothing
-        return partial(self.choice.probed, self.caches[name], ok, took, report)
-
 
 class Drill:
     """The process: the batch in hand, the shared numbered lists and the seats."""
@@ -259,7 +250,9 @@
             thing, group, age = rest.split(" ")
             return partial(self.seat().choice.purged, number(thing), number(group), self.clock[0] - ns(age))
         elif name == "SAMPLED":
-            return self.seat().on_sampled(*rest.split(" "))
+            self.seat()
+            _, result, lag, metrics = rest.split(" ")
+            _, _, _ = OUTCOMES[int(result)], ns(lag), pairs(metrics)
         elif name == "FROM_PEER":
             self.seat()
         else:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -79,7 +79,7 @@
         self.clock += after * MS
         launch.outcome, launch.lag, launch.told = outcome, self.clock - launch.sent, told
         launch.retrieval.over = launch.retrieval.over or outcome is Outcome.OK
-        self.choice.ended(launch, {})
+        self.choice.ended(launch)
         return self.sent[-1]
 
     def pass_time(self, ms, step=20):
