--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -319,6 +319,8 @@
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
             choice.blame(cache, mine / (mine + other), now)
             choice.blame(source, other / (mine + other), now)
+        if outcome in (Outcome.ERROR, Outcome.CALLED_OFF) and source.role is Role.PARENT:
+            launch.retrieval.plan.lost.append(source)
         self.learn(launch)
         return True
 
@@ -582,7 +584,7 @@
             self.move_on(launch)
         elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
             if source.heard <= launch.sent:
-                self.blame(launch.source, 1, now)
+                self.blame(launch.source, 1 / 2, now)
             if now < source.shut:
                 self.move_on(launch)
         else:
