--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -77,9 +77,10 @@
         self.load += held * took - self.load / 16
         pace, busy = self.work / self.took, self.load / self.took
         if pace < SLOW:
-            if busy > 2 or self.room:
-                # Never under one: the next transfer on an idle link is always tried, and teaches anew.
-                self.room = max(1.0, self.room + (busy * pace - self.room) / 8) if self.room else busy
+            if self.room:   # never under one: the next transfer on an idle link is always tried
+                self.room = max(1.0, self.room + (busy * pace - self.room) / 8)
+            elif busy > 2:
+                self.room = busy
         elif self.room:
             self.room = max(self.room + (0.1 if busy > self.room / 2 else 0), busy * pace)
 
@@ -96,34 +97,28 @@
     """What the stages note on one retrieval."""
 
     def __init__(self) -> None:
-        self.work = 0               # its sending time at full pace
-        self.agreed = 0             # when its agreed time ends
-        self.rank = 1
-        self.sized = False          # whether that time is of this object, or its profile's mean
-        self.sight = Sighting()
-        self.new = False            # not asked for before, as far as this front remembers
+        self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
+        self.sized = False              # whether that time is of this object, or its profile's mean
+        self.new = False                # not asked for before, as far as this front remembers
+        self.begun = False              # its answer has started: the client owns it
+        self.rank, self.sight = 1, Sighting()
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
-        self.begun = False              # its answer has started: the client owns it
 
 
 class Rate:
-    """A decaying mean of sending time asked for, over the time it covers."""
+    """A decaying sum of sending time asked for, and the time that it covers."""
 
     def __init__(self, now: int, over: int) -> None:
         self.sum, self.span, self.at, self.over = 0.0, 0.0, now, over
 
     def add(self, work: float, now: int) -> None:
-        step = now - self.at
-        keep = max(0.0, 1 - step / self.over)
-        self.sum, self.span, self.at = self.sum * keep + work, self.span * keep + step, now
-
-    def value(self, least: int) -> float:
-        return self.sum / max(self.span, least)
+        keep = max(0.0, 1 - (now - self.at) / self.over)
+        self.sum, self.span, self.at = self.sum * keep + work, self.span * keep + now - self.at, now
 
 
 class Stage:
-    """One link of the chain: `take` runs towards the caches, `back` towards the client."""
+    """A link of the chain: `take` runs to the caches; `back` to the client, true passing the launch on."""
 
     def __init__(self, choice: Choice) -> None:
         self.choice, self.ground, self.actions = choice, choice.ground, choice.actions
@@ -133,7 +128,6 @@
         self.next.take(retrieval)
 
     def back(self, launch: Launch) -> bool:
-        """True passes the launch on towards the client."""
         return True
 
 
@@ -141,14 +135,13 @@
     """Reads the retrieval once: its size, its repeat use, what purges ask. Gives the last answer."""
 
     def take(self, retrieval: Retrieval) -> None:
-        now, profile = self.actions.now(), retrieval.profile
-        plan = retrieval.plan = Plan()
-        key, seen = (retrieval.object, retrieval.part), self.choice.seen
+        now, profile, plan = self.actions.now(), retrieval.profile, Plan()
+        retrieval.plan, key, seen = plan, (retrieval.object, retrieval.part), self.choice.seen
         sight = seen[key] = seen.pop(key, None) or Sighting()
         work = sight.work
         if retrieval.size_kb and self.ground.pace_kb_s:
             work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9)
-        plan.work = work or self.choice.mean_work(profile)
+        plan.work, plan.sized = work or self.choice.mean_work(profile), bool(work)
         plan.sight, plan.new = sight, not sight.uses
         sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
         if len(seen) > LISTED:
@@ -156,7 +149,6 @@
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         # An object asked for once may take only the room of its like.
-        plan.sized = bool(work)
         plan.rank = 0 if profile.never_kept else min(3, 1 + sight.uses // 2)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
@@ -172,19 +164,15 @@
 
     def back(self, launch: Launch) -> bool:
         retrieval, plan, now = launch.retrieval, launch.retrieval.plan, self.actions.now()
-        if retrieval.over or plan.begun:
-            return False
-        if any(one.outcome is None for one in retrieval.launches):
-            return False      # another launch is out and may still answer
+        if retrieval.over or plan.begun or any(one.outcome is None for one in retrieval.launches):
+            return False      # answered, or another launch is out and may still answer
         missed = launch.outcome is Outcome.MISS
+        price = 0 if missed and launch.source.role is Role.CACHE else 1    # a stale entry costs nothing
         if ((missed and launch.source is launch.cache) or launch.outcome is Outcome.MOOT
                 or len(retrieval.launches) >= self.ground.most_launches
-                or now + plan.work >= retrieval.until):
+                or now + plan.work >= retrieval.until or self.choice.budget < price):
             return True
-        if not (missed and launch.source.role is Role.CACHE):
-            if self.choice.budget < 1:
-                return True
-            self.choice.budget -= 1
+        self.choice.budget -= price
         self.next.take(retrieval)
         return False
 
@@ -213,12 +201,10 @@
 
     def straight(self, retrieval: Retrieval, now: int) -> None:
         """No cache of the location can be used: a parent answers itself, where that is allowed."""
-        choice = self.choice
-        parent = choice.parent_for(retrieval, now) if self.ground.direct else None
-        if parent is None or not choice.may_go(retrieval, parent):
-            choice.give_up(retrieval)
-        else:
-            self.next.next.send(retrieval, parent, parent)
+        parent = self.choice.parent_for(retrieval, now) if self.ground.direct else None
+        if parent is None or not self.choice.may_go(retrieval, parent):
+            return self.choice.give_up(retrieval)
+        self.next.next.send(retrieval, parent, parent)
 
 
 class Source(Stage):
@@ -226,20 +212,17 @@
 
     def to(self, retrieval: Retrieval, cache: Cache) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        parent = choice.parent_for(retrieval, now) or choice.origin or cache
-        source = parent
+        source = parent = choice.parent_for(retrieval, now) or choice.origin or cache
         if self.ground.siblings and not choice.age_limit(retrieval, now) and not retrieval.profile.never_kept:
             listed = [one for one in choice.holders(retrieval, now) if one is not cache
                       and one not in plan.lost and not one.memory.shut]
-            if listed:
-                sibling = min(listed, key=lambda one: len(one.memory.out))
-                if sibling.memory.first_byte <= parent.memory.first_byte or parent is cache:
-                    source = sibling
+            sibling = min(listed, key=lambda one: len(one.memory.out), default=parent)
+            if sibling.memory.first_byte <= parent.memory.first_byte or parent is cache:
+                source = sibling
         self.next.send(retrieval, cache, source)
 
     def back(self, launch: Launch) -> bool:
-        retrieval, now = launch.retrieval, self.actions.now()
-        cache, source = launch.cache, launch.source
+        retrieval, cache, source, now = launch.retrieval, launch.cache, launch.source, self.actions.now()
         if launch.outcome is Outcome.OK and not retrieval.plan.begun:
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.enter(retrieval, cache, now)
@@ -252,8 +235,8 @@
         elif launch.outcome is Outcome.MISS and source is cache:
             retrieval.plan.sight.kept = None
         elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
-            # Guards against a flush, an eviction or a restart behind the directory's back: a sibling that
-            # often lacks what it is listed for is not named until its entries are new.
+            # Guards against a flush, an eviction or a restart behind the directory's back: of a sibling
+            # that often lacks what it is listed for, only new entries count.
             retrieval.plan.lost.append(source)
             self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
             source.memory.truth -= source.memory.truth / 8
@@ -273,31 +256,26 @@
                                      plan.rank if cache.role is Role.CACHE else 0, age,
                                      self.ground.join, retrieval.profile.fresh > 0 and not age)
         plan.tried.append(cache)
-        standing = cache.memory
-        standing.out[launch] = None
-        for place in (standing, source.memory):
+        cache.memory.out[launch] = source.memory.feeds[launch] = None
+        for place in {cache.memory: None, source.memory: None}:
             if place.shut and now >= place.shut:
                 place.trial = launch
-        mean = choice.mean_work(retrieval.profile)
-        choice.asked.add(mean, now)
-        standing.paid -= mean
-        if source.role is Role.PARENT:
-            source.memory.paid -= mean
+            place.paid -= choice.mean_work(retrieval.profile)
+        choice.asked.add(choice.mean_work(retrieval.profile), now)
         launch.links = [cache.memory.link] if source is cache else choice.links(retrieval, cache)
         for link in launch.links:
             link.held += 1
         launch.held = [link.held for link in launch.links]
         launch.filled = len(launch.links) > 1
-        source.memory.feeds[launch] = None
         usual = plan.work + retrieval.profile.agreed // 2
         choice.remind(now + min(usual * 3 // 2, max(plan.agreed - now - plan.work, usual // 2)), launch)
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
         standing, outcome = cache.memory, launch.outcome
-        standing.out.pop(launch, None)
-        source.memory.feeds.pop(launch, None)
         for place in (standing, source.memory):
+            place.out.pop(launch, None)
+            place.feeds.pop(launch, None)
             if place.trial is launch:
                 place.trial = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
@@ -346,8 +324,7 @@
     """The decisions of one instance."""
 
     def __init__(self, ground: Ground, actions: Actions) -> None:
-        self.ground, self.actions = ground, actions
-        now = actions.now()
+        self.ground, self.actions, now = ground, actions, actions.now()
         self.known: dict[Cache, None] = {}
         self.near: list[Cache] = []
         self.parents: list[Cache] = []
@@ -355,17 +332,16 @@
         self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges: dict[tuple[str, int], int] = {}
-        self.due: list[tuple[int, int, Launch]] = []
+        self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.count, self.budget = 0, float(FURTHER_BURST)
         self.fills = Link()     # the fills of this front: what they share of the location's link
         self.fetches = Link()   # those of them that no cache or parent is likely to hold
         self.agreed = min(profile.agreed for profile in ground.profiles)
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         self.asked = Rate(now, max(ground.cold_time, 1) // 2)
-        stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
-        for one, after in pairwise(stages):
+        self.stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
+        for one, after in pairwise(self.stages):
             one.next = after
-        self.stages = stages
         self.pulse = max(self.agreed // 16, ground.resolution)
         actions.wake(self.pulse)
         if ground.must_ask:
@@ -387,30 +363,27 @@
             elif cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
                 cache.memory.emptied, cache.memory.shut, cache.memory.wrong = cache.born, 0, 0.0
             self.known[cache] = None
-        self.near = [one for one in self.known if one.role is Role.CACHE and one.zone == self.ground.zone
-                     and one.state is State.ACTIVE]
+        active = [one for one in self.known if one.state is State.ACTIVE]
+        self.near = [one for one in active if one.role is Role.CACHE and one.zone == self.ground.zone]
         self.parents = [one for one in self.known if one.role is Role.PARENT]
         self.origin = next((one for one in self.known if one.role is Role.ORIGIN), None)
 
     def drop(self, cache: Cache, now: int) -> None:
         self.known.pop(cache, None)
-        cache.state = State.LEFT
-        if cache.memory:
-            cache.memory.emptied = now
+        cache.state, cache.memory = State.LEFT, cache.memory or Standing(now, self.agreed * 2)
+        cache.memory.emptied = now
 
     def list_failed(self) -> None:
-        if self.ground.must_ask:
-            self.actions.watch_list()
+        self.actions.watch_list()
 
     def take(self, retrieval: Retrieval) -> None:
         self.stages[0].take(retrieval)
 
     def gone(self, retrieval: Retrieval) -> None:
         """The client has left: its launches would only take room."""
-        if self.ground.may_call_off:
-            for launch in retrieval.launches:
-                if launch.outcome is None:
-                    self.actions.call_off(launch)
+        for launch in retrieval.launches:
+            if launch.outcome is None and self.ground.may_call_off:
+                self.actions.call_off(launch)
 
     def begun(self, launch: Launch) -> None:
         launch.retrieval.plan.begun = True
@@ -428,14 +401,13 @@
             self.overdue(heapq.heappop(self.due)[2], now)
 
     def purged(self, thing: int, group: int, at: int) -> None:
-        now = self.actions.now()
-        place = ("object", thing) if thing else ("group", group)
+        now, place = self.actions.now(), ("object", thing) if thing else ("group", group)
         self.purges[place] = max(at, self.purges.get(place, 0))
-        for one in [one for one, when in self.purges.items() if when + self.ground.purge_time * 2 < now]:
-            del self.purges[one]
-        for key in [key for key, (of, _) in self.directory.items() if thing in (0, key[0])
-                    and (thing or of == group)]:
-            del self.directory[key]
+        self.purges = {one: when for one, when in self.purges.items()
+                       if when + self.ground.purge_time * 2 > now}
+        for key, (of, entries) in self.directory.items():
+            if key[0] == thing or (not thing and of == group):
+                entries.clear()
 
     # What the stages share.
 
@@ -445,8 +417,8 @@
 
     def age_limit(self, retrieval: Retrieval, now: int) -> int:
         """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
-        places = ("object", retrieval.object), ("group", retrieval.group)
-        at = max(self.purges.get(place, 0) for place in places)
+        at = max(self.purges.get(("object", retrieval.object), 0),
+                 self.purges.get(("group", retrieval.group), 0))
         if not at or now - at > self.ground.purge_time * 3 // 2:
             return 0
         age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
@@ -462,11 +434,11 @@
     def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
-        ground, like = self.ground, len(self.near)
-        least, span, factor = ground.cold_share, ground.cold_time, ground.cold_factor
-        if cache.role is Role.PARENT:
-            least, span, factor = ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
-            like = len(self.parents)
+        ground = self.ground
+        like, least, span, factor = (
+            (self.parents, ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor)
+            if cache.role is Role.PARENT else
+            (self.near, ground.cold_share, ground.cold_time, ground.cold_factor))
         age = now - cache.born
         if not cache.born or age >= span:
             return True
@@ -474,7 +446,8 @@
         if self.score(retrieval.object, -1, cache) / 2**64 >= share:
             return False
         standing = cache.memory
-        rate = share * self.asked.value(ground.fall_window) / max(like, 1) * min(factor / 2, 1.25)
+        each = self.asked.sum / max(self.asked.span, ground.fall_window) / max(len(like), 1)
+        rate = share * each * min(factor / 2, 1.25)
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
         return standing.paid >= 0
@@ -486,7 +459,7 @@
                      and one not in retrieval.plan.lost and self.in_slice(retrieval, one, now)), None)
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
-        """The links that an answer from there takes up: the cache's own, and the fills' if it is not listed."""
+        """The links that an answer takes up: the cache's own, and the fills' unless it lately kept a copy."""
         sight, now = retrieval.plan.sight, self.actions.now()
         since = max(cache.memory.emptied, now - self.entry_age * KEPT)
         if cache is sight.kept and sight.kept_at > since and not self.age_limit(retrieval, now):
@@ -498,8 +471,8 @@
         return retrieval.profile.agreed // 4
 
     def predicted(self, retrieval: Retrieval, cache: Cache) -> int:
-        work = retrieval.plan.work
-        return max(link.time(work) for link in self.links(retrieval, cache)) + self.slack(retrieval)
+        times = [link.time(retrieval.plan.work) for link in self.links(retrieval, cache)]
+        return max(times) + self.slack(retrieval)
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
         """The location's caches that the directory lists for the object."""
@@ -510,8 +483,7 @@
     def enter(self, retrieval: Retrieval, cache: Cache, now: int) -> None:
         key = (retrieval.object, retrieval.part)
         _, entries = self.directory.pop(key, (0, {}))
-        entries[cache] = now
-        self.directory[key] = (retrieval.group, entries)
+        self.directory[key] = (retrieval.group, entries | {cache: now})
         if len(self.directory) > LISTED:
             self.directory.popitem(last=False)
 
@@ -528,14 +500,11 @@
 
     def give_up(self, retrieval: Retrieval) -> None:
         """The final answer at once: a pushback where a new try is harmless, else a break-off."""
-        if retrieval.over:
-            return
         profile = retrieval.profile
-        ran = any(one.outcome not in NEVER_RAN for one in retrieval.launches)
-        if ran and not (profile.repeat is Repeat.PURE
-                        or (profile.repeat is Repeat.RECEIPTED and profile.group is Group.ALL)):
-            self.actions.break_off(retrieval)
-            return
+        harmless = profile.repeat is Repeat.PURE or (profile.repeat is Repeat.RECEIPTED
+                                                     and profile.group is Group.ALL)
+        if not harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
+            return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
         self.count += 1
         chance = zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
@@ -557,11 +526,7 @@
         standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
         standing.emptied = now
         self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
-        self.rescue(cache)
-
-    def rescue(self, cache: Cache) -> None:
-        """A place shut because nothing comes back: what waits there moves on."""
-        standing, now = cache.memory, self.actions.now()
+        # What waits there though nothing comes back moves on.
         for launch in [*standing.out, *standing.feeds]:
             usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
             if (launch.sent > standing.heard and launch.outcome is None
@@ -578,8 +543,7 @@
         if launch.outcome is not None or launch.retrieval.over or launch.retrieval.plan.begun:
             return
         cache, source = launch.cache.memory, launch.source.memory
-        quiet = now - max(cache.heard, launch.sent)
-        if cache.heard <= launch.sent and quiet > QUIET * cache.gap:
+        if cache.heard <= launch.sent and now - launch.sent > QUIET * cache.gap:
             self.blame(launch.cache, 1, now)
             self.move_on(launch)
         elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
@@ -592,6 +556,6 @@
 
     def move_on(self, launch: Launch) -> None:
         """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
-        pure = launch.retrieval.profile.repeat is not Repeat.EFFECTFUL
-        if self.ground.may_call_off and pure and self.budget >= 1:
+        effectful = launch.retrieval.profile.repeat is Repeat.EFFECTFUL
+        if self.ground.may_call_off and self.budget >= 1 and not effectful:
             self.actions.call_off(launch)
