Where every cache of a location is shut, shutting counts for nothing

It guards against any trouble that all caches of a location share; harm: a location that is really lost is tried at full rate until resets or the list tell.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -182,8 +182,10 @@
 
     def take(self, retrieval: Retrieval) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        options = [cache for cache in choice.ranked(retrieval, choice.near) if choice.may_go(retrieval, cache)
-                   and cache.memory.usable(now) and choice.in_slice(retrieval, cache, now)]
+        allowed = [cache for cache in choice.ranked(retrieval, choice.near)
+                   if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)]
+        # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
+        options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
         fresh = [cache for cache in options if cache not in plan.tried] or options
         if not fresh:
             return self.straight(retrieval, now)
