--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -295,12 +295,15 @@
         elif outcome is Outcome.FULL and launch.filled:
             choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
         elif outcome is Outcome.ERROR:
-            # Either of the two: each takes the part that its own record lately makes likely.
+            # Any of three, the profile among them: each takes what its own record lately makes likely.
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
-            choice.blame(cache, mine / (mine + other), now)
-            choice.blame(source, other / (mine + other), now)
+            whole = mine + other + choice.wrong.get(launch.retrieval.profile, 0.0)
+            choice.blame(cache, mine / whole, now)
+            choice.blame(source, other / whole, now)
         if outcome in (Outcome.ERROR, Outcome.CALLED_OFF) and source.role is Role.PARENT:
             launch.retrieval.plan.lost.append(source)
+        lately = choice.wrong.get(launch.retrieval.profile, 0.0)
+        choice.wrong[launch.retrieval.profile] = lately + ((outcome is Outcome.ERROR) - lately) * LATELY / 4
         self.learn(launch)
         return True
 
@@ -333,6 +336,7 @@
         self.origin: Cache | None = None
         self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
+        self.wrong: dict[Profile, float] = {}    # share of errors, lately, wherever they came from
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.count, self.budget = 0, float(FURTHER_BURST)
