--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -310,9 +310,9 @@
     def learn(self, launch: Launch) -> None:
         """The size of an object where it is not told, and what the links on the way carry."""
         retrieval, plan = launch.retrieval, launch.retrieval.plan
-        took, full = launch.lag - self.choice.slack(retrieval), launch.outcome is Outcome.FULL
-        if full:    # the last link on the way had no place for it
-            took = plan.work + retrieval.profile.agreed
+        full, most = launch.outcome is Outcome.FULL, plan.work + retrieval.profile.agreed
+        # Turned away means that the last link had no place. One long wait must not outweigh what comes after.
+        took = most if full else min(launch.lag - self.choice.slack(retrieval), most * 2)
         # A quick answer speaks for every link on its way, a slow one only against the most likely cause.
         cause = launch.links[0 if launch.told is Told.HIT else -1]
         ok = launch.outcome is Outcome.OK
