--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -138,9 +138,8 @@
         now, profile, plan = self.actions.now(), retrieval.profile, Plan()
         retrieval.plan, key, seen = plan, (retrieval.object, retrieval.part), self.choice.seen
         sight = seen[key] = seen.pop(key, None) or Sighting()
-        work = sight.work
-        if retrieval.size_kb and self.ground.pace_kb_s:
-            work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9)
+        told = retrieval.size_kb and self.ground.pace_kb_s
+        work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9) if told else sight.work
         plan.work, plan.sized = work or self.choice.mean_work(profile), bool(work)
         plan.sight, plan.new = sight, not sight.uses
         sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
@@ -253,10 +252,10 @@
     def send(self, retrieval: Retrieval, cache: Cache, source: Cache) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
         # The age is worked out at each launch: a purge may have been told since the retrieval came.
-        age = choice.age_limit(retrieval, now)
+        age = choice.age_limit(retrieval, now, retrieval.profile.grace if source is cache else 0)
         launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
-                                     plan.rank if cache.role is Role.CACHE else 0, age,
-                                     self.ground.join, retrieval.profile.fresh > 0 and not age)
+                                     plan.rank if cache.role is Role.CACHE else 0, age, self.ground.join,
+                                     renew=retrieval.profile.fresh > 0 and not age and source is not cache)
         plan.tried.append(cache)
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
@@ -274,7 +273,7 @@
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
-        standing, outcome = cache.memory, launch.outcome
+        standing, outcome, lately = cache.memory, launch.outcome, choice.wrong[launch.retrieval.profile]
         for place in (standing, source.memory):
             place.out.pop(launch, None)
             place.feeds.pop(launch, None)
@@ -297,13 +296,11 @@
         elif outcome is Outcome.ERROR:
             # Any of three, the profile among them: each takes what its own record lately makes likely.
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
-            whole = mine + other + choice.wrong.get(launch.retrieval.profile, 0.0)
-            choice.blame(cache, mine / whole, now)
-            choice.blame(source, other / whole, now)
+            choice.blame(cache, mine / (mine + other + lately), now)
+            choice.blame(source, other / (mine + other + lately), now)
         if outcome in (Outcome.ERROR, Outcome.CALLED_OFF) and source.role is Role.PARENT:
             launch.retrieval.plan.lost.append(source)
-        lately = choice.wrong.get(launch.retrieval.profile, 0.0)
-        choice.wrong[launch.retrieval.profile] = lately + ((outcome is Outcome.ERROR) - lately) * LATELY / 4
+        choice.wrong[launch.retrieval.profile] += ((outcome is Outcome.ERROR) - lately) * LATELY / 4
         self.learn(launch)
         return True
 
@@ -331,12 +328,10 @@
     def __init__(self, ground: Ground, actions: Actions) -> None:
         self.ground, self.actions, now = ground, actions, actions.now()
         self.known: dict[Cache, None] = {}
-        self.near: list[Cache] = []
-        self.parents: list[Cache] = []
-        self.origin: Cache | None = None
+        self.listed([], True)
         self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
-        self.wrong: dict[Profile, float] = {}    # share of errors, lately, wherever they came from
+        self.wrong = dict.fromkeys(ground.profiles, 0.0)     # share of errors, by profile
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.count, self.budget = 0, float(FURTHER_BURST)
@@ -421,14 +416,15 @@
         """Sending time of a profile: what was seen, else a part of its agreed time."""
         return int(profile.memory or profile.agreed / 4)
 
-    def age_limit(self, retrieval: Retrieval, now: int) -> int:
+    def age_limit(self, retrieval: Retrieval, now: int, grace: int = 0) -> int:
         """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
         at = max(self.purges.get(("object", retrieval.object), 0),
                  self.purges.get(("group", retrieval.group), 0))
-        if not at or now - at > self.ground.purge_time * 3 // 2:
-            return 0
+        longest = retrieval.profile.fresh + grace
         age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
-        return 0 if 0 < retrieval.profile.fresh < age else age
+        if 0 < longest < age or now - at > self.ground.purge_time * 3 // 2:
+            return longest if grace else 0
+        return age
 
     def score(self, thing: int, part: int, cache: Cache) -> int:
         return int.from_bytes(blake2b(b"%d %d " % (thing, part) + cache.mark, digest_size=8).digest())
@@ -506,9 +502,8 @@
 
     def give_up(self, retrieval: Retrieval) -> None:
         """The final answer at once: a pushback where a new try is harmless, else a break-off."""
-        profile = retrieval.profile
-        harmless = profile.repeat is Repeat.PURE or (profile.repeat is Repeat.RECEIPTED
-                                                     and profile.group is Group.ALL)
+        terms = retrieval.profile.repeat, retrieval.profile.group
+        harmless = terms[0] is Repeat.PURE or terms == (Repeat.RECEIPTED, Group.ALL)
         if not harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
             return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
@@ -521,13 +516,12 @@
         do badly the cause lies behind them or in the load, and shutting one would only move it on."""
         standing = cache.memory
         standing.judge(part, now)
-        if cache.role is Role.CACHE:
-            peers = [one.memory.wrong for one in self.near if one is not cache]
-        else:   # the origin stands in where no other parent is open
-            peers = [one.memory.wrong for one in self.parents if one is not cache and not one.memory.shut]
-            peers = peers or ([self.origin.memory.wrong] if self.origin not in (None, cache) else [])
-        if (now < standing.shut or not peers
-                or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers)):
+        group = self.near if cache.role is Role.CACHE else [p for p in self.parents if not p.memory.shut]
+        peers = [one.memory.wrong for one in group if one is not cache]
+        if not peers and cache.role is Role.PARENT and self.origin:     # no other parent is open
+            peers = [self.origin.memory.wrong]
+        least = SHUT_AT + PEERS_ADD * sum(peers) / max(len(peers), 1)
+        if now < standing.shut or not peers or standing.wrong < least:
             return
         standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
         standing.emptied = now
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -212,3 +212,39 @@
         launch = paper.ask(thing).launches[0]
         paper.end(launch, Outcome.ERROR if getattr(launch, bad) is culprit else Outcome.OK, 10, Told.NOTHING)
     assert paper.notes and {note.split()[-1] for note in paper.notes} == {culprit.mark.decode()}
+
+
+@pytest.mark.parametrize("purged, told, age", [
+    (False, 0, 9000), (True, 5500, 5500), (True, 8000, 8000), (True, 9500, 9000)])
+def test_an_ageing_copy_is_never_older_than_a_purge(front, purged, told, age):
+    """Where nothing is fetched the grace counts, but only up to the last purge."""
+    paper, ages = front(fresh=5000 * MS), []
+    plain = paper.launch
+    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    paper.ground.profiles[0].grace = 4000 * MS
+    if purged:
+        paper.choice.purged(5, 5, paper.clock - told * MS)
+    paper.choice.fills.room, paper.choice.fills.held = 1.0, 50
+    launch = paper.ask(5).launches[0]
+    assert launch.source is launch.cache and abs(ages[0] - age * MS) <= 1000
+    retrieval = launch.retrieval
+    paper.end(launch, Outcome.MISS, 1)
+    assert paper.said == [("push back", retrieval)]
+
+
+def test_a_link_recovers_after_a_few_long_waits(front):
+    """Found in an incident: some time-outs kept links at one transfer long after the trouble."""
+    link = front().choice.fills
+    for _ in range(30):
+        link.learn(8, 100 * MS, 800 * MS)
+    narrow = link.room
+    for _ in range(60):
+        link.learn(2, 100 * MS, 110 * MS)
+    assert narrow < 3 and link.room > 2 * narrow
+
+
+def test_a_location_whose_caches_are_all_shut_is_still_used(front):
+    paper = front()
+    for cache in paper.caches:
+        cache.memory.shut = paper.clock + 1000 * MS
+    assert paper.ask(5).launches
