The origin is a peer of a parent from which no fill has come for long

Cause: two parents that hung together were each the other's peer, so neither was shut. It holds against any loss of all parents; harm: a parent that gives fills too rarely to be heard is left for the origin a spell.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -138,8 +138,7 @@
         now, profile, plan = self.actions.now(), retrieval.profile, Plan()
         retrieval.plan, key, seen = plan, (retrieval.object, retrieval.part), self.choice.seen
         sight = seen[key] = seen.pop(key, None) or Sighting()
-        told = retrieval.size_kb and self.ground.pace_kb_s
-        work = int(retrieval.size_kb / self.ground.pace_kb_s * 1e9) if told else sight.work
+        work = int(retrieval.size_kb / (self.ground.pace_kb_s or 1.0) * 1e9) or sight.work
         plan.work, plan.sized = work or self.choice.mean_work(profile), bool(work)
         plan.sight, plan.new = sight, not sight.uses
         sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
@@ -518,8 +517,9 @@
         standing.judge(part, now)
         group = self.near if cache.role is Role.CACHE else [p for p in self.parents if not p.memory.shut]
         peers = [one.memory.wrong for one in group if one is not cache]
-        if not peers and cache.role is Role.PARENT and self.origin:     # no other parent is open
-            peers = [self.origin.memory.wrong]
+        quiet = self.ground.tells_hits and now - standing.heard > self.agreed * 8
+        if (quiet or not peers) and cache.role is Role.PARENT and self.origin:
+            peers = [self.origin.memory.wrong]      # no other parent is open, or no fill came from this one
         least = SHUT_AT + PEERS_ADD * sum(peers) / max(len(peers), 1)
         if now < standing.shut or not peers or standing.wrong < least:
             return
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -248,3 +248,14 @@
     for cache in paper.caches:
         cache.memory.shut = paper.clock + 1000 * MS
     assert paper.ask(5).launches
+
+
+def test_parents_that_hang_together_give_way_to_the_origin(front):
+    """Found on a drawn day: each was the other's peer, so neither was shut though no fill came."""
+    paper = front(tells_hits=True, siblings=False)
+    for thing in range(1, 600):
+        launch = paper.ask(thing).launches[0]
+        paper.end(launch, *((Outcome.OK, 10, Told.HIT) if thing % 2 or launch.source is paper.origin
+                            else (Outcome.ERROR, 10, Told.NOTHING)))
+    assert {one.memory.shut > 0 for one in paper.parents} == {True}
+    assert sum(one.source is paper.origin for one in paper.sent[-100:]) > 25
