--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -70,7 +70,6 @@
         purge_time=own.optional_time("ClearedWithin"), most_launches=int(limits.need("MaxAttempts")),
         longest_retry_after=limits.optional_time("MaxRetryAfter"),
         may_call_off=bool(limits.need("Cancel", (bool, int))),
-        may_duplicate=bool(limits.need("MayDuplicate", (bool, int))),
         retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
         siblings=own.value.get("Sideways", "none") != "none", join=bool(own.value.get("CanJoin")),
         tells_hits=own.value.get("Tells", "none") != "none",
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -113,8 +113,7 @@
             kind = number(fields[1])
             cache.role = (Role.PARENT if kind == self.parent_kind else
                           Role.ORIGIN if kind == self.origin_kind else Role.CACHE)
-            cache.model, cache.born = kind, ns(fields[2])
-            cache.weight = 1.0 if fields[3] == "-" else float(fields[3])
+            cache.born = ns(fields[2])
             cache.zone, cache.state, cache.cell = number(fields[4]), STATES[fields[5]], number(fields[6])
             told.append(cache)
         return partial(self.choice.listed, told, form != "diff")
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -78,10 +78,8 @@
 
     mark: bytes
     role: Role = Role.CACHE
-    model: int = 0
     zone: int = 0
     cell: int = 0
-    weight: float = 1.0
     born: int = 0
     state: State = State.ACTIVE
     memory: Any = None
@@ -124,7 +122,6 @@
     most_launches: int
     longest_retry_after: int
     may_call_off: bool
-    may_duplicate: bool
     retry_after: bool
     direct: bool
     siblings: bool
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 OPTIONS = json.dumps({
     "Classes": [{"Aim": 300.0, "AimStretch": 2.0, "Deadline": 2500.0, "Gain": 1.0, "Group": "all",
                  "KeyTtl": 5000.0, "Repeat": "free"}],
-    "Limits": {"Cancel": True, "MaxAttempts": 6, "MayDuplicate": False, "MaxRetryAfter": 500.0,
+    "Limits": {"Cancel": True, "MaxAttempts": 6, "MaxRetryAfter": 500.0,
                "RetryAfter": True},
     "MembershipMode": "push", "Resolution": 2.0, "Unknown": {"Odd": 1}, "Zone": 1,
     "Rules": {"Cold": 10000.0, "ColdFrom": 0.2, "Fall": 1000.0, "OverloadFactor": 3.0},
