An overdue launch counts a quarter against its source where nothing is told

Cause: where answers tell no fills a slow origin looks like slow parents, so parents were shut under it. Harm: a silent parent is found later there.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -548,7 +548,7 @@
             self.move_on(launch)
         elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
             if source.heard <= launch.sent:
-                self.blame(launch.source, 1 / 2, now)
+                self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
             if now < source.shut:
                 self.move_on(launch)
         else:
