--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -96,12 +96,12 @@
 class Plan:
     """What the stages note on one retrieval."""
 
-    def __init__(self) -> None:
+    def __init__(self, sight: Sighting) -> None:
         self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
         self.sized = False              # whether that time is of this object, or its profile's mean
         self.new = False                # not asked for before, as far as this front remembers
         self.begun = False              # its answer has started: the client owns it
-        self.rank, self.sight = 1, Sighting()
+        self.rank, self.sight = 1, sight
         self.tried: list[Cache] = []
         self.lost: list[Cache] = []     # sources that failed it or lacked the object
 
@@ -135,12 +135,13 @@
     """Reads the retrieval once: its size, its repeat use, what purges ask. Gives the last answer."""
 
     def take(self, retrieval: Retrieval) -> None:
-        now, profile, plan = self.actions.now(), retrieval.profile, Plan()
-        retrieval.plan, key, seen = plan, (retrieval.object, retrieval.part), self.choice.seen
+        now, profile, seen = self.actions.now(), retrieval.profile, self.choice.seen
+        key = (retrieval.object, retrieval.part)
         sight = seen[key] = seen.pop(key, None) or Sighting()
+        plan = retrieval.plan = Plan(sight)
         work = int(retrieval.size_kb / (self.ground.pace_kb_s or 1.0) * 1e9) or sight.work
         plan.work, plan.sized = work or self.choice.mean_work(profile), bool(work)
-        plan.sight, plan.new = sight, not sight.uses
+        plan.new = not sight.uses
         sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
         if len(seen) > LISTED:
             seen.popitem(last=False)
@@ -180,7 +181,8 @@
 
     def take(self, retrieval: Retrieval) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        allowed = [cache for cache in choice.ranked(retrieval, choice.near)
+        # A copy is a copy of one part, so the part ranks the caches.
+        allowed = [cache for cache in choice.ranked(choice.near, retrieval.object, retrieval.part)
                    if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)]
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
@@ -355,12 +357,11 @@
             for cache in [one for one in self.known if one not in entries]:
                 self.drop(cache, now)
         for cache in entries:
+            cache.memory = cache.memory or Standing(now, self.agreed * 2)
             if cache.state is State.LEFT:
                 self.drop(cache, now)
                 continue
-            if cache.memory is None:
-                cache.memory = Standing(now, self.agreed * 2)
-            elif cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
+            if cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
                 cache.memory.emptied, cache.memory.shut, cache.memory.wrong = cache.born, 0, 0.0
             self.known[cache] = None
         active = [one for one in self.known if one.state is State.ACTIVE]
@@ -370,8 +371,7 @@
 
     def drop(self, cache: Cache, now: int) -> None:
         self.known.pop(cache, None)
-        cache.state, cache.memory = State.LEFT, cache.memory or Standing(now, self.agreed * 2)
-        cache.memory.emptied = now
+        cache.state, cache.memory.emptied = State.LEFT, now
 
     def list_failed(self) -> None:
         self.actions.watch_list()
@@ -428,9 +428,9 @@
     def score(self, thing: int, part: int, cache: Cache) -> int:
         return int.from_bytes(blake2b(b"%d %d " % (thing, part) + cache.mark, digest_size=8).digest())
 
-    def ranked(self, retrieval: Retrieval, caches: list[Cache]) -> list[Cache]:
-        """Caches in the order that every front gives this object; a copy is a copy of one part."""
-        return sorted(caches, key=lambda one: self.score(retrieval.object, retrieval.part, one), reverse=True)
+    def ranked(self, caches: list[Cache], thing: int, part: int) -> list[Cache]:
+        """Caches or parents in the order that every front gives this object or part of it."""
+        return sorted(caches, key=lambda one: self.score(thing, part, one), reverse=True)
 
     def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
@@ -455,8 +455,8 @@
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
-        ranked = sorted(self.parents, key=lambda one: self.score(retrieval.object, 0, one), reverse=True)
-        return next((one for one in ranked if one.state is State.ACTIVE and one.memory.usable(now)
+        return next((one for one in self.ranked(self.parents, retrieval.object, 0)
+                     if one.state is State.ACTIVE and one.memory.usable(now)
                      and one not in retrieval.plan.lost and self.in_slice(retrieval, one, now)), None)
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -56,7 +56,7 @@
         profiles.append(Profile(
             agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0,
             client_timeout=one.time("Deadline"),
-            credit=one.need("Gain"), repeat=REPEATS[repeat], group=GROUPS[group],
+            repeat=REPEATS[repeat], group=GROUPS[group],
             window=one.optional_time("KeyTtl"),
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
             never_kept=bool(at(never_kept, place, False))))
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -131,7 +131,6 @@
         retrieval = self.retrievals.get(tid)
         if not retrieval or retrieval.over:
             return nothing
-        retrieval.over = True
 
         def left() -> None:
             self.choice.gone(retrieval)
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -92,7 +92,6 @@
     agreed: int
     stretch: float
     client_timeout: int
-    credit: float = 1.0
     repeat: Repeat = Repeat.PURE
     group: Group = Group.ALL
     window: int = 0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,7 +22,7 @@
 
 class Paper:
     def __init__(self, repeat=Repeat.PURE, group=Group.ALL, **changes):
-        self.clock, self.sent, self.said, self.notes = ERA, [], [], []
+        self.clock, self.sent, self.ages, self.said, self.notes = ERA, [], [], [], []
         profile = dict(agreed=300 * MS, stretch=2.0, client_timeout=2500 * MS, repeat=repeat, group=group,
                        window=2000 * MS, fresh=changes.pop("fresh", 0), grace=0)
         figures = dict(
@@ -47,6 +47,7 @@
         one = Launch(retrieval, cache, source, self.clock, within, rank)
         retrieval.launches.append(one)
         self.sent.append(one)
+        self.ages.append(age)
         return one
 
     def call_off(self, launch):
@@ -82,11 +83,6 @@
         self.choice.ended(launch)
         return self.sent[-1]
 
-    def pass_time(self, ms, step=20):
-        for _ in range(ms // step):
-            self.clock += step * MS
-            self.choice.woken()
-
 
 @pytest.fixture
 def front():
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -86,8 +86,6 @@
 ])
 def test_no_effect_twice(front, repeat, group, outcome, late, again, answer):
     paper = front(repeat, group)
-    for cache in paper.caches:
-        cache.cell = paper.caches.index(cache)
     retrieval = paper.ask(4, wait=4000)
     first = retrieval.launches[0]
     if group is Group.CELL and outcome is RAN:
@@ -140,25 +138,21 @@
     (5, 5, 5, True), (5, 5, 13, False), (0, 5, 13, True), (0, 5, 6, False)])
 @pytest.mark.parametrize("told, age", [(0, 1000), (85 * MS, 85 * MS - 1000), (5000 * MS, 5000 * MS - 1000)])
 def test_purges_limit_the_age_and_empty_the_directory(front, thing, group, asked, limited, told, age):
-    paper, ages = front(), []
-    plain = paper.launch
-    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    paper = front()
     paper.end(paper.ask(asked).launches[0])
     paper.choice.purged(thing, group, paper.clock - told)
     launch = paper.ask(asked).launches[0]
-    assert ages[-1] == (age if limited else 0)
+    assert paper.ages[-1] == (age if limited else 0)
     assert (launch.cache in paper.choice.holders(launch.retrieval, paper.clock)) is not limited
 
 
 def test_a_purge_told_between_two_launches_binds_the_second(front):
     """Found on a day with a flush: the age was worked out once, when the retrieval came."""
-    paper, ages = front(), []
-    plain = paper.launch
-    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    paper = front()
     first = paper.ask(5).launches[0]
     paper.choice.purged(5, 5, paper.clock)
     paper.end(first, Outcome.FULL, 40)
-    assert ages == [0, 40 * MS - 1000]
+    assert paper.ages == [0, 40 * MS - 1000]
 
 
 def test_given_up_means_answered_at_once(front):
@@ -218,15 +212,13 @@
     (False, 0, 9000), (True, 5500, 5500), (True, 8000, 8000), (True, 9500, 9000)])
 def test_an_ageing_copy_is_never_older_than_a_purge(front, purged, told, age):
     """Where nothing is fetched the grace counts, but only up to the last purge."""
-    paper, ages = front(fresh=5000 * MS), []
-    plain = paper.launch
-    paper.launch = lambda *fields, **more: ages.append(fields[5]) or plain(*fields, **more)
+    paper = front(fresh=5000 * MS)
     paper.ground.profiles[0].grace = 4000 * MS
     if purged:
         paper.choice.purged(5, 5, paper.clock - told * MS)
     paper.choice.fills.room, paper.choice.fills.held = 1.0, 50
     launch = paper.ask(5).launches[0]
-    assert launch.source is launch.cache and abs(ages[0] - age * MS) <= 1000
+    assert launch.source is launch.cache and abs(paper.ages[0] - age * MS) <= 1000
     retrieval = launch.retrieval
     paper.end(launch, Outcome.MISS, 1)
     assert paper.said == [("push back", retrieval)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -20,7 +20,7 @@
 START = f"INIT 5 {OPTIONS}\n{ENTRIES}ENDPOINTS disk 0 1\n"
 
 
-def play(*batches, opened=True):
+def play(*batches):
     body = "".join(f"ROUND {place * 10}.5 {place}\n{batch}COMMIT\n" for place, batch in enumerate(batches, 1))
     sink = io.BytesIO()
     serve(io.BytesIO(body.encode()), sink)
