--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -102,8 +102,7 @@
         self.new = False                # not asked for before, as far as this front remembers
         self.begun = False              # its answer has started: the client owns it
         self.rank, self.sight = 1, sight
-        self.tried: list[Cache] = []
-        self.lost: list[Cache] = []     # sources that failed it or lacked the object
+        self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
 
 
 class Rate:
@@ -186,7 +185,7 @@
                    if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)]
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
-        fresh = [cache for cache in options if cache not in plan.tried] or options
+        fresh = [cache for cache in options if cache not in plan.lost] or options
         if not fresh:
             return self.straight(retrieval, now)
         pick = fresh[0]
@@ -239,7 +238,6 @@
         elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
             # Guards against a flush, an eviction or a restart behind the directory's back: of a sibling
             # that often lacks what it is listed for, only new entries count.
-            retrieval.plan.lost.append(source)
             self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
             source.memory.truth -= source.memory.truth / 8
             if source.memory.truth < 0.5:
@@ -257,7 +255,6 @@
         launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
                                      plan.rank if cache.role is Role.CACHE else 0, age, self.ground.join,
                                      renew=retrieval.profile.fresh > 0 and not age and source is not cache)
-        plan.tried.append(cache)
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
             if place.shut and now >= place.shut:
@@ -299,8 +296,12 @@
             mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
             choice.blame(cache, mine / (mine + other + lately), now)
             choice.blame(source, other / (mine + other + lately), now)
-        if outcome in (Outcome.ERROR, Outcome.CALLED_OFF) and source.role is Role.PARENT:
-            launch.retrieval.plan.lost.append(source)
+        # A further launch keeps to the cache, which may hold the object by then, and takes the next source;
+        # only a second failure, or one that can be none but the cache's, moves it to the next cache.
+        lost = launch.retrieval.plan.lost
+        if outcome is not Outcome.CALLED_OFF:
+            lost.append(cache if source in lost or outcome in (
+                Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT) else source)
         choice.wrong[launch.retrieval.profile] += ((outcome is Outcome.ERROR) - lately) * LATELY / 4
         self.learn(launch)
         return True
@@ -531,7 +532,7 @@
             usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
             if (launch.sent > standing.heard and launch.outcome is None
                     and (launch.cache is cache or now - launch.sent > usual)):
-                self.move_on(launch)
+                self.move_on(launch, cache)
 
     def remind(self, due: int, launch: Launch) -> None:
         self.count += 1
@@ -545,17 +546,18 @@
         cache, source = launch.cache.memory, launch.source.memory
         if cache.heard <= launch.sent and now - launch.sent > QUIET * cache.gap:
             self.blame(launch.cache, 1, now)
-            self.move_on(launch)
+            self.move_on(launch, launch.cache)
         elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
             if source.heard <= launch.sent:
                 self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
             if now < source.shut:
-                self.move_on(launch)
+                self.move_on(launch, launch.source)
         else:
             self.remind(now + self.agreed // 2, launch)
 
-    def move_on(self, launch: Launch) -> None:
+    def move_on(self, launch: Launch, suspect: Cache) -> None:
         """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
         effectful = launch.retrieval.profile.repeat is Repeat.EFFECTFUL
         if self.ground.may_call_off and self.budget >= 1 and not effectful:
+            launch.retrieval.plan.lost.append(suspect)
             self.actions.call_off(launch)
