A cache is silent only if two launches there are overdue

Now two overdue launches with no sign of life between bear each other out, and only what waits at a shut place is called off. Guards against hanging and vanished caches as before, some seconds later where traffic is thin.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -19,7 +19,6 @@
 SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
 SLOW = 0.6              # pace of a link, against the full one, under which it counts as crowded
 KEPT = 2.5              # entry ages for which a cache is expected to keep what it answered with
-QUIET = 6               # usual gaps between answers after which a place with work counts as silent
 PEERS_ADD = 1.5         # and that is raised by so many times its peers' share
 LATELY = 1 / 10         # weight of one outcome in that share
 FURTHER_SHARE = 0.2     # further launches that each first one pays for
@@ -33,7 +32,6 @@
     def __init__(self, now: int, spell: int) -> None:
         self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
         self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
-        self.gap = 0                         # usual time between two signs of life
         self.wrong = 0.0                     # share of launches gone wrong, lately
         self.shut = 0                        # left alone until then; from then on one trial at a time
         self.spell = self.least = spell
@@ -266,8 +264,7 @@
             link.held += 1
         launch.held = [link.held for link in launch.links]
         launch.filled = len(launch.links) > 1
-        usual = plan.work + retrieval.profile.agreed // 2
-        choice.remind(now + min(usual * 3 // 2, max(plan.agreed - now - plan.work, usual // 2)), launch)
+        choice.remind(max(plan.agreed, now + plan.work + retrieval.profile.agreed // 2), launch)
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
@@ -278,7 +275,6 @@
             if place.trial is launch:
                 place.trial = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
-            standing.gap += (min(now - standing.heard, choice.agreed) - standing.gap) / 8
             standing.heard = now
         if outcome is Outcome.OK:
             standing.judge(0, now)
@@ -543,17 +539,16 @@
         the launch went out is suspect; if it answers others, the source is."""
         if launch.outcome is not None or launch.retrieval.over or launch.retrieval.plan.begun:
             return
-        cache, source = launch.cache.memory, launch.source.memory
-        if cache.heard <= launch.sent and now - launch.sent > QUIET * cache.gap:
-            self.blame(launch.cache, 1, now)
-            self.move_on(launch, launch.cache)
-        elif launch.source is not launch.cache and (now < source.shut or now >= launch.retrieval.plan.agreed):
-            if source.heard <= launch.sent:
-                self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
-            if now < source.shut:
-                self.move_on(launch, launch.source)
-        else:
-            self.remind(now + self.agreed // 2, launch)
+        cache, source, late = launch.cache.memory, launch.source.memory, now - launch.retrieval.plan.agreed
+        if now < cache.shut or now < source.shut:
+            return self.move_on(launch, launch.cache if now < cache.shut else launch.source)
+        # One launch alone may be long; two that are overdue with no sign of life between bear each other out.
+        if cache.heard <= launch.sent:
+            if sum(one.sent >= cache.heard and now >= one.retrieval.plan.agreed for one in cache.out) > 1:
+                self.blame(launch.cache, 1, now)
+        elif launch.source is not launch.cache and late < self.agreed // 2 and source.heard <= launch.sent:
+            self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
+        self.remind(now + self.agreed // 2, launch)
 
     def move_on(self, launch: Launch, suspect: Cache) -> None:
         """Calls a launch off; its end starts the next one. Where nothing may be called off it stays."""
