A cold place's slice widens to half of what the rule bears

Cause: after a mass restart each location's restarted caches took a fraction of what they could while the survivors were turned away as full. The slice of keys and the rate now run at half of the rule's multiple, and each front owes a random part of a launch when it hears of a start, so that a first launch from each of hundreds of fronts is no burst. Guards against any start of caches or parents together; harms where a cache starts at less than it is told to.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -360,6 +360,8 @@
                 continue
             if cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
                 cache.memory.emptied, cache.memory.shut, cache.memory.wrong = cache.born, 0, 0.0
+                # Fronts that hear of a start together must not all send at once: each owes a random part.
+                cache.memory.paid = -self.chance() * self.agreed
             self.known[cache] = None
         active = [one for one in self.known if one.state is State.ACTIVE]
         self.near = [one for one in active if one.role is Role.CACHE and one.zone == self.ground.zone]
@@ -440,12 +442,13 @@
         age = now - cache.born
         if not cache.born or age >= span:
             return True
-        share = least + (1 - least) * max(age, 0) / span
+        # Half of what the rule bears where a warm one is fully used: the rest is for retries and chance.
+        share = (least + (1 - least) * max(age, 0) / span) * factor / 2
         if self.score(retrieval.object, -1, cache) / 2**64 >= share:
             return False
         standing = cache.memory
         each = self.asked.sum / max(self.asked.span, ground.fall_window) / max(len(like), 1)
-        rate = share * each * min(factor / 2, 1.25)
+        rate = share * each
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
         return standing.paid >= 0
@@ -503,9 +506,11 @@
         if not harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
             return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
+        self.actions.push_back(retrieval, int(wait * (0.5 + self.chance())))
+
+    def chance(self) -> float:
         self.count += 1
-        chance = zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
-        self.actions.push_back(retrieval, int(wait * (0.5 + chance)))
+        return zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
 
     def blame(self, cache: Cache, part: float, now: int) -> None:
         """Lays a failure on a place; leaves it alone for a while if it does worse than its peers. Where all
