Being turned away at once costs a quarter of a further launch

Cause: while a parent is dead but still listed, each of its fills is turned away within a round trip, and the budget for further launches ran out on these cheap failures, so the front pushed back what the next parent would have given. Guards against any place that refuses quickly; could harm where an origin turns away above a rate, since more is asked of it.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -163,7 +163,9 @@
         if retrieval.over or plan.begun or any(one.outcome is None for one in retrieval.launches):
             return False      # answered, or another launch is out and may still answer
         missed = launch.outcome is Outcome.MISS
-        price = 0 if missed and launch.source.role is Role.CACHE else 1    # a stale entry costs nothing
+        # A stale entry costs nothing, and being turned away at once little.
+        price = (0 if missed and launch.source.role is Role.CACHE else
+                 1 / 4 if launch.outcome is Outcome.FULL and launch.lag < self.choice.agreed else 1)
         if ((missed and launch.source is launch.cache) or launch.outcome is Outcome.MOOT
                 or len(retrieval.launches) >= self.ground.most_launches
                 or now + plan.work >= retrieval.until or self.choice.budget < price):
