Links are predicted by how slow they were lately; errors have two suspects

A link now predicts by this front's part of the crew from its own count, and for the rest by time taken over time at full pace, lately; where little was seen, by all caches of the location together. Guards against any crowding by others; could harm by holding back after a crowd has gone, until the figures fade.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -29,17 +29,15 @@
 class Standing:
     """What this front has seen of one cache, parent or origin."""
 
-    def __init__(self, now: int, spell: int) -> None:
+    def __init__(self, now: int, spell: int, link: Link) -> None:
         self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
         self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
         self.wrong = 0.0                     # share of launches gone wrong, lately
         self.shut = 0                        # left alone until then; from then on one trial at a time
         self.spell = self.least = spell
-        self.trial: Launch | None = None
+        self.trial, self.link = None, link
         self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
-        self.link = Link()
         self.first_byte = 0.0                # as a source: time that it adds to an answer
-        self.truth = 1.0                     # as a sibling: share of named fills that it did hold
         self.paid, self.paid_at = 0.0, now   # budget of a cold start, in sending time
 
     def judge(self, wrong: float, now: int) -> None:
@@ -55,30 +53,47 @@
         return not self.shut or (now >= self.shut and self.trial is None)
 
 
+class Rate:
+    """A decaying sum."""
+
+    def __init__(self, now: int, over: int) -> None:
+        self.sum, self.at, self.over = 0.0, now, over
+
+    def add(self, work: float, now: int) -> None:
+        self.sum, self.at = self.sum * max(0.0, 1 - (now - self.at) / self.over) + work, now
+
+
 class Link:
-    """A link that transfers share: how many are out on it, and how many it carries at full pace."""
+    """A link that transfers share: how many of this front's are out on it, how many it carries at full pace,
+    and how slow it was lately, which is all that a small part of its traffic can tell."""
 
-    def __init__(self) -> None:
-        self.held = 0
-        self.work = self.took = self.load = 0.0
+    def __init__(self, crew: int, now: int, over: int, like: Link | None = None) -> None:
+        self.crew, self.like, self.held = crew, like, 0
+        self.done, self.spent, self.load = Rate(now, over), Rate(now, over), Rate(now, over)
         self.room = 0.0      # 0: no limit seen
 
-    def time(self, work: int) -> int:
-        """Predicted time of one more transfer."""
-        return int(work * max(1.0, (self.held + 1) / self.room)) if self.room else work
+    def slow(self, now: int) -> float:
+        """Time taken lately over time at full pace; where little was seen, links of its like count."""
+        for rate in (self.done, self.spent):
+            rate.add(0, now)
+        few = self.done.over / 16
+        return (few * (self.like.slow(now) if self.like else 1.0) + self.spent.sum) / (few + self.done.sum)
+
+    def time(self, work: int, now: int) -> int:
+        """Predicted time of one more transfer: our part of the load by our count, the rest by its pace."""
+        own = (self.held + 1) / self.room if self.room else 1.0
+        return int(work * max(1.0, (own + (self.crew - 1) * self.slow(now)) / self.crew))
 
-    def learn(self, held: int, work: int, took: int) -> None:
+    def learn(self, held: int, work: int, took: int, now: int) -> None:
         """Pools the answers by the time they took, so that small ones, mostly wait, say little."""
         took = max(took, work, 1)
-        self.work += work - self.work / 16
-        self.took += took - self.took / 16
-        self.load += held * took - self.load / 16
-        pace, busy = self.work / self.took, self.load / self.took
-        if pace < SLOW:
-            if self.room:   # never under one: the next transfer on an idle link is always tried
-                self.room = max(1.0, self.room + (busy * pace - self.room) / 8)
-            elif busy > 2:
-                self.room = busy
+        for link in (self, self.like) if self.like else (self,):
+            link.done.add(work, now)
+            link.spent.add(took, now)
+        self.load.add(held * took, now)
+        pace, busy = self.done.sum / self.spent.sum, self.load.sum / self.spent.sum
+        if pace < SLOW and (self.room or busy > 2):     # never under one: an idle link is always tried
+            self.room = max(1.0, self.room + (busy * pace - self.room) / 8) if self.room else busy
         elif self.room:
             self.room = max(self.room + (0.1 if busy > self.room / 2 else 0), busy * pace)
 
@@ -103,17 +118,6 @@
         self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
 
 
-class Rate:
-    """A decaying sum of sending time asked for, and the time that it covers."""
-
-    def __init__(self, now: int, over: int) -> None:
-        self.sum, self.span, self.at, self.over = 0.0, 0.0, now, over
-
-    def add(self, work: float, now: int) -> None:
-        keep = max(0.0, 1 - (now - self.at) / self.over)
-        self.sum, self.span, self.at = self.sum * keep + work, self.span * keep + now - self.at, now
-
-
 class Stage:
     """A link of the chain: `take` runs to the caches; `back` to the client, true passing the launch on."""
 
@@ -180,7 +184,6 @@
 
     def take(self, retrieval: Retrieval) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        # A copy is a copy of one part, so the part ranks the caches.
         allowed = [cache for cache in choice.ranked(choice.near, retrieval.object, retrieval.part)
                    if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)]
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
@@ -195,7 +198,7 @@
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
             self.next.to(retrieval, pick)
-        elif retrieval.launches or pick.memory.link.time(plan.work) + choice.slack(retrieval) > left:
+        elif retrieval.launches or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
             choice.give_up(retrieval)
         else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
             self.next.next.send(retrieval, fresh[0], fresh[0])
@@ -232,16 +235,10 @@
                     not self.ground.tells_hits and source is not cache):
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
-                source.memory.truth += (1 - source.memory.truth) / 16
         elif launch.outcome is Outcome.MISS and source is cache:
             retrieval.plan.sight.kept = None
         elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
-            # Guards against a flush, an eviction or a restart behind the directory's back: of a sibling
-            # that often lacks what it is listed for, only new entries count.
             self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
-            source.memory.truth -= source.memory.truth / 8
-            if source.memory.truth < 0.5:
-                source.memory.emptied, source.memory.truth = now, 1.0
         return True
 
 
@@ -261,16 +258,15 @@
                 place.trial = launch
             place.paid -= choice.mean_work(retrieval.profile)
         choice.asked.add(choice.mean_work(retrieval.profile), now)
-        launch.links = [cache.memory.link] if source is cache else choice.links(retrieval, cache)
-        for link in launch.links:
+        links = [cache.memory.link] if source is cache else choice.links(retrieval, cache)
+        for link in links:
             link.held += 1
-        launch.held = [link.held for link in launch.links]
-        launch.filled = len(launch.links) > 1
+        launch.plan = [(link, link.held) for link in links]
         choice.remind(max(plan.agreed, now + plan.work + retrieval.profile.agreed // 2), launch)
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
-        standing, outcome, lately = cache.memory, launch.outcome, choice.wrong[launch.retrieval.profile]
+        standing, outcome, filled = cache.memory, launch.outcome, len(launch.plan) > 1
         for place in (standing, source.memory):
             place.out.pop(launch, None)
             place.feeds.pop(launch, None)
@@ -280,27 +276,26 @@
             standing.heard = now
         if outcome is Outcome.OK:
             standing.judge(0, now)
-            if launch.filled and launch.told is not Told.HIT:
+            if filled and launch.told is not Told.HIT:
                 source.memory.judge(0, now)
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
-                    launch.filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
+                    filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now    # a fill for certain, or all but certain
         elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (outcome is Outcome.ERROR and source is cache):
             choice.blame(cache, 1, now)
-        elif outcome is Outcome.FULL and launch.filled:
+        elif outcome is Outcome.FULL and filled:
             choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
         elif outcome is Outcome.ERROR:
-            # Any of three, the profile among them: each takes what its own record lately makes likely.
-            mine, other = standing.wrong + SHUT_AT / 8, source.memory.wrong + SHUT_AT / 8
-            choice.blame(cache, mine / (mine + other + lately), now)
-            choice.blame(source, other / (mine + other + lately), now)
+            # Either of two: each takes what its own record lately makes likely.
+            part = (standing.wrong + SHUT_AT / 8) / (standing.wrong + source.memory.wrong + SHUT_AT / 4)
+            choice.blame(cache, part, now)
+            choice.blame(source, 1 - part, now)
         # A further launch keeps to the cache, which may hold the object by then, and takes the next source;
         # only a second failure, or one that can be none but the cache's, moves it to the next cache.
         lost = launch.retrieval.plan.lost
         if outcome is not Outcome.CALLED_OFF:
             lost.append(cache if source in lost or outcome in (
                 Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT) else source)
-        choice.wrong[launch.retrieval.profile] += ((outcome is Outcome.ERROR) - lately) * LATELY / 4
         self.learn(launch)
         return True
 
@@ -311,13 +306,13 @@
         # Turned away means that the last link had no place. One long wait must not outweigh what comes after.
         took = most if full else min(launch.lag - self.choice.slack(retrieval), most * 2)
         # A quick answer speaks for every link on its way, a slow one only against the most likely cause.
-        cause = launch.links[0 if launch.told is Told.HIT else -1]
+        cause = launch.plan[0 if launch.told is Told.HIT else -1][0]
         ok = launch.outcome is Outcome.OK
         heard = full or (plan.sized if ok else launch.lag > retrieval.profile.agreed)
-        for link, held in zip(launch.links, launch.held, strict=True):
+        for link, held in launch.plan:
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
-                link.learn(held, plan.work, took)
+                link.learn(held, plan.work, took, self.choice.actions.now())
         if not retrieval.size_kb and ok:
             plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
 
@@ -328,18 +323,17 @@
     def __init__(self, ground: Ground, actions: Actions) -> None:
         self.ground, self.actions, now = ground, actions, actions.now()
         self.known: dict[Cache, None] = {}
+        self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
+        # The caches' links together, that of fills, and that of fills that no place is likely to hold.
+        self.edges, self.fills, self.fetches = (Link(ground.crew, now, self.entry_age) for _ in range(3))
         self.listed([], True)
         self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
-        self.wrong = dict.fromkeys(ground.profiles, 0.0)     # share of errors, by profile
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.count, self.budget = 0, float(FURTHER_BURST)
-        self.fills = Link()     # the fills of this front: what they share of the location's link
-        self.fetches = Link()   # those of them that no cache or parent is likely to hold
         self.agreed = min(profile.agreed for profile in ground.profiles)
-        self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
-        self.asked = Rate(now, max(ground.cold_time, 1) // 2)
+        self.asked = Rate(now, self.entry_age)
         self.stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
         for one, after in pairwise(self.stages):
             one.next = after
@@ -356,7 +350,9 @@
             for cache in [one for one in self.known if one not in entries]:
                 self.drop(cache, now)
         for cache in entries:
-            cache.memory = cache.memory or Standing(now, self.agreed * 2)
+            if not cache.memory:
+                link = Link(self.ground.crew, now, self.entry_age, self.edges)
+                cache.memory = Standing(now, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.drop(cache, now)
                 continue
@@ -449,7 +445,7 @@
         if self.score(retrieval.object, -1, cache) / 2**64 >= share:
             return False
         standing = cache.memory
-        each = self.asked.sum / max(self.asked.span, ground.fall_window) / max(len(like), 1)
+        each = self.asked.sum / self.asked.over / max(len(like), 1)
         rate = share * each
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
@@ -474,7 +470,7 @@
         return retrieval.profile.agreed // 4
 
     def predicted(self, retrieval: Retrieval, cache: Cache) -> int:
-        times = [link.time(retrieval.plan.work) for link in self.links(retrieval, cache)]
+        times = [link.time(retrieval.plan.work, self.actions.now()) for link in self.links(retrieval, cache)]
         return max(times) + self.slack(retrieval)
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -61,7 +61,9 @@
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
             never_kept=bool(at(never_kept, place, False))))
     ground = Ground(
-        profiles=profiles, seed=seed, zone=zone, pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0,
+        profiles=profiles, seed=seed, zone=zone,
+        crew=max(1, at(own.value.get("CrewByZone") or [], zone, 1)),
+        pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0,
         resolution=top.time("Resolution"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
         cold_factor=rules.need("OverloadFactor"), fall_window=rules.time("Fall"),
         parent_cold_share=own.value.get("UpperColdFrom") or 0.0,
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -108,6 +108,7 @@
     profiles: list[Profile]
     seed: int
     zone: int
+    crew: int
     pace_kb_s: float
     resolution: int
     cold_share: float
@@ -158,9 +159,7 @@
     told: Told = Told.NOTHING
     lag: int = 0
     waited: int = 0
-    links: list[Any] = field(default_factory=list)
-    held: list[int] = field(default_factory=list)
-    filled: bool = False
+    plan: Any = None
 
 
 class Actions(Protocol):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,7 +26,7 @@
         profile = dict(agreed=300 * MS, stretch=2.0, client_timeout=2500 * MS, repeat=repeat, group=group,
                        window=2000 * MS, fresh=changes.pop("fresh", 0), grace=0)
         figures = dict(
-            profiles=[Profile(**profile)], seed=7, zone=1, pace_kb_s=1000.0,
+            profiles=[Profile(**profile)], seed=7, zone=1, crew=1, pace_kb_s=1000.0,
             resolution=2 * MS, cold_share=0.2, cold_time=10_000 * MS, cold_factor=3.0,
             fall_window=1000 * MS, parent_cold_share=0.1, parent_cold_time=20_000 * MS, parent_factor=2.0,
             purge_time=6000 * MS, most_launches=6,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -228,11 +228,11 @@
 def test_a_link_recovers_after_a_few_long_waits(front):
     """Found in an incident: some time-outs kept links at one transfer long after the trouble."""
     link = front().choice.fills
-    for _ in range(30):
-        link.learn(8, 100 * MS, 800 * MS)
+    for n in range(30):
+        link.learn(8, 100 * MS, 800 * MS, ERA + n * 40 * MS)
     narrow = link.room
-    for _ in range(60):
-        link.learn(2, 100 * MS, 110 * MS)
+    for n in range(60):
+        link.learn(2, 100 * MS, 110 * MS, ERA + (30 + n) * 40 * MS)
     assert narrow < 3 and link.room > 2 * narrow
 
 
