--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -167,9 +167,9 @@
         if retrieval.over or plan.begun or any(one.outcome is None for one in retrieval.launches):
             return False      # answered, or another launch is out and may still answer
         missed = launch.outcome is Outcome.MISS
-        # A stale entry costs nothing, and being turned away at once little.
+        # A stale entry costs nothing, and what was turned away at once little.
         price = (0 if missed and launch.source.role is Role.CACHE else
-                 1 / 4 if launch.outcome is Outcome.FULL and launch.lag < self.choice.agreed else 1)
+                 1 / 4 if launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed else 1)
         if ((missed and launch.source is launch.cache) or launch.outcome is Outcome.MOOT
                 or len(retrieval.launches) >= self.ground.most_launches
                 or now + plan.work >= retrieval.until or self.choice.budget < price):
@@ -198,7 +198,8 @@
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
             self.next.to(retrieval, pick)
-        elif retrieval.launches or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
+        elif (retrieval.launches or now < fresh[0].born + choice.entry_age     # that one is still empty
+              or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left):
             choice.give_up(retrieval)
         else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
             self.next.next.send(retrieval, fresh[0], fresh[0])
