Where fills are crowded the parent is asked for what it holds; ageing copies serve

Cause: with a slow origin every fill was held back, though parents hold more than half of what caches lack; and copies within their grace were refused while fills hung. Now departure 3 names the parent as source but has it fetch nothing, and while fills are slow a launch takes a copy within its grace, renewed behind. Guards against a slow, stopped or far too busy origin; can harm where the location's own link is what is crowded. A start now makes a new record of a place that owes a random part, also at a front that itself just started.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -29,16 +29,16 @@
 class Standing:
     """What this front has seen of one cache, parent or origin."""
 
-    def __init__(self, now: int, spell: int, link: Link) -> None:
+    def __init__(self, now: int, born: int, owed: float, spell: int, link: Link) -> None:
         self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
         self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
         self.wrong = 0.0                     # share of launches gone wrong, lately
         self.shut = 0                        # left alone until then; from then on one trial at a time
         self.spell = self.least = spell
-        self.trial, self.link = None, link
+        self.trial, self.link, self.born = None, link, born
         self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
         self.first_byte = 0.0                # as a source: time that it adds to an answer
-        self.paid, self.paid_at = 0.0, now   # budget of a cold start, in sending time
+        self.paid, self.paid_at = -owed, now     # budget of a cold start, in sending time
 
     def judge(self, wrong: float, now: int) -> None:
         """Counts one outcome, or the part of a failure that is laid on this place."""
@@ -111,7 +111,7 @@
 
     def __init__(self, sight: Sighting) -> None:
         self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
-        self.sized = False              # whether that time is of this object, or its profile's mean
+        self.sized = False              # whether that sending time is its own, or its profile's mean
         self.new = False                # not asked for before, as far as this front remembers
         self.begun = False              # its answer has started: the client owns it
         self.rank, self.sight = 1, sight
@@ -168,9 +168,9 @@
             return False      # answered, or another launch is out and may still answer
         missed = launch.outcome is Outcome.MISS
         # A stale entry costs nothing, and what was turned away at once little.
-        price = (0 if missed and launch.source.role is Role.CACHE else
+        price = (0 if missed and launch.source.role is Role.CACHE and launch.source is not launch.cache else
                  1 / 4 if launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed else 1)
-        if ((missed and launch.source is launch.cache) or launch.outcome is Outcome.MOOT
+        if ((missed and price) or launch.outcome is Outcome.MOOT
                 or len(retrieval.launches) >= self.ground.most_launches
                 or now + plan.work >= retrieval.until or self.choice.budget < price):
             return True
@@ -198,11 +198,11 @@
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
             self.next.to(retrieval, pick)
-        elif (retrieval.launches or now < fresh[0].born + choice.entry_age     # that one is still empty
-              or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left):
+        elif retrieval.launches or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
             choice.give_up(retrieval)
-        else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing.
-            self.next.next.send(retrieval, fresh[0], fresh[0])
+        else:   # Departure: where only fills are crowded cache and parent give what they hold, no more.
+            source = choice.parent_for(retrieval, now) or fresh[0]
+            self.next.next.send(retrieval, fresh[0], source, held_only=True)
 
     def straight(self, retrieval: Retrieval, now: int) -> None:
         """No cache of the location can be used: a parent answers itself, where that is allowed."""
@@ -236,9 +236,8 @@
                     not self.ground.tells_hits and source is not cache):
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
-        elif launch.outcome is Outcome.MISS and source is cache:
+        elif launch.outcome is Outcome.MISS:
             retrieval.plan.sight.kept = None
-        elif launch.outcome is Outcome.MISS and source.role is Role.CACHE:
             self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
         return True
 
@@ -246,24 +245,27 @@
 class Send(Stage):
     """Launches, and judges places by what comes back."""
 
-    def send(self, retrieval: Retrieval, cache: Cache, source: Cache) -> None:
-        now, plan, choice = self.actions.now(), retrieval.plan, self.choice
+    def send(self, retrieval: Retrieval, cache: Cache, source: Cache, held_only: bool = False) -> None:
+        now, profile, plan, choice = self.actions.now(), retrieval.profile, retrieval.plan, self.choice
         # The age is worked out at each launch: a purge may have been told since the retrieval came.
-        age = choice.age_limit(retrieval, now, retrieval.profile.grace if source is cache else 0)
+        # Departure: while fills are slow an ageing copy is better than none, and is renewed behind.
+        slow = held_only or choice.fills.slow(now) > 1 / SLOW
+        age = choice.age_limit(retrieval, now, profile.grace if slow else 0)
         launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
                                      plan.rank if cache.role is Role.CACHE else 0, age, self.ground.join,
-                                     renew=retrieval.profile.fresh > 0 and not age and source is not cache)
+                                     held_only=held_only,
+                                     renew=profile.fresh > 0 and source is not cache and (slow or not age))
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
             if place.shut and now >= place.shut:
                 place.trial = launch
-            place.paid -= choice.mean_work(retrieval.profile)
-        choice.asked.add(choice.mean_work(retrieval.profile), now)
-        links = [cache.memory.link] if source is cache else choice.links(retrieval, cache)
+            place.paid -= choice.mean_work(profile)
+        choice.asked.add(choice.mean_work(profile), now)
+        links = choice.links(retrieval, cache)[:1 if source is cache else 2 if held_only else 3]
         for link in links:
             link.held += 1
         launch.plan = [(link, link.held) for link in links]
-        choice.remind(max(plan.agreed, now + plan.work + retrieval.profile.agreed // 2), launch)
+        choice.remind(max(plan.agreed, now + plan.work + profile.agreed // 2), launch)
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
@@ -323,7 +325,9 @@
 
     def __init__(self, ground: Ground, actions: Actions) -> None:
         self.ground, self.actions, now = ground, actions, actions.now()
+        least = min(profile.agreed for profile in ground.profiles)
         self.known: dict[Cache, None] = {}
+        self.agreed, self.count, self.budget = least, 0, float(FURTHER_BURST)
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         # The caches' links together, that of fills, and that of fills that no place is likely to hold.
         self.edges, self.fills, self.fetches = (Link(ground.crew, now, self.entry_age) for _ in range(3))
@@ -332,8 +336,6 @@
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
-        self.count, self.budget = 0, float(FURTHER_BURST)
-        self.agreed = min(profile.agreed for profile in ground.profiles)
         self.asked = Rate(now, self.entry_age)
         self.stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
         for one, after in pairwise(self.stages):
@@ -351,17 +353,14 @@
             for cache in [one for one in self.known if one not in entries]:
                 self.drop(cache, now)
         for cache in entries:
-            if not cache.memory:
+            if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
+                # Fronts that hear of a start together must not all send at once: each owes a random part.
                 link = Link(self.ground.crew, now, self.entry_age, self.edges)
-                cache.memory = Standing(now, self.agreed * 2, link)
+                cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.drop(cache, now)
-                continue
-            if cache.born > cache.memory.emptied:      # started anew: empty, cold and no longer what it was
-                cache.memory.emptied, cache.memory.shut, cache.memory.wrong = cache.born, 0, 0.0
-                # Fronts that hear of a start together must not all send at once: each owes a random part.
-                cache.memory.paid = -self.chance() * self.agreed
-            self.known[cache] = None
+            else:
+                self.known[cache] = None
         active = [one for one in self.known if one.state is State.ACTIVE]
         self.near = [one for one in active if one.role is Role.CACHE and one.zone == self.ground.zone]
         self.parents = [one for one in self.known if one.role is Role.PARENT]
