--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -200,9 +200,10 @@
             self.next.to(retrieval, pick)
         elif retrieval.launches or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
             choice.give_up(retrieval)
-        else:   # Departure: where only fills are crowded cache and parent give what they hold, no more.
-            source = choice.parent_for(retrieval, now) or fresh[0]
-            self.next.next.send(retrieval, fresh[0], source, held_only=True)
+        else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing; if
+            # the location's link is told to have room, the crowd is behind the parent, which does the same.
+            parent = choice.parent_for(retrieval, now) if choice.roomy(now) else None
+            self.next.next.send(retrieval, fresh[0], parent or fresh[0], held_only=True)
 
     def straight(self, retrieval: Retrieval, now: int) -> None:
         """No cache of the location can be used: a parent answers itself, where that is allowed."""
@@ -340,7 +341,7 @@
         self.stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
         for one, after in pairwise(self.stages):
             one.next = after
-        self.pulse = max(self.agreed // 16, ground.resolution)
+        self.pulse, self.probe_at = max(self.agreed // 16, ground.resolution), now
         actions.wake(self.pulse)
         if ground.must_ask:
             actions.watch_list()
@@ -394,6 +395,9 @@
     def woken(self) -> None:
         now = self.actions.now()
         self.actions.wake(self.pulse)
+        if self.ground.probing and self.near and now >= self.probe_at:      # a tenth of a retrieval's worth
+            self.probe_at = now + int(self.agreed * (6 + 4 * self.chance()))
+            self.actions.probe(self.near[int(self.chance() * len(self.near))])
         while self.due and self.due[0][0] <= now:
             self.overdue(heapq.heappop(self.due)[2], now)
 
@@ -465,6 +469,11 @@
             return [cache.memory.link]
         return [cache.memory.link, self.fills, self.fetches][:3 if retrieval.plan.new else 2]
 
+    def roomy(self, now: int) -> bool:
+        """Whether the location's link was lately reported to have room."""
+        last = max(self.near, key=lambda one: one.reported)
+        return now - last.reported < self.entry_age and last.crowd < 1 / SLOW
+
     def slack(self, retrieval: Retrieval) -> int:
         """What of the agreed time is meant for the way and the wait, not for sending."""
         return retrieval.profile.agreed // 4
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/drill/ground.py
@@ -45,6 +45,7 @@
     """The ground, and the machine kinds of parents and origin."""
     top = Reader(json.loads(text), "")
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
+    reports = top.value.get("Report") or {}
     fresh, grace = own.need("MaxAge", list), own.need("GraceFor", list)
     never_kept, zone = own.need("NeverKept", list), int(top.need("Zone"))
     profiles = []
@@ -75,5 +76,7 @@
         retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
         siblings=own.value.get("Sideways", "none") != "none", join=bool(own.value.get("CanJoin")),
         tells_hits=own.value.get("Tells", "none") != "none",
-        must_ask=top.value.get("MembershipMode") == "ask")
+        must_ask=top.value.get("MembershipMode") == "ask",
+        probing=bool(limits.value.get("Probing")) and reports.get("Via") == "probe"
+        and "x1" in (reports.get("Names") or ()))
     return ground, int(own.value.get("ParentKind", -1)), int(own.need("StoreKind"))
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -88,6 +88,9 @@
     def watch_list(self) -> None:
         self.lines.append("WATCH 1")
 
+    def probe(self, cache: Cache) -> None:
+        self.lines.append(f"HEALTH_CHECK {cache.mark.decode()}")
+
     def note(self, text: str) -> None:
         self.lines.append(f"RECORD {text}")
 
@@ -145,8 +148,9 @@
         return partial(self.choice.begun, retrieval.launches[place])
 
     def on_end(self, tid: str, leg: str, lag: str, over: str, detail: str, waited: str, result: str,
-               _cache: str, metrics: str) -> Call:
-        outcome, place, _ = OUTCOMES[int(result)], int(leg), pairs(metrics)
+               cache: str, metrics: str) -> Call:
+        outcome, place = OUTCOMES[int(result)], int(leg)
+        self.report(cache, pairs(metrics))
         told, took, fill = Told(number(detail)), ns(lag), ns(waited)
         retrieval = self.retrievals.get(tid)
         if not retrieval or place >= len(retrieval.launches) or retrieval.launches[place].outcome is not None:
@@ -163,6 +167,12 @@
         return done
 
 
+    def report(self, name: str, values: dict[str, float]) -> None:
+        cache = self.caches.get(name)
+        if cache and "x1" in values:
+            cache.crowd, cache.reported = values["x1"], self.now()
+
+
 class Drill:
     """The process: the batch in hand, the shared numbered lists and the seats."""
 
@@ -248,9 +258,9 @@
             thing, group, age = rest.split(" ")
             return partial(self.seat().choice.purged, number(thing), number(group), self.clock[0] - ns(age))
         elif name == "SAMPLED":
-            self.seat()
-            _, result, lag, metrics = rest.split(" ")
-            _, _, _ = OUTCOMES[int(result)], ns(lag), pairs(metrics)
+            cache, result, lag, metrics = rest.split(" ")
+            _, _ = OUTCOMES[int(result)], ns(lag)
+            self.seat().report(cache, pairs(metrics))
         elif name == "FROM_PEER":
             self.seat()
         else:
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -82,6 +82,8 @@
     cell: int = 0
     born: int = 0
     state: State = State.ACTIVE
+    crowd: float = 0.0      # reported: transfers on its location's link over those that fit at full pace
+    reported: int = 0       # when that came
     memory: Any = None
 
 
@@ -128,6 +130,7 @@
     join: bool
     tells_hits: bool
     must_ask: bool
+    probing: bool       # loads are reported to probes alone, and these are allowed
 
 
 @dataclass(slots=True, eq=False)
@@ -180,6 +183,8 @@
 
     def watch_list(self) -> None: ...
 
+    def probe(self, cache: Cache) -> None: ...
+
     def note(self, text: str) -> None: ...
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,7 +32,7 @@
             purge_time=6000 * MS, most_launches=6,
             longest_retry_after=500 * MS, may_call_off=True,
             retry_after=True, direct=False, siblings=True, join=False,
-            tells_hits=False, must_ask=False)
+            tells_hits=False, must_ask=False, probing=False)
         self.ground = Ground(**(figures | changes))
         self.choice = Choice(self.ground, self)
         self.caches = [Cache(b"c%d" % n, zone=1, cell=n) for n in range(4)]
