A late launch of known size tells of a crowd before it comes back

Cause: answers in a crowd come seconds late, so fronts learnt of it when it had already tipped. At the end of its agreed time a launch whose size is known teaches the likely link by the time it has been out. Guards against any crowd; could harm where one answer hangs alone, for a few seconds. The location's link counts as roomy under what it carries at full pace.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -472,7 +472,7 @@
     def roomy(self, now: int) -> bool:
         """Whether the location's link was lately reported to have room."""
         last = max(self.near, key=lambda one: one.reported)
-        return now - last.reported < self.entry_age and last.crowd < 1 / SLOW
+        return now - last.reported < self.entry_age and last.crowd < 1
 
     def slack(self, retrieval: Retrieval) -> int:
         """What of the agreed time is meant for the way and the wait, not for sending."""
@@ -560,6 +560,9 @@
                 self.blame(launch.cache, 1, now)
         elif launch.source is not launch.cache and late < self.agreed // 2 and source.heard <= launch.sent:
             self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
+        if launch.retrieval.plan.sized and late < self.agreed // 2:     # late already: it tells of a crowd
+            link, held = launch.plan[-1]
+            link.learn(held, launch.retrieval.plan.work, now - launch.sent, now)
         self.remind(now + self.agreed // 2, launch)
 
     def move_on(self, launch: Launch, suspect: Cache) -> None:
