A cold place's part is counted over the most of its like that were ever listed

A front's part is now counted over the most places that were ever listed at once. Guards against any great loss in which places come back one by one; harms by a slow return where a location was made smaller on purpose, for one warm-up.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -68,9 +68,8 @@
     and how slow it was lately, which is all that a small part of its traffic can tell."""
 
     def __init__(self, crew: int, now: int, over: int, like: Link | None = None) -> None:
-        self.crew, self.like, self.held = crew, like, 0
+        self.crew, self.like, self.held, self.room = crew, like, 0, 0.0     # room 0: no limit seen
         self.done, self.spent, self.load = Rate(now, over), Rate(now, over), Rate(now, over)
-        self.room = 0.0      # 0: no limit seen
 
     def slow(self, now: int) -> float:
         """Time taken lately over time at full pace; where little was seen, links of its like count."""
@@ -189,8 +188,11 @@
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
         fresh = [cache for cache in options if cache not in plan.lost] or options
-        if not fresh:
-            return self.straight(retrieval, now)
+        if not fresh:   # no cache of the location can be used: a parent answers itself, where that is allowed
+            pick = choice.parent_for(retrieval, now) if self.ground.direct else None
+            if pick is None or not choice.may_go(retrieval, pick):
+                return choice.give_up(retrieval)
+            return self.next.next.send(retrieval, pick, pick)
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
         left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
@@ -202,16 +204,11 @@
             choice.give_up(retrieval)
         else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing; if
             # the location's link is told to have room, the crowd is behind the parent, which does the same.
-            parent = choice.parent_for(retrieval, now) if choice.roomy(now) else None
+            last = max(choice.near, key=lambda one: one.reported)
+            roomy = now - last.reported < choice.entry_age and last.crowd < 1
+            parent = choice.parent_for(retrieval, now) if roomy else None
             self.next.next.send(retrieval, fresh[0], parent or fresh[0], held_only=True)
 
-    def straight(self, retrieval: Retrieval, now: int) -> None:
-        """No cache of the location can be used: a parent answers itself, where that is allowed."""
-        parent = self.choice.parent_for(retrieval, now) if self.ground.direct else None
-        if parent is None or not self.choice.may_go(retrieval, parent):
-            return self.choice.give_up(retrieval)
-        self.next.next.send(retrieval, parent, parent)
-
 
 class Source(Stage):
     """Names who fills a miss: a listed sibling, or the object's parent. Learns the directory."""
@@ -328,6 +325,7 @@
         self.ground, self.actions, now = ground, actions, actions.now()
         least = min(profile.agreed for profile in ground.profiles)
         self.known: dict[Cache, None] = {}
+        self.most = 1, 1    # caches of this location, and parents, that were listed at once
         self.agreed, self.count, self.budget = least, 0, float(FURTHER_BURST)
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         # The caches' links together, that of fills, and that of fills that no place is likely to hold.
@@ -350,27 +348,25 @@
 
     def listed(self, entries: list[Cache], whole: bool) -> None:
         now = self.actions.now()
-        if whole:
-            for cache in [one for one in self.known if one not in entries]:
-                self.drop(cache, now)
-        for cache in entries:
+        gone = [one for one in self.known if one not in entries] if whole else []
+        for cache in gone:
+            cache.state = State.LEFT
+        for cache in [*entries, *gone]:
             if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
                 link = Link(self.ground.crew, now, self.entry_age, self.edges)
                 cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
             if cache.state is State.LEFT:
-                self.drop(cache, now)
+                self.known.pop(cache, None)
             else:
                 self.known[cache] = None
         active = [one for one in self.known if one.state is State.ACTIVE]
         self.near = [one for one in active if one.role is Role.CACHE and one.zone == self.ground.zone]
         self.parents = [one for one in self.known if one.role is Role.PARENT]
+        # Where most of a location died at once the few that start first must not get the part of all.
+        self.most = max(self.most[0], len(self.near)), max(self.most[1], len(self.parents))
         self.origin = next((one for one in self.known if one.role is Role.ORIGIN), None)
 
-    def drop(self, cache: Cache, now: int) -> None:
-        self.known.pop(cache, None)
-        cache.state, cache.memory.emptied = State.LEFT, now
-
     def list_failed(self) -> None:
         self.actions.watch_list()
 
@@ -437,10 +433,9 @@
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
         ground = self.ground
-        like, least, span, factor = (
-            (self.parents, ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor)
-            if cache.role is Role.PARENT else
-            (self.near, ground.cold_share, ground.cold_time, ground.cold_factor))
+        parent = cache.role is Role.PARENT
+        least, span, factor = (ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
+                               ) if parent else (ground.cold_share, ground.cold_time, ground.cold_factor)
         age = now - cache.born
         if not cache.born or age >= span:
             return True
@@ -448,9 +443,7 @@
         share = (least + (1 - least) * max(age, 0) / span) * factor / 2
         if self.score(retrieval.object, -1, cache) / 2**64 >= share:
             return False
-        standing = cache.memory
-        each = self.asked.sum / self.asked.over / max(len(like), 1)
-        rate = share * each
+        standing, rate = cache.memory, share * self.asked.sum / self.asked.over / self.most[parent]
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
         return standing.paid >= 0
@@ -469,11 +462,6 @@
             return [cache.memory.link]
         return [cache.memory.link, self.fills, self.fetches][:3 if retrieval.plan.new else 2]
 
-    def roomy(self, now: int) -> bool:
-        """Whether the location's link was lately reported to have room."""
-        last = max(self.near, key=lambda one: one.reported)
-        return now - last.reported < self.entry_age and last.crowd < 1
-
     def slack(self, retrieval: Retrieval) -> int:
         """What of the agreed time is meant for the way and the wait, not for sending."""
         return retrieval.profile.agreed // 4
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -65,6 +65,9 @@
     def wake(self, after):
         pass
 
+    def probe(self, cache):
+        self.said.append(("probe", cache))
+
     def watch_list(self):
         self.said.append(("watch", None))
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -252,3 +252,99 @@
                             else (Outcome.ERROR, 10, Told.NOTHING)))
     assert {one.memory.shut > 0 for one in paper.parents} == {True}
     assert sum(one.source is paper.origin for one in paper.sent[-100:]) > 25
+
+
+def test_one_long_answer_is_no_silence(front):
+    """Found on a quiet day: a front of a few retrievals a second called one launch in five off."""
+    paper = front()
+    launch = paper.ask(1).launches[0]
+    for _ in range(40):
+        paper.clock += 50 * MS
+        paper.choice.woken()
+    assert not paper.said and not paper.notes and launch.cache.memory.wrong == 0
+
+
+@pytest.mark.parametrize("outcome, same_cache, same_source", [
+    (Outcome.FULL, True, False), (Outcome.ERROR, True, False), (Outcome.RESET, False, True)])
+def test_a_further_launch_moves_on_from_what_failed_it(front, outcome, same_cache, same_source):
+    paper = front()
+    first = paper.ask(7).launches[0]
+    second = paper.end(first, outcome)
+    assert (second.cache is first.cache) is same_cache and (second.source is first.source) is same_source
+    if same_cache:
+        assert paper.end(second, outcome, 1).source not in (first.source, second.source)
+
+
+@pytest.mark.parametrize("crew, taken", [(1, True), (16, False)])
+def test_a_crowd_of_others_is_seen_by_how_slow_a_link_was(front, crew, taken):
+    """Found in two incidents: a front's own count says nothing where sixteen share the caches."""
+    paper = front(crew=crew, tells_hits=True)
+    for launch in [paper.ask(thing, 300.0).launches[0] for thing in (1, 2, 3)]:
+        paper.end(launch, after=500, told=Told.HIT)
+    assert bool(paper.ask(99, 300.0).launches) is taken
+
+
+def test_a_late_launch_teaches_its_link_before_it_is_back(front):
+    paper = front(crew=16)
+    paper.ask(1, 300.0)
+    calm = paper.choice.fetches.slow(paper.clock)
+    paper.clock += 1000 * MS
+    paper.choice.woken()
+    assert paper.choice.fetches.slow(paper.clock) > calm * 1.5
+
+
+@pytest.mark.parametrize("crowd, role", [(0.5, Role.PARENT), (3.0, Role.CACHE), (None, Role.CACHE)])
+def test_where_fills_are_crowded_the_told_link_decides_who_is_asked(front, crowd, role):
+    """A slow origin leaves the location's link room; then parents give what they hold."""
+    paper = front(probing=crowd is not None)
+    paper.choice.woken()
+    assert [word for word, _ in paper.said] == ["probe"] * (crowd is not None)
+    if crowd is not None:
+        paper.said[0][1].crowd, paper.said[0][1].reported = crowd, paper.clock
+    paper.choice.fills.room, paper.choice.fills.held = 1.0, 50
+    assert paper.ask(5).launches[0].source.role is role and paper.held_only
+
+
+def test_fronts_that_hear_of_a_start_together_do_not_all_send_at_once(front):
+    """With hundreds of fronts a first launch each would spend the whole budget of a cold place."""
+    first, later = 0, 0
+    for seed in range(40):
+        paper = front(seed=seed, siblings=False)
+        cold = paper.caches[0]
+        for thing in range(1, 9):
+            paper.end(paper.ask(thing).launches[0])
+        cold.born = paper.clock
+        paper.choice.listed([cold], False)
+        first += any(paper.ask(thing).launches[0].cache is cold for thing in range(50, 58))
+        later += any(paper.end(paper.ask(thing).launches[0]).cache is cold for thing in range(100, 150))
+    assert first < 4 and 8 < later < 40
+
+
+def test_a_start_told_after_a_shut_still_counts(front):
+    paper = front()
+    cache = paper.caches[0]
+    cache.memory.shut = paper.clock + 5000 * MS
+    cache.born = paper.clock - 10 * MS
+    paper.choice.listed([cache], False)
+    assert cache.memory.usable(paper.clock) and cache.memory.paid < 0
+
+
+def test_the_first_to_start_do_not_get_the_part_of_all(front):
+    """Found by a search for broken rules: most of a location died, and the few that were back took it all."""
+    shares = []
+    for gone in (0, 3):
+        paper = front(siblings=False)
+        for thing in range(1, 100):
+            paper.end(paper.ask(thing).launches[0], after=10)
+        cold, *others = paper.caches
+        cold.born = paper.clock
+        for cache in others[:gone]:
+            cache.state = State.LEFT
+        paper.choice.listed(paper.caches, False)
+        before = sum(one.cache is cold for one in paper.sent)
+        for thing in range(100, 250):
+            for launch in paper.ask(thing).launches:
+                paper.end(launch, after=0)
+            paper.clock += 10 * MS
+        shares.append(sum(one.cache is cold for one in paper.sent) - before)
+    assert 0 < shares[1] < 2 * shares[0]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -57,6 +57,15 @@
     assert play(*batches) == wanted
 
 
+def test_probes_are_sent_and_reports_reach_the_cache():
+    options = json.loads(OPTIONS)
+    options["Limits"]["Probing"] = True
+    options["Report"] = {"Names": ["x1"], "Via": "probe"}
+    start = START.replace(OPTIONS, json.dumps(options))
+    assert "HEALTH_CHECK a:1" in play("SWITCH_TO 3\n" + start, "SWITCH_TO 3\nELAPSED 1\n",
+                                      "SWITCH_TO 3\nSAMPLED a:1 200 1.0 x1:0.5\nSAMPLED a:1 504 9.0 -\n")
+
+
 @pytest.mark.parametrize("batch, word", [
     ("SWITCH_TO 4\nELAPSED 1\n", "never started"),
     ("SWITCH_TO 4\nHELLO\n", "unknown message HELLO"),
