Where caches are crowded and the location's link has room a parent answers itself

Where direct launches are allowed and the link is told to have room, a parent that is predicted in time answers; it fetches from the origin only while fills are quick. Guards against any crowd of a location's caches; costs transit and origin bytes, and could crowd parents.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -41,13 +41,11 @@
         self.paid, self.paid_at = -owed, now     # budget of a cold start, in sending time
 
     def judge(self, wrong: float, now: int) -> None:
-        """Counts one outcome, or the part of a failure that is laid on this place."""
         self.wrong += (wrong - self.wrong) * LATELY
-        if not wrong:
-            if self.shut and now >= self.shut:   # a trial came back: open, but on probation
-                self.shut, self.wrong = 0, SHUT_AT * 0.7
-            elif self.wrong < SHUT_AT / 8:
-                self.spell = self.least
+        if not wrong and self.shut and now >= self.shut:    # a trial came back: open, but on probation
+            self.shut, self.wrong = 0, SHUT_AT * 0.7
+        elif not wrong and self.wrong < SHUT_AT / 8:
+            self.spell = self.least
 
     def usable(self, now: int) -> bool:
         return not self.shut or (now >= self.shut and self.trial is None)
@@ -64,8 +62,7 @@
 
 
 class Link:
-    """A link that transfers share: how many of this front's are out on it, how many it carries at full pace,
-    and how slow it was lately, which is all that a small part of its traffic can tell."""
+    """A link that transfers share: how many of ours are on it, what it carries, how slow it was lately."""
 
     def __init__(self, crew: int, now: int, over: int, like: Link | None = None) -> None:
         self.crew, self.like, self.held, self.room = crew, like, 0, 0.0     # room 0: no limit seen
@@ -110,9 +107,8 @@
 
     def __init__(self, sight: Sighting) -> None:
         self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
-        self.sized = False              # whether that sending time is its own, or its profile's mean
-        self.new = False                # not asked for before, as far as this front remembers
-        self.begun = False              # its answer has started: the client owns it
+        # That time is its own; it was not asked for before; its answer has started, and the client owns it.
+        self.sized = self.new = self.begun = False
         self.rank, self.sight = 1, sight
         self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
 
@@ -147,7 +143,6 @@
             seen.popitem(last=False)
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
-        # An object asked for once may take only the room of its like.
         plan.rank = 0 if profile.never_kept else min(3, 1 + sight.uses // 2)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         self.choice.budget = min(FURTHER_BURST, self.choice.budget + FURTHER_SHARE)
@@ -188,26 +183,36 @@
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
         fresh = [cache for cache in options if cache not in plan.lost] or options
-        if not fresh:   # no cache of the location can be used: a parent answers itself, where that is allowed
-            pick = choice.parent_for(retrieval, now) if self.ground.direct else None
-            if pick is None or not choice.may_go(retrieval, pick):
-                return choice.give_up(retrieval)
-            return self.next.next.send(retrieval, pick, pick)
+        left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
+        if not fresh:
+            return self.straight(retrieval, left)
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
-        left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
         if choice.predicted(retrieval, pick) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
         if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
-            self.next.to(retrieval, pick)
-        elif retrieval.launches or pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
+            return self.next.to(retrieval, pick)
+        # Departures: where only fills are crowded a cache, and if the location's link is said to have room a
+        # parent too, give what they hold; where the caches' links are crowded, such room is a way past them.
+        last = max(choice.near, key=lambda one: one.reported)
+        roomy = now - last.reported < choice.entry_age and last.crowd < 1
+        if pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
+            self.straight(retrieval, left if roomy else 0)
+        elif retrieval.launches:
             choice.give_up(retrieval)
-        else:   # Departure: where only fills are crowded a cache gives what it holds and fetches nothing; if
-            # the location's link is told to have room, the crowd is behind the parent, which does the same.
-            last = max(choice.near, key=lambda one: one.reported)
-            roomy = now - last.reported < choice.entry_age and last.crowd < 1
-            parent = choice.parent_for(retrieval, now) if roomy else None
-            self.next.next.send(retrieval, fresh[0], parent or fresh[0], held_only=True)
+        else:
+            source = (roomy and choice.parent_for(retrieval, now)) or fresh[0]
+            self.next.next.send(retrieval, fresh[0], source, held_only=True)
+
+    def straight(self, retrieval: Retrieval, left: int) -> None:
+        """No cache of the location will do: a parent answers itself, where that is allowed and in time."""
+        now, choice = self.actions.now(), self.choice
+        parent = choice.parent_for(retrieval, now) if self.ground.direct else None
+        if (parent is None or not choice.may_go(retrieval, parent)
+                or parent.memory.link.time(retrieval.plan.work, now) + choice.slack(retrieval) > left):
+            return choice.give_up(retrieval)
+        source = (choice.fills.slow(now) < 1 / SLOW and choice.origin) or parent   # it fetches only in a calm
+        self.next.next.send(retrieval, parent, source)
 
 
 class Source(Stage):
@@ -245,7 +250,6 @@
 
     def send(self, retrieval: Retrieval, cache: Cache, source: Cache, held_only: bool = False) -> None:
         now, profile, plan, choice = self.actions.now(), retrieval.profile, retrieval.plan, self.choice
-        # The age is worked out at each launch: a purge may have been told since the retrieval came.
         # Departure: while fills are slow an ageing copy is better than none, and is renewed behind.
         slow = held_only or choice.fills.slow(now) > 1 / SLOW
         age = choice.age_limit(retrieval, now, profile.grace if slow else 0)
@@ -354,7 +358,8 @@
         for cache in [*entries, *gone]:
             if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
-                link = Link(self.ground.crew, now, self.entry_age, self.edges)
+                like = self.edges if cache.role is Role.CACHE else None
+                link = Link(self.ground.crew, now, self.entry_age, like)
                 cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.known.pop(cache, None)
@@ -432,8 +437,7 @@
     def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
-        ground = self.ground
-        parent = cache.role is Role.PARENT
+        ground, parent = self.ground, cache.role is Role.PARENT
         least, span, factor = (ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
                                ) if parent else (ground.cold_share, ground.cold_time, ground.cold_factor)
         age = now - cache.born
@@ -441,12 +445,10 @@
             return True
         # Half of what the rule bears where a warm one is fully used: the rest is for retries and chance.
         share = (least + (1 - least) * max(age, 0) / span) * factor / 2
-        if self.score(retrieval.object, -1, cache) / 2**64 >= share:
-            return False
         standing, rate = cache.memory, share * self.asked.sum / self.asked.over / self.most[parent]
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
-        return standing.paid >= 0
+        return standing.paid >= 0 and self.score(retrieval.object, -1, cache) / 2**64 < share
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
@@ -523,7 +525,6 @@
         standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
         standing.emptied = now
         self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
-        # What waits there though nothing comes back moves on.
         for launch in [*standing.out, *standing.feeds]:
             usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
             if (launch.sent > standing.heard and launch.outcome is None
@@ -549,8 +550,7 @@
         elif launch.source is not launch.cache and late < self.agreed // 2 and source.heard <= launch.sent:
             self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
         if launch.retrieval.plan.sized and late < self.agreed // 2:     # late already: it tells of a crowd
-            link, held = launch.plan[-1]
-            link.learn(held, launch.retrieval.plan.work, now - launch.sent, now)
+            launch.plan[-1][0].learn(launch.plan[-1][1], launch.retrieval.plan.work, now - launch.sent, now)
         self.remind(now + self.agreed // 2, launch)
 
     def move_on(self, launch: Launch, suspect: Cache) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -348,3 +348,19 @@
             paper.clock += 10 * MS
         shares.append(sum(one.cache is cold for one in paper.sent) - before)
     assert 0 < shares[1] < 2 * shares[0]
+
+
+@pytest.mark.parametrize("direct, crowd, slow, answers", [
+    (True, 0.5, False, Role.ORIGIN), (True, 0.5, True, Role.PARENT), (True, 2.0, False, None),
+    (False, 0.5, False, None)])
+def test_a_link_with_room_is_the_way_past_crowded_caches(front, direct, crowd, slow, answers):
+    """Found on a day with a mass restart: survivors were swamped while the location's link stood idle."""
+    paper = front(direct=direct, crew=16)
+    paper.caches[0].crowd, paper.caches[0].reported = crowd, paper.clock
+    for cache in paper.caches:
+        cache.memory.link.learn(1, 100 * MS, 900 * MS, paper.clock)
+    if slow:
+        paper.choice.fills.learn(1, 100 * MS, 900 * MS, paper.clock)
+    launches = paper.ask(5).launches
+    assert bool(launches) is (answers is not None)
+    assert not launches or (launches[0].cache.role is Role.PARENT and launches[0].source.role is answers)
