--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -188,9 +188,10 @@
             return self.straight(retrieval, left)
         pick = fresh[0]
         # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
-        if choice.predicted(retrieval, pick) > left:
+        if (time := choice.predicted(retrieval, pick)) > left:
             pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
-        if choice.predicted(retrieval, pick) <= left or retrieval.profile.repeat is not Repeat.PURE:
+            time = choice.predicted(retrieval, pick)
+        if time <= left or retrieval.profile.repeat is not Repeat.PURE:
             return self.next.to(retrieval, pick)
         # Departures: where only fills are crowded a cache, and if the location's link is said to have room a
         # parent too, give what they hold; where the caches' links are crowded, such room is a way past them.
