A front on sockets: gevent, blocking style, around the unchanged module

One program serves the clients' RESP, the caches' lines and the coordinator's events. The module is hosted by a facade (pick, report, tick); the network code sees neither its events nor its actions. The reading of the settings moved to marbleglade/ground.py, shared with the drill.

--- /dev/null
+++ b/marbleglade/__main__.py
@@ -0,0 +1,91 @@
+"""`python -m marbleglade`: one front. This file only puts the parts together."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+import gevent
+from gevent import socket
+
+from .choice import Choice
+from .facade import Facade
+from .front import Front
+from .life import assignment, clock
+from .life.counters import Counters
+from .life.log import Log
+from .life.stop import Stop
+from .memory.places import Places
+from .memory.purges import Purges
+from .memory.room import Room
+from .wire.caches import Caches
+from .wire.clients import Clients
+from .wire.coordinator import Follower
+
+SECOND = 1_000_000_000
+
+
+def run(told: assignment.Assignment) -> None:
+    around, ground = told.around, told.around.ground
+    counters = Counters()
+    log = Log(told.name, counters, bool(os.environ.get("MARBLEGLADE_DEBUG")))
+    stop = Stop(max(profile.client_timeout for profile in ground.profiles))
+
+    # Shares of the limits: a quarter of the memory for bodies, a third of the descriptors for clients, half
+    # for connections to caches; the rest is for the process itself and for a margin.
+    room = Room(told.memory // 4)
+    places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
+    facade = Facade(ground, Choice, clock.now, around.most_open, counters,
+                    lambda text: log.say("note", text=text))
+    caches = Caches(places.by_cache, room, told.descriptors // 2, around.connect_timeout, around.idle_close,
+                    clock.now, counters,
+                    lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
+    front = Front(facade, caches, places, purges, counters, log)
+    clients = Clients(front, told.descriptors // 3, around.idle_close, around.answer_slack,
+                      lambda: not stop.asked_at, clock.now, counters)
+    for event in told.known:
+        front.apply(event)
+    follower = Follower(told.coordinator, told.last, front.apply, counters)
+
+    def tell() -> None:
+        log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
+                cache_connections=caches.count)
+
+    gevent.signal_handler(signal.SIGUSR1, tell)
+    gevent.signal_handler(signal.SIGTERM, lambda: stop.ask(clock.now()))
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(told.listen)
+    listener.listen(told.descriptors)
+    for work in (follower.run, front.probe, lambda: clients.accept(listener)):
+        gevent.spawn(work)
+    log.say("ready", places=len(places.by_id), last=told.last)
+
+    swept = clock.now()
+    while not stop.over(clock.now(), len(facade.open)):
+        due = facade.tick() or clock.now() + SECOND
+        if clock.now() - swept >= SECOND:
+            swept = clock.now()
+            caches.sweep()
+            clients.sweep()
+        if stop.given_up(clock.now()):
+            facade.last_call()
+        gevent.sleep(max(0, due - clock.now()) / 1e9)
+        if clock.now() - due > ground.resolution:
+            counters.add("timer.late")
+    tell()
+
+
+def main() -> int:
+    try:
+        told = assignment.read(os.environ)
+    except assignment.Unfit as trouble:
+        print(f"marbleglade: {trouble}", file=sys.stderr)
+        return 2
+    run(told)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from functools import partial
 from typing import BinaryIO
 
 from ..choice import Choice
-from ..interface import Cache, Ground, Launch, Outcome, Retrieval, Role, State, Told
-from .ground import Missing, read_ground
+from ..ground import Missing, Surroundings, read_ground
+from ..interface import Cache, Launch, Outcome, Retrieval, Role, State, Told
 
 OUTCOMES = {200: Outcome.OK, 500: Outcome.ERROR, 503: Outcome.FULL, 504: Outcome.TIMEOUT,
             502: Outcome.UNREACHED, 598: Outcome.RESET, 499: Outcome.CALLED_OFF, 410: Outcome.MOOT,
@@ -48,14 +49,14 @@
 class Seat:
     """One instance: its decisions, the ids it knows and the lines it has to send."""
 
-    def __init__(self, clock: list[int], ground: Ground, parent_kind: int, origin_kind: int) -> None:
+    def __init__(self, clock: list[int], around: Surroundings) -> None:
         self.clock, self.lines = clock, []
         self.retrievals: dict[str, Retrieval] = {}
         self.ids: dict[Retrieval, str] = {}
         self.open: dict[str, int] = {}
         self.caches: dict[str, Cache] = {}
-        self.parent_kind, self.origin_kind = parent_kind, origin_kind
-        self.choice = Choice(ground, self)
+        self.parent_kind, self.origin_kind = around.parent_kind, around.origin_kind
+        self.choice = Choice(around.ground, self)
 
     def now(self) -> int:
         return self.clock[0]
@@ -233,8 +234,7 @@
         elif name == "INIT":
             seed, _, options = rest.partition(" ")
             self.seats.pop(self.current, None)
-            ground = read_ground(options, int(seed))
-            return partial(self.start, *ground)
+            return partial(self.start, read_ground(json.loads(options), int(seed)))
         elif name == "SHUTDOWN":
             self.seat()
             del self.seats[self.current]
@@ -267,8 +267,8 @@
             raise Malformed(f"unknown message {name}")
         return nothing
 
-    def start(self, ground: Ground, parent_kind: int, origin_kind: int) -> None:
-        self.seats[self.current] = Seat(self.clock, ground, parent_kind, origin_kind)
+    def start(self, around: Surroundings) -> None:
+        self.seats[self.current] = Seat(self.clock, around)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
--- /dev/null
+++ b/marbleglade/facade.py
@@ -0,0 +1,194 @@
+"""The decisions in blocking style: `pick`, `report`, `tick`. Who speaks a protocol sees no more of them.
+
+The module is called by one greenlet at a time and is never called from within a call of its own: what it asks
+for is queued here, and picked up by the greenlet that waits for it.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from enum import Enum
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.queue import SimpleQueue
+
+from .interface import Cache, Decisions, Ground, Launch, Outcome, Retrieval
+from .life.counters import Counters
+from .memory.open import Case, Open
+
+
+class End(Enum):
+    SETTLED = 0
+    PUSHED_BACK = 1
+    BROKEN_OFF = 2
+    GONE = 3        # the client has left; nobody is owed an answer
+
+
+@dataclass(slots=True)
+class Final:
+    """The last word on a retrieval."""
+
+    end: End
+    retry_after: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Go:
+    """A launch to make. `called_off` is set when the decisions want it no more."""
+
+    launch: Launch
+    age: int
+    join: bool
+    renew: bool
+    held_only: bool
+    ended: AsyncResult
+
+
+class Facade:
+    """Hosts the decisions of one instance."""
+
+    def __init__(self, ground: Ground, decide: Callable[[Ground, Facade], Decisions],
+                 clock: Callable[[], int], most_open: int, counters: Counters,
+                 note: Callable[[str], None]) -> None:
+        self.clock, self.counters, self.note_down = clock, counters, note
+        self.open = Open(most_open)
+        self.probes: SimpleQueue = SimpleQueue()
+        self.due: list[int] = []
+        self.inside, self.moment = False, clock()
+        self.decisions = decide(ground, self)
+
+    @contextmanager
+    def calling(self) -> Iterator[Decisions]:
+        """The decisions, for one call; the clock stands still meanwhile."""
+        self.counters.must(not self.inside, "reentered")
+        self.inside, self.moment = True, self.clock()
+        try:
+            yield self.decisions
+        finally:
+            self.inside = False
+
+    # What the front calls.
+
+    def pick(self, retrieval: Retrieval) -> Go | Final:
+        """Blocks until there is a launch to make or the last word."""
+        case = self.open.cases.get(retrieval)
+        if case is None:
+            case = self.open.add(retrieval)
+            with self.calling() as decisions:
+                decisions.take(retrieval)
+        if not self.counters.must(not (case.final and case.steps.empty()), "picked_after_end"):
+            return Final(End.GONE)
+        left = max(0, retrieval.until - self.clock())
+        with gevent.Timeout(left / 1e9, False):
+            return case.steps.get()
+        # The decisions keep it past its time: it ends here, and is counted.
+        self.counters.must(False, "held_too_long")
+        self._end(case, Final(End.BROKEN_OFF))
+        return case.steps.get()
+
+    def report(self, go: Go, outcome: Outcome) -> None:
+        """Says how a launch ended. The first that settles a retrieval is its answer."""
+        launch = go.launch
+        case = self.open.cases.get(launch.retrieval)
+        if not self.counters.must(case is not None and launch.outcome is None, "reported_twice"):
+            return
+        case.out.pop(launch, None)
+        launch.outcome, launch.lag = outcome, self.clock() - launch.sent
+        if outcome is Outcome.OK and not launch.retrieval.over:
+            self._end(case, Final(End.SETTLED))
+        with self.calling() as decisions:
+            decisions.ended(launch)
+
+    def leave(self, retrieval: Retrieval) -> None:
+        """The client waits no more."""
+        case = self.open.cases.get(retrieval)
+        if case is None or case.final:
+            return
+        with self.calling() as decisions:
+            decisions.gone(retrieval)
+        self._end(case, Final(End.GONE))
+
+    def close(self, retrieval: Retrieval) -> None:
+        """Forgets a retrieval whose last word was carried out."""
+        self.open.drop(retrieval)
+
+    def last_call(self) -> None:
+        """The front stops and can wait no longer: the decisions give up whatever is still open."""
+        for case in list(self.open.cases.values()):
+            if not case.final:
+                with self.calling() as decisions:
+                    decisions.gone(case.retrieval)
+                    decisions.give_up(case.retrieval)
+
+    def tick(self) -> int:
+        """Runs what is due; gives the time at which something is due next."""
+        while self.due and self.due[0] <= self.clock():
+            heapq.heappop(self.due)
+            with self.calling() as decisions:
+                decisions.woken()
+        return self.due[0] if self.due else 0
+
+    def listed(self, caches: list[Cache], whole: bool) -> None:
+        with self.calling() as decisions:
+            decisions.listed(caches, whole)
+
+    def purged(self, thing: int, group: int, at: int) -> None:
+        with self.calling() as decisions:
+            decisions.purged(thing, group, at)
+
+    def pick_probe(self) -> Cache:
+        """Blocks until a place is to be probed."""
+        return self.probes.get()
+
+    def probed(self, cache: Cache, report: dict[str, float]) -> None:
+        """Files a load report."""
+        if "x1" in report:
+            cache.crowd, cache.reported = report["x1"], self.clock()
+
+    def _end(self, case: Case, final: Final) -> None:
+        if self.counters.must(not case.final, "ended_twice"):
+            case.final = case.retrieval.over = True
+            case.steps.put(final)
+
+    # What the decisions ask for; see `interface.Actions`.
+
+    def now(self) -> int:
+        return self.moment if self.inside else self.clock()
+
+    def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
+               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False) -> Launch:
+        launch = Launch(retrieval, cache, source, self.now(), within, rank)
+        case = self.open.cases[retrieval]
+        retrieval.launches.append(launch)
+        go = Go(launch, age, join, renew, held_only, AsyncResult())
+        case.out[launch] = go.ended
+        case.steps.put(go)
+        return launch
+
+    def call_off(self, launch: Launch) -> None:
+        case = self.open.cases.get(launch.retrieval)
+        ended = case and case.out.get(launch)
+        if ended and not ended.ready():
+            ended.set(None)
+
+    def push_back(self, retrieval: Retrieval, retry_after: int = 0) -> None:
+        self._end(self.open.cases[retrieval], Final(End.PUSHED_BACK, retry_after))
+
+    def break_off(self, retrieval: Retrieval) -> None:
+        self._end(self.open.cases[retrieval], Final(End.BROKEN_OFF))
+
+    def wake(self, after: int) -> None:
+        heapq.heappush(self.due, self.now() + after)
+
+    def watch_list(self) -> None:
+        """Changes of the list come by themselves here."""
+
+    def probe(self, cache: Cache) -> None:
+        self.probes.put(cache)
+
+    def note(self, text: str) -> None:
+        self.note_down(text)
--- /dev/null
+++ b/marbleglade/front.py
@@ -0,0 +1,124 @@
+"""The life of a retrieval between the doors: decide, launch, report, and so on until the last word.
+
+Nothing here knows by which protocol a retrieval came in; another one can be put before the same decisions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from .facade import End, Facade, Final, Go
+from .interface import Cache, Outcome, Retrieval
+from .life import clock
+from .life.counters import Counters
+from .life.log import Log
+from .memory.places import Places
+from .memory.purges import Purges
+from .wire.caches import Caches, Ending
+from .wire.coordlines import ListChange, Purge
+from .wire.resp import Ask
+
+
+@dataclass(slots=True)
+class Reply:
+    """What the client gets: a word, when to come back, or a body; `same`: its own copy is the one."""
+
+    end: End
+    retry_after: int = 0
+    same: bool = False
+    body: bytes = b""
+
+
+class Front:
+    def __init__(self, facade: Facade, caches: Caches, places: Places, purges: Purges, counters: Counters,
+                 log: Log) -> None:
+        self.facade, self.caches, self.places, self.purges = facade, caches, places, purges
+        self.counters, self.log = counters, log
+
+    def take(self, ask: Ask) -> Retrieval:
+        """A client's ask as the decisions know it."""
+        now = clock.now()
+        self.counters.add("retrieval.taken")
+        return Retrieval(ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience,
+                         ask.again)
+
+    def refuse(self) -> bool:
+        """True while what is kept in memory is at its bound."""
+        if not (self.caches.room.short or self.facade.open.full):
+            return False
+        self.counters.add("retrieval.no_room")
+        return True
+
+    def serve(self, ask: Ask, retrieval: Retrieval, answer: Callable[[Reply], None]) -> None:
+        """Runs a retrieval to its end. `answer` passes the reply on; it is called once at most."""
+        kept: Ending | None = None
+        reply = Reply(End.BROKEN_OFF)
+        try:
+            step = self.facade.pick(retrieval)
+            while isinstance(step, Go):
+                ending = self.caches.fly(ask, step)
+                if ending.outcome is Outcome.OK and not retrieval.over:
+                    kept = ending
+                else:
+                    self.caches.drop(ending)
+                self._note(ask, step, ending)
+                self.facade.report(step, ending.outcome)
+                step = self.facade.pick(retrieval)
+            reply = self._reply(step, kept)
+        except Exception as trouble:
+            self.counters.add("trouble.retrieval")
+            self.log.say("trouble", where="retrieval", what=repr(trouble))
+            retrieval.over = True
+        try:
+            self.counters.add(f"retrieval.{reply.end.name.lower()}")
+            if reply.end is not End.GONE:
+                answer(reply)
+        finally:
+            if kept:
+                self.caches.drop(kept)
+            self.facade.close(retrieval)
+
+    def _reply(self, final: Final, kept: Ending | None) -> Reply:
+        if final.end is not End.SETTLED:
+            return Reply(final.end, final.retry_after)
+        if not self.counters.must(kept is not None, "settled_without_answer"):
+            return Reply(End.BROKEN_OFF)
+        return Reply(End.SETTLED, 0, kept.answer.word == "VALID", kept.answer.body)
+
+    def _note(self, ask: Ask, go: Go, ending: Ending) -> None:
+        launch = go.launch
+        self.counters.add(f"launch.{ending.outcome.name.lower()}")
+        if self.log.debug_on:
+            self.log.debug("launch", trace=ask.trace, profile=ask.profile_name,
+                           cache=launch.cache.mark.decode(), source=launch.source.mark.decode(),
+                           outcome=ending.outcome.name,
+                           took_us=(clock.now() - launch.sent) // 1000, rank=launch.rank,
+                           bytes=len(ending.answer.body) if ending.answer else 0)
+
+    # What the coordinator tells.
+
+    def apply(self, event: ListChange | Purge) -> None:
+        if isinstance(event, ListChange):
+            told, stale = self.places.apply(event)
+            self.facade.listed(told, event.whole)
+            self.caches.outdated(stale)
+            self.log.say("list", index=event.index, whole=event.whole, told=len(told))
+            return
+        thing = int(event.thing or "0", 16)
+        self.purges.add(thing, event.group, clock.now())
+        self.facade.purged(thing, event.group, clock.from_unix_ms(event.unix_ms))
+        self.counters.add("purge.told")
+
+    # Work that nobody waits for.
+
+    def probe(self) -> None:
+        """Carries out the probes that are asked for."""
+        longest = max(profile.client_timeout for profile in self.facade.decisions.ground.profiles)
+        while True:
+            gevent.spawn(self._look, self.facade.pick_probe(), longest)
+
+    def _look(self, cache: Cache, within: int) -> None:
+        self.facade.probed(cache, self.caches.look(cache, within))
--- a/marbleglade/drill/ground.py
+++ b/marbleglade/ground.py
@@ -1,10 +1,13 @@
-"""Translates the settings of an instance, once, into the `Ground` that the decisions read."""
+"""Translates the settings of an instance, once: the `Ground` that decisions read, and what the doors need.
+
+The drill adapter and the front on sockets are handed the same object and share this one reading of it.
+"""
 
 from __future__ import annotations
 
-import json
+from dataclasses import dataclass
 
-from ..interface import Ground, Group, Profile, Repeat
+from .interface import Ground, Group, Profile, Repeat
 
 REPEATS = {"free": Repeat.PURE, "guarded": Repeat.RECEIPTED, "single_shot": Repeat.EFFECTFUL}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
@@ -14,6 +17,22 @@
     """A setting that is needed is absent or of the wrong shape."""
 
 
+@dataclass(slots=True)
+class Surroundings:
+    """What an instance is told of where it stands: the ground, and what names and limits mean at the door."""
+
+    ground: Ground
+    profiles: dict[str, Profile]
+    parent_kind: int
+    origin_kind: int
+    kinds: list[str]
+    zones: list[str]
+    connect_timeout: int
+    idle_close: int
+    most_open: int
+    answer_slack: int
+
+
 class Reader:
     """One object of the settings; a needed key that is absent is named, an unknown one ignored."""
 
@@ -41,19 +60,19 @@
     return values[place] if place < len(values) else other
 
 
-def read_ground(text: str, seed: int) -> tuple[Ground, int, int]:
-    """The ground, and the machine kinds of parents and origin."""
-    top = Reader(json.loads(text), "")
+def read_ground(settings: object, seed: int) -> Surroundings:
+    top = Reader(settings, "")
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
     reports = top.value.get("Report") or {}
     fresh, grace = own.need("MaxAge", list), own.need("GraceFor", list)
     never_kept, zone = own.need("NeverKept", list), int(top.need("Zone"))
-    profiles = []
+    profiles, names = [], []
     for place, value in enumerate(top.need("Classes", list)):
         one = Reader(value, f"Classes[{place}].")
         repeat, group = one.need("Repeat", str), one.value.get("Group", "all")
         if repeat not in REPEATS or group not in GROUPS:
             raise Missing(f"setting Classes[{place}].Repeat or Group is unknown")
+        names.append(str(one.value.get("Name", place)))
         profiles.append(Profile(
             agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0,
             client_timeout=one.time("Deadline"),
@@ -79,4 +98,8 @@
         must_ask=top.value.get("MembershipMode") == "ask",
         probing=bool(limits.value.get("Probing")) and reports.get("Via") == "probe"
         and "x1" in (reports.get("Names") or ()))
-    return ground, int(own.value.get("ParentKind", -1)), int(own.need("StoreKind"))
+    return Surroundings(
+        ground, dict(zip(names, profiles, strict=True)), int(own.value.get("ParentKind", -1)),
+        int(own.need("StoreKind")), list(top.value.get("Skus") or ()), list(top.value.get("Dcs") or ()),
+        limits.optional_time("ConnectTimeout"), limits.optional_time("IdleClose"),
+        int(limits.value.get("MaxOpen") or 0), rules.optional_time("AnswerSlack"))
--- /dev/null
+++ b/marbleglade/life/__init__.py
@@ -0,0 +1,1 @@
+"""How a front starts, tells about itself and stops."""
--- /dev/null
+++ b/marbleglade/life/assignment.py
@@ -0,0 +1,72 @@
+"""What a front is told at its start: the file that GW_CONFIG names, decoded once."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import orjson
+
+from ..ground import Missing, Surroundings, read_ground
+from ..wire.coordlines import ListChange, Purge, address, event
+
+
+class Unfit(Exception):
+    """The configuration is absent, unreadable or lacks something; says what."""
+
+
+@dataclass(slots=True)
+class Assignment:
+    name: str
+    listen: tuple[str, int]
+    memory: int             # bytes
+    descriptors: int
+    coordinator: tuple[str, int]
+    peer_listen: tuple[str, int] | None
+    peers: list[tuple[str, int]]
+    last: int               # number of the last event that `known` holds
+    known: list[ListChange | Purge]
+    around: Surroundings
+
+
+def read(environ: Mapping[str, str]) -> Assignment:
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise Unfit("GW_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except (OSError, ValueError) as trouble:
+        raise Unfit(f"the file that GW_CONFIG names can't be read: {trouble}") from trouble
+    if not isinstance(told, dict):
+        raise Unfit("the configuration is no object")
+    needed = {}
+    for field in ("name", "listen", "seed", "limits", "coordinator", "known", "settings"):
+        if field not in told:
+            raise Unfit(f"the configuration lacks {field}")
+        needed[field] = told[field]
+    field = ""
+    try:
+        field = "seed"
+        seed = int(str(needed["seed"]), 16)
+        field = "settings"
+        around = read_ground(needed["settings"], seed)
+        field = "limits"
+        memory, descriptors = int(needed["limits"]["memory_mb"]), int(needed["limits"]["sockets"])
+        field = "listen"
+        listen = address(needed["listen"])
+        field = "coordinator"
+        coordinator = address(needed["coordinator"])
+        field = "known"
+        last = int(needed["known"]["index"])
+        known = [one for one in map(event, needed["known"]["updates"]) if one]
+        field = "peers"
+        peers = [address(one) for one in told.get("peers") or ()]
+        field = "peer_listen"
+        peer_listen = address(told["peer_listen"]) if told.get("peer_listen") else None
+    except Missing as trouble:
+        raise Unfit(str(trouble)) from trouble
+    except (ValueError, KeyError, TypeError, AttributeError) as trouble:
+        raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
+    return Assignment(str(needed["name"]), listen, memory << 20, descriptors, coordinator, peer_listen, peers,
+                      last, known, around)
--- /dev/null
+++ b/marbleglade/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What a front keeps in memory, all of it bounded."""
--- /dev/null
+++ b/marbleglade/memory/places.py
@@ -0,0 +1,59 @@
+"""The places that the coordinator has listed, by their ids: the only home of those ids and addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..ground import Surroundings
+from ..interface import Cache, Role, State
+from ..wire.coordlines import ListChange
+
+STATES = {"active": State.ACTIVE, "leaving": State.LEAVING, "left": State.LEFT}
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    cache: Cache
+    id: str
+    address: tuple[str, int]
+
+
+class Places:
+    def __init__(self, around: Surroundings, from_unix_ms: Callable[[int], int]) -> None:
+        self.around, self.from_unix_ms = around, from_unix_ms
+        self.by_id: dict[str, Place] = {}
+        self.by_cache: dict[Cache, Place] = {}
+
+    def role(self, kind: str) -> Role:
+        kinds = self.around.kinds
+        number = kinds.index(kind) if kind in kinds else -2
+        return {self.around.parent_kind: Role.PARENT, self.around.origin_kind: Role.ORIGIN
+                }.get(number, Role.CACHE)
+
+    def apply(self, change: ListChange) -> tuple[list[Cache], list[Cache]]:
+        """The caches that the change names, and those gone or begun anew: their connections hold no more."""
+        told, stale = [], []
+        for member in change.members:
+            born = self.from_unix_ms(member.started_ms) if member.started_ms else 0
+            place = self.by_id.get(member.id)
+            if place is None:
+                place = Place(Cache(member.id.encode()), member.id, member.address)
+                self.by_id[member.id] = self.by_cache[place.cache] = place
+            cache = place.cache
+            # The same start reads a little differently each time that it passes the door.
+            again = bool(born) and abs(born - cache.born) > self.around.ground.resolution
+            if again or place.address != member.address:
+                stale.append(cache)
+            cache.born = born if again or not born else cache.born
+            place.address, cache.role, cache.cell = member.address, self.role(member.kind), member.cell
+            cache.zone = self.around.zones.index(member.zone) if member.zone in self.around.zones else -1
+            cache.state = STATES[member.state]
+            told.append(cache)
+        if change.whole:
+            for cache in self.by_cache.keys() - set(told):
+                cache.state = State.LEFT
+        for cache in [one for one in self.by_cache if one.state is State.LEFT]:
+            stale.append(cache)
+            del self.by_id[self.by_cache.pop(cache).id]
+        return told, stale
--- /dev/null
+++ b/marbleglade/memory/room.py
@@ -0,0 +1,41 @@
+"""Room for bodies: a bound on the bytes of answers that are being gathered or passed on."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from gevent.event import Event
+
+
+class Room:
+    def __init__(self, size: int) -> None:
+        self.size = self.free = size
+        self.waiting: deque[tuple[int, Event]] = deque()
+
+    def take(self, size: int) -> None:
+        """Blocks until there is room. Who takes first in time gets it first."""
+        if not self.waiting and size <= self.free:
+            self.free -= size
+            return
+        turn = size, Event()
+        self.waiting.append(turn)
+        try:
+            turn[1].wait()
+        except BaseException:
+            if turn[1].is_set():        # granted, but its taker is gone
+                self.give(size)
+            else:
+                self.waiting.remove(turn)
+            raise
+
+    def give(self, size: int) -> None:
+        self.free += size
+        while self.waiting and self.waiting[0][0] <= self.free:
+            granted, turn = self.waiting.popleft()
+            self.free -= granted
+            turn.set()
+
+    @property
+    def short(self) -> bool:
+        """True while somebody has to wait."""
+        return bool(self.waiting)
--- /dev/null
+++ b/marbleglade/wire/cachelines.py
@@ -0,0 +1,114 @@
+"""The caches' protocol, without I/O: lines of words, bodies of a stated length behind them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .resp import LONGEST_OBJECT
+
+LONGEST_LINE = 4_096
+
+
+class BadLine(Exception):
+    """Bytes that can't be read as an answer; the connection can't be followed any more."""
+
+
+@dataclass(slots=True)
+class Errand:
+    """What a cache is asked to do for a retrieval. Texts are ids and go on unchanged."""
+
+    id: str
+    profile: str
+    thing: str
+    part: int
+    within: int                 # milliseconds, as all times of an errand
+    source: str = ""            # "": a miss is not filled
+    rank: int = 0
+    age: int = 0                # 0: the profile's fresh time
+    join: bool = False
+    held_only: bool = False
+    renew: bool = False
+    copy: str = ""
+    body: bytes = b""
+
+    def encode(self) -> bytes:
+        how = "+".join(word for word, wanted in (("ride", self.join), ("have-only", self.held_only),
+                                                 ("update", self.renew)) if wanted)
+        named = (("miss", self.source), ("prio", self.rank), ("within", self.age), ("f", how),
+                 ("mine", self.copy))
+        fields = ",".join([f"profile={self.profile}", f"thing={self.thing}", f"nth={self.part}",
+                           f"max={self.within}", *(f"{name}={value}" for name, value in named if value)])
+        return b"do %b %b %d\r\n%b\r\n" % (self.id.encode(), fields.encode(), len(self.body), self.body)
+
+
+def encode_undo(id: str) -> bytes:
+    return b"undo %b\r\n" % id.encode()
+
+
+def encode_look(id: str) -> bytes:
+    """A probe that is answered with the load report."""
+    return b"top %b\r\n" % id.encode()
+
+
+@dataclass(slots=True)
+class Answer:
+    id: str
+    word: str
+    fields: dict[str, str]
+    body: bytes
+
+    def report(self) -> dict[str, float]:
+        """The load report, where one came along."""
+        pairs = (one.partition(":")[::2] for one in self.fields.get("report", "").split(";") if one)
+        return {name: float(value) for name, value in pairs}
+
+
+class Answers:
+    """Cuts a stream of bytes into answers."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.head: tuple[str, str, dict[str, str], int] | None = None
+
+    @property
+    def expected(self) -> int:
+        """Length of the body under way."""
+        return self.head[3] if self.head else 0
+
+    @property
+    def amid(self) -> bool:
+        """True while an answer has come in part."""
+        return bool(self.head or self.buffer)
+
+    def feed(self, data: bytes) -> list[Answer]:
+        self.buffer += data
+        answers: list[Answer] = []
+        while True:
+            if self.head is None and not self._read_head():
+                return answers
+            id, word, fields, size = self.head
+            if len(self.buffer) < size + 2:
+                return answers
+            if self.buffer[size:size + 2] != b"\r\n":
+                raise BadLine("a body without its end")
+            answers.append(Answer(id, word, fields, bytes(memoryview(self.buffer)[:size])))
+            del self.buffer[:size + 2]
+            self.head = None
+
+    def _read_head(self) -> bool:
+        end = self.buffer.find(b"\r\n", 0, LONGEST_LINE)
+        if end < 0:
+            if len(self.buffer) >= LONGEST_LINE:
+                raise BadLine("a line without end")
+            return False
+        try:
+            id, word, fields, size = self.buffer[:end].decode("ascii").split(" ")
+            named = {} if fields == "-" else dict(one.split("=", 1) for one in fields.split(","))
+            length = int(size)
+        except ValueError as trouble:
+            raise BadLine("not an answer") from trouble
+        if not 0 <= length <= LONGEST_OBJECT:
+            raise BadLine("a body too long")
+        self.head = id, word, named, length
+        del self.buffer[:end + 2]
+        return True
--- /dev/null
+++ b/marbleglade/wire/caches.py
@@ -0,0 +1,330 @@
+"""Connections to caches, parents and the origin: a pool for each, one errand on a connection at a time.
+
+A body can't be interleaved with another, so an errand behind a long one would wait for all of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+
+from ..facade import Go
+from ..interface import Cache, Outcome, Retrieval, State
+from ..life.counters import Counters
+from ..memory.places import Place
+from ..memory.room import Room
+from .cachelines import Answer, Answers, BadLine, Errand, encode_look, encode_undo
+from .resp import Ask
+
+CHUNK = 1 << 16
+OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
+            "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
+PROBED = ("PONG", "SICK")
+
+
+@dataclass(slots=True)
+class Ending:
+    """How a launch ended; `answer` where one came, whose body holds room until it is given back."""
+
+    outcome: Outcome
+    answer: Answer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Flight:
+    """What is out on a connection: an errand's id, and where its end is put."""
+
+    id: str
+    ended: AsyncResult
+    line: Line | None = None
+    sent: bool = False
+
+
+class Line:
+    """One connection to a place."""
+
+    def __init__(self, sock: socket.socket, pool: Pool) -> None:
+        self.sock, self.pool = sock, pool
+        self.answers = Answers()
+        self.flight: Flight | None = None
+        self.undone: set[str] = set()   # given up here; their answers may still come and are dropped
+        self.held = 0                   # room taken for the body under way
+        self.idle_since = 0
+        self.closed = False
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """The connections to one place. Idle ones are used again, the latest first."""
+
+    cache: Cache
+    idle: list[Line] = field(default_factory=list)
+    lines: set[Line] = field(default_factory=set)
+    stale: bool = False     # the place is gone or began anew: nothing here is used again
+
+
+class Caches:
+    """`fly` carries a launch out and blocks until it has ended."""
+
+    def __init__(self, places: dict[Cache, Place], room: Room, most: int, connect_timeout: int,
+                 idle_close: int, clock: Callable[[], int], counters: Counters,
+                 purged: Callable[[Retrieval, int], bool]) -> None:
+        self.places, self.room, self.most, self.purged = places, room, most, purged
+        self.connect_timeout, self.idle_close = connect_timeout, idle_close
+        self.clock, self.counters = clock, counters
+        self.pools: dict[Cache, Pool] = {}
+        self.count = 0      # connections up or coming up
+        self.looks = 0
+
+    # What is asked of it.
+
+    def fly(self, ask: Ask, go: Go) -> Ending:
+        launch = go.launch
+        flight = Flight(ask.trace, go.ended)
+        gevent.spawn(self._guard, self._start, flight, ask, go)
+        ending: Ending | None = None
+        try:
+            with gevent.Timeout(max(0, launch.sent + launch.within - self.clock()) / 1e9, False):
+                ending = go.ended.get() or Ending(Outcome.CALLED_OFF)
+        finally:
+            if not go.ended.ready():
+                go.ended.set(None)      # whoever still works for this launch stops
+            self._release(flight)
+        return ending or Ending(Outcome.TIMEOUT)
+
+    def look(self, cache: Cache, within: int) -> dict[str, float]:
+        """Probes a place; gives its load report, or nothing."""
+        self.looks += 1
+        flight = Flight(f"look{self.looks}", AsyncResult())
+        gevent.spawn(self._guard, self._start_look, flight, cache)
+        ending: Ending | None = None
+        try:
+            with gevent.Timeout(within / 1e9, False):
+                ending = flight.ended.get()
+        finally:
+            if not flight.ended.ready():
+                flight.ended.set(None)
+            self._release(flight)
+        if not ending or not ending.answer:
+            self.counters.add("probe.unanswered")
+            return {}
+        self.drop(ending)
+        try:
+            return ending.answer.report()
+        except ValueError:
+            self.counters.add("cache.bad_report")
+            return {}
+
+    def drop(self, ending: Ending) -> None:
+        """Gives back the room that an answer's body took."""
+        if ending.answer and ending.answer.body:
+            self.room.give(len(ending.answer.body))
+
+    def outdated(self, caches: list[Cache]) -> None:
+        """These places are gone or began anew: connections that are idle mean nothing any more."""
+        for cache in caches:
+            pool = self.pools.pop(cache, None)
+            if pool:
+                pool.stale = True
+                for line in list(pool.idle):
+                    self._close(line)
+
+    def sweep(self) -> None:
+        """Closes what was idle for half of the time after which the other side would."""
+        for pool in self.pools.values():
+            for line in [one for one in pool.idle
+                         if (self.clock() - one.idle_since) * 2 > self.idle_close > 0]:
+                self._close(line)
+
+    # How a launch starts.
+
+    def _guard(self, start: Callable[..., Ending | None], flight: Flight, *told: object) -> None:
+        try:
+            ending = start(flight, *told)
+        except Exception as trouble:
+            self.counters.add("trouble.launch")
+            self.counters.add(f"trouble.launch.{type(trouble).__name__}")
+            ending = Ending(Outcome.ERROR if flight.sent else Outcome.MOOT)
+        if ending and not flight.ended.ready():
+            flight.ended.set(ending)
+
+    def _start(self, flight: Flight, ask: Ask, go: Go) -> Ending | None:
+        launch = go.launch
+        cache, source, retrieval = launch.cache, launch.source, launch.retrieval
+        line = self._line(cache, flight)
+        if not isinstance(line, Line):
+            return Ending(line)
+        # The launch may have waited for its connection: what was told since holds for it too.
+        if (flight.ended.ready() or cache.state is not State.ACTIVE or source.state is not State.ACTIVE
+                or self.purged(retrieval, launch.sent)):
+            self._rest(line)
+            self.counters.add("launch.stale")
+            return Ending(Outcome.CALLED_OFF)
+        place = self.places.get(source)
+        left = launch.sent + launch.within - self.clock()
+        if place is None or left <= 0:
+            self._rest(line)
+            return Ending(Outcome.CALLED_OFF if place is None else Outcome.MOOT)
+        errand = Errand(
+            ask.trace, ask.profile_name, ask.thing, ask.part, max(1, left // 1_000_000),
+            "" if source is cache else place.id, launch.rank, max(1, go.age // 1_000_000) if go.age else 0,
+            go.join, go.held_only, go.renew, ask.copy, ask.body)
+        return self._send(line, flight, errand.encode())
+
+    def _start_look(self, flight: Flight, cache: Cache) -> Ending | None:
+        line = self._line(cache, flight)
+        if not isinstance(line, Line):
+            return Ending(line)
+        return self._send(line, flight, encode_look(flight.id))
+
+    def _send(self, line: Line, flight: Flight, data: bytes) -> Ending | None:
+        flight.line, line.flight = line, flight
+        self.counters.add("launch.sent")
+        try:
+            line.sock.sendall(data)
+        except OSError:
+            self._close(line)
+            return Ending(Outcome.RESET)
+        flight.sent = True
+        return None
+
+    def _line(self, cache: Cache, flight: Flight) -> Line | Outcome:
+        """An idle connection, or a new one; else why there is none."""
+        place = self.places.get(cache)
+        if place is None:
+            return Outcome.CALLED_OFF
+        pool = self.pools.get(cache)
+        if pool is None:
+            pool = self.pools[cache] = Pool(cache)
+        for line in reversed(pool.idle):
+            if flight.id not in line.undone:
+                pool.idle.remove(line)
+                self.counters.add("cache.reused")
+                return line
+        if self.count >= self.most and not self._spare():
+            self.counters.add("cache.no_descriptor")
+            return Outcome.MOOT
+        self.count += 1
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(self.connect_timeout / 1e9 or None)
+            sock.connect(place.address)
+            sock.settimeout(None)
+        except OSError:
+            self.count -= 1
+            if sock is not None:
+                sock.close()
+            self.counters.add("cache.unreached")
+            return Outcome.UNREACHED
+        self.counters.add("cache.opened")
+        line = Line(sock, pool)
+        pool.lines.add(line)
+        gevent.spawn(self._read, line)
+        return line
+
+    def _spare(self) -> bool:
+        """Closes the connection that has been idle longest, whosever it is."""
+        idle = [line for pool in self.pools.values() for line in pool.idle]
+        if not idle:
+            return False
+        self._close(min(idle, key=lambda line: line.idle_since))
+        return True
+
+    # How it ends.
+
+    def _read(self, line: Line) -> None:
+        try:
+            while data := line.sock.recv(CHUNK):
+                for answer in line.answers.feed(data):
+                    self._answered(line, answer)
+                missing = line.answers.expected - line.held
+                if missing > 0:
+                    self.room.take(missing)
+                    if line.closed:
+                        self.room.give(missing)
+                        return
+                    line.held += missing
+        except OSError:
+            self.counters.add("cache.reset")
+        except BadLine:
+            self.counters.add("cache.bad_line")
+        except Exception as trouble:
+            self.counters.add("trouble.read")
+            self.counters.add(f"trouble.read.{type(trouble).__name__}")
+        finally:
+            self._close(line)
+
+    def _answered(self, line: Line, answer: Answer) -> None:
+        size, line.held = len(answer.body), line.held - len(answer.body)
+        if line.held < 0:       # it came at one go, before room was asked for
+            self.room.free += line.held
+            line.held = 0
+        flight = line.flight
+        if flight is None or answer.id != flight.id:
+            line.undone.discard(answer.id)
+            self.room.give(size)
+            self.counters.add("cache.late_answer")
+            return
+        outcome = Outcome.OK if answer.word in PROBED else OUTCOMES.get(answer.word, Outcome.ERROR)
+        self.counters.add(f"cache.{answer.word}" if answer.word in OUTCOMES or answer.word in PROBED
+                          else "cache.unknown_word")
+        line.flight = flight.line = None
+        if flight.ended.ready():
+            self.room.give(size)
+        else:
+            flight.ended.set(Ending(outcome, answer))
+        self._rest(line)
+
+    def _rest(self, line: Line) -> None:
+        """Keeps a connection for the next errand."""
+        line.flight, line.idle_since = None, self.clock()
+        if line.pool.stale:
+            self._close(line)
+        elif not line.closed:
+            line.pool.idle.append(line)
+
+    def _release(self, flight: Flight) -> None:
+        """The launch is over for us. If no answer came it is given up at the cache too."""
+        line, flight.line = flight.line, None
+        if line is None or line.flight is not flight:
+            return
+        line.flight = None
+        # In the midst of a message, either way, the next errand would stand behind it.
+        if not flight.sent or line.answers.amid:
+            self._close(line)
+            return
+        self.counters.add("launch.undone")
+        line.undone.add(flight.id)
+        undo = encode_undo(flight.id)
+        line.sock.settimeout(0.0)       # a machine that takes no more bytes must not hold up the answer
+        try:
+            whole = line.sock.send(undo) == len(undo)
+        except OSError:
+            whole = False
+        line.sock.settimeout(None)
+        if whole:
+            self._rest(line)
+        else:
+            self._close(line)
+
+    def _close(self, line: Line) -> None:
+        if line.closed:
+            return
+        line.closed = True
+        self.count -= 1
+        line.pool.lines.discard(line)
+        if line in line.pool.idle:
+            line.pool.idle.remove(line)
+        self.room.give(line.held)
+        line.held = 0
+        line.sock.close()
+        self.counters.add("cache.closed")
+        flight, line.flight = line.flight, None
+        if flight and not flight.ended.ready():
+            flight.ended.set(Ending(Outcome.RESET))
--- /dev/null
+++ b/marbleglade/wire/clients.py
@@ -0,0 +1,151 @@
+"""Connections from clients."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.lock import RLock
+
+from ..facade import End
+from ..front import Front, Reply
+from ..interface import Retrieval
+from ..life.counters import Counters
+from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
+
+CHUNK = 1 << 16
+MOST_OPEN = 32      # the protocol's bound on one connection
+WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
+
+
+class Client:
+    """One connection: its open retrievals by their tags, and its turn to write."""
+
+    def __init__(self, sock: socket.socket, clock: Callable[[], int]) -> None:
+        self.sock, self.frames = sock, Frames()
+        self.open: dict[int, Retrieval] = {}
+        self.turn = RLock()
+        self.last = clock()
+        self.ended = self.closed = False    # the client sends no more; nothing can be written any more
+
+
+class Clients:
+    def __init__(self, front: Front, most: int, idle_close: int, slack: int, ready: Callable[[], bool],
+                 clock: Callable[[], int], counters: Counters) -> None:
+        self.front, self.most, self.idle_close, self.slack = front, most, idle_close, slack
+        self.ready, self.clock, self.counters = ready, clock, counters
+        self.profiles = front.places.around.profiles
+        self.clients: dict[Client, None] = {}
+
+    def accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                self.counters.add("client.accept_failed")
+                gevent.sleep(self.front.facade.decisions.ground.resolution / 1e9)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = Client(sock, self.clock)
+            self.clients[client] = None
+            self.counters.add("client.accepted")
+            gevent.spawn(self._read, client)
+            if len(self.clients) > self.most:
+                # Over the clients' share: the one that was idle longest makes room, else the new one goes.
+                idle = (one for one in self.clients if not one.open)
+                self.counters.add("client.over_share")
+                self._close(min(idle, key=lambda one: one.last, default=client))
+
+    def sweep(self) -> None:
+        """Closes what has been idle for as long as the settings let a connection be."""
+        for client in [one for one in self.clients
+                       if not one.open and self.clock() - one.last > self.idle_close > 0]:
+            self._close(client)
+
+    def _read(self, client: Client) -> None:
+        try:
+            while data := client.sock.recv(CHUNK):
+                client.last = self.clock()
+                for words in client.frames.feed(data):
+                    self._heard(client, words)
+        except BadFrame:
+            self.counters.add("client.bad_frame")
+            self._close(client)
+        except OSError:
+            self._close(client)
+        except Exception as trouble:
+            self.counters.add("trouble.client")
+            self.front.log.say("trouble", where="client", what=repr(trouble))
+            self._close(client)
+        else:
+            # It sends no more but may still read: what it asked for is answered first.
+            client.ended = True
+            if not client.open:
+                self._close(client)
+
+    def _heard(self, client: Client, words: list[bytes]) -> None:
+        message = decode(words, self.profiles)
+        if isinstance(message, Ask):
+            if message.tag in client.open:
+                raise BadFrame("a tag that is open already")
+            if len(client.open) >= MOST_OPEN or self.front.refuse():
+                self.counters.add("retrieval.refused_at_door")
+                gevent.spawn(self._write, client, message.tag, b"full")
+                return
+            retrieval = client.open[message.tag] = self.front.take(message)
+            gevent.spawn(self.front.serve, message, retrieval,
+                         lambda reply: self._answer(client, message.tag, retrieval, reply))
+        elif isinstance(message, Nevermind):
+            if (retrieval := client.open.pop(message.tag, None)) is not None:
+                self.counters.add("retrieval.nevermind")
+                self.front.facade.leave(retrieval)
+        elif isinstance(message, Status):
+            gevent.spawn(self._write, client, message.tag, b"yes" if self.ready() else b"no")
+        else:
+            self.counters.add("client.unusable")
+            gevent.spawn(self._write, client, message.tag, b"fault")
+
+    def _answer(self, client: Client, tag: int, retrieval: Retrieval, reply: Reply) -> None:
+        fields = b""
+        if reply.end is End.PUSHED_BACK and reply.retry_after:
+            fields = b"pause=%d" % max(1, reply.retry_after // 1_000_000)
+        elif reply.same:
+            fields = b"keep=1"
+        left = max(retrieval.until + self.slack - self.clock(), 0)
+        with gevent.Timeout(left / 1e9, False):
+            self._write(client, tag, WORDS[reply.end], fields, reply.body, retrieval)
+        if client.open.pop(tag, None) is not None:
+            # Begun, or never got its turn: the client does not read. It can tell, as the connection ends.
+            self.counters.add("client.slow_reader")
+            self._close(client)
+        if client.ended and not client.open:
+            self._close(client)
+
+    def _write(self, client: Client, tag: int, word: bytes, fields: bytes = b"", body: bytes = b"",
+               retrieval: Retrieval | None = None) -> None:
+        with client.turn:
+            # A client that left meanwhile gets nothing more.
+            if client.closed or (retrieval and client.open.get(tag) is not retrieval):
+                return
+            try:
+                client.sock.sendall(encode(tag, word, fields, body))
+            except OSError:
+                self.counters.add("client.write_failed")
+                self._close(client)
+                return
+            client.last = self.clock()
+            client.open.pop(tag, None)
+            self.counters.add(f"answer.{word.decode()}")
+            self.counters.add("answer.bytes", len(body))
+
+    def _close(self, client: Client) -> None:
+        if client.closed:
+            return
+        client.closed = True
+        self.clients.pop(client, None)
+        client.sock.close()
+        self.counters.add("client.closed")
+        for tag in list(client.open):
+            self.counters.add("retrieval.connection_lost")
+            self.front.facade.leave(client.open.pop(tag))
--- /dev/null
+++ b/marbleglade/wire/resp.py
@@ -0,0 +1,138 @@
+"""The clients' protocol, without I/O: RESP arrays of bulk strings in, answers out."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from ..interface import Profile
+
+LONGEST_OBJECT = 240_000        # the protocol's bound on a body
+LONGEST_WORD = 4_096            # far above any field list that the protocol allows
+MOST_WORDS = 8
+HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
+NUMBER = re.compile(rb"[0-9]{1,18}")
+
+
+class BadFrame(Exception):
+    """Bytes that no client of this protocol sends; the connection can't be followed any more."""
+
+
+@dataclass(slots=True)
+class Ask:
+    """A client's retrieval. `trace`, `thing` and `copy` are the client's own words, passed on unchanged."""
+
+    tag: int
+    profile: Profile
+    profile_name: str
+    trace: str
+    patience: int       # nanoseconds
+    again: bool
+    thing: str
+    part: int
+    group: int
+    copy: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class Nevermind:
+    tag: int
+
+
+@dataclass(slots=True)
+class Status:
+    tag: int
+
+
+@dataclass(slots=True)
+class Unusable:
+    """A readable frame that can't be carried out; it gets a failed answer under its tag."""
+
+    tag: int
+
+
+Message = Ask | Nevermind | Status | Unusable
+
+
+class Frames:
+    """Cuts a stream of bytes into arrays of bulk strings."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.words: list[bytes] = []    # of the frame in hand
+        self.due = 0                    # words that it still lacks
+
+    def feed(self, data: bytes) -> list[list[bytes]]:
+        self.buffer += data
+        frames, at = [], 0
+        while (after := self._step(at)) >= 0:
+            at = after
+            if not self.due and self.words:
+                frames.append(self.words)
+                self.words = []
+        del self.buffer[:at]
+        return frames
+
+    def _step(self, at: int) -> int:
+        """Takes one array head or one word; says where the next begins, or -1 where more bytes are needed."""
+        end = self.buffer.find(b"\r\n", at, at + 24)
+        if end < 0:
+            if len(self.buffer) - at >= 24:
+                raise BadFrame("no length where one belongs")
+            return -1
+        head, number = self.buffer[at:at + 1], bytes(self.buffer[at + 1:end])
+        if head != (b"$" if self.due else b"*") or not NUMBER.fullmatch(number):
+            raise BadFrame("not an array of bulk strings")
+        size = int(number)
+        if not self.due:
+            if not 0 < size <= MOST_WORDS:
+                raise BadFrame("an array too short or too long")
+            self.due = size
+            return end + 2
+        if size > (LONGEST_OBJECT if len(self.words) == 4 else LONGEST_WORD):
+            raise BadFrame("a word too long")
+        start, stop = end + 2, end + 2 + size
+        if len(self.buffer) < stop + 2:
+            return -1
+        if self.buffer[stop:stop + 2] != b"\r\n":
+            raise BadFrame("a word without its end")
+        self.words.append(bytes(self.buffer[start:stop]))
+        self.due -= 1
+        return stop + 2
+
+
+def decode(words: list[bytes], profiles: dict[str, Profile]) -> Message:
+    """One frame as a typed value."""
+    if len(words) < 2 or not NUMBER.fullmatch(words[1]) or not (tag := int(words[1])):
+        raise BadFrame("no tag that can be read")
+    if words[0] == b"ASK":
+        return _ask(tag, words, profiles) or Unusable(tag)
+    if words[0] == b"NEVERMIND":
+        return Nevermind(tag)
+    return Status(tag) if words[0] == b"STATUS" else Unusable(tag)
+
+
+def _ask(tag: int, words: list[bytes], profiles: dict[str, Profile]) -> Ask | None:
+    if not 4 <= len(words) <= 5:
+        return None
+    fields = dict(pair.partition(b"=")[::2] for pair in words[3].split(b","))
+    trace, thing, copy = (fields.get(name, b"") for name in (b"trace", b"entity", b"cached"))
+    numbers = [fields.get(name, b"") for name in (b"patience", b"block", b"family")]
+    name = words[2].decode("ascii", "replace")
+    if (name not in profiles or not all(map(HEX16.fullmatch, (trace, thing)))
+            or (copy and not HEX16.fullmatch(copy)) or not all(map(NUMBER.fullmatch, numbers))):
+        return None
+    patience, part, group = map(int, numbers)
+    if not patience or group > 255:
+        return None
+    return Ask(tag, profiles[name], name, trace.decode(), patience * 1_000_000,
+               fields.get(b"redo") == b"1", thing.decode(), part, group, copy.decode(),
+               words[4] if len(words) == 5 else b"")
+
+
+def encode(tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
+    """An answer, whole."""
+    label = b"%d" % tag
+    return (b"*4\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n"
+            % (len(label), label, len(word), word, len(fields), fields, len(body), body))
