An answer without bytes teaches neither a size nor what a link carries

The module takes the shortest lag of an object for its sending time, so such an answer, which is no transfer, shrank the object's size for good (choice.py, Send.learn). Launch.bare now tells, and learn() skips both lessons.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -306,7 +306,7 @@
         return True
 
     def learn(self, launch: Launch) -> None:
-        """The size of an object where it is not told, and what the links on the way carry."""
+        """An object's size where it is not told, and what links carry; a bare answer tells neither."""
         retrieval, plan = launch.retrieval, launch.retrieval.plan
         full, most = launch.outcome is Outcome.FULL, plan.work + retrieval.profile.agreed
         # Turned away means that the last link had no place. One long wait must not outweigh what comes after.
@@ -314,12 +314,12 @@
         # A quick answer speaks for every link on its way, a slow one only against the most likely cause.
         cause = launch.plan[0 if launch.told is Told.HIT else -1][0]
         ok = launch.outcome is Outcome.OK
-        heard = full or (plan.sized if ok else launch.lag > retrieval.profile.agreed)
+        heard = full or (plan.sized and not launch.bare if ok else launch.lag > retrieval.profile.agreed)
         for link, held in launch.plan:
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
                 link.learn(held, plan.work, took, self.choice.actions.now())
-        if not retrieval.size_kb and ok:
+        if not retrieval.size_kb and ok and not launch.bare:
             plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
 
 
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True, eq=False)
 class Go:
-    """A launch to make. `called_off` is set when the decisions want it no more."""
+    """A launch to make. `ended` holds how it ended, or None once the decisions want it no more."""
 
     launch: Launch
     age: int
@@ -90,14 +90,14 @@
         self._end(case, Final(End.BROKEN_OFF))
         return case.steps.get()
 
-    def report(self, go: Go, outcome: Outcome) -> None:
-        """Says how a launch ended. The first that settles a retrieval is its answer."""
+    def report(self, go: Go, outcome: Outcome, bare: bool = False) -> None:
+        """Says how a launch ended; `bare`: without bytes. The first that settles is the answer."""
         launch = go.launch
         case = self.open.cases.get(launch.retrieval)
         if not self.counters.must(case is not None and launch.outcome is None, "reported_twice"):
             return
         case.out.pop(launch, None)
-        launch.outcome, launch.lag = outcome, self.clock() - launch.sent
+        launch.outcome, launch.bare, launch.lag = outcome, bare, self.clock() - launch.sent
         if outcome is Outcome.OK and not launch.retrieval.over:
             self._end(case, Final(End.SETTLED))
         with self.calling() as decisions:
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -65,7 +65,7 @@
                 else:
                     self.caches.drop(ending)
                 self._note(ask, step, ending)
-                self.facade.report(step, ending.outcome)
+                self.facade.report(step, ending.outcome, ending.bare)
                 step = self.facade.pick(retrieval)
             reply = self._reply(step, kept)
         except Exception as trouble:
@@ -86,7 +86,7 @@
             return Reply(final.end, final.retry_after)
         if not self.counters.must(kept is not None, "settled_without_answer"):
             return Reply(End.BROKEN_OFF)
-        return Reply(End.SETTLED, 0, kept.answer.word == "VALID", kept.answer.body)
+        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body)
 
     def _note(self, ask: Ask, go: Go, ending: Ending) -> None:
         launch = go.launch
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -162,6 +162,7 @@
     told: Told = Told.NOTHING
     lag: int = 0
     waited: int = 0
+    bare: bool = False      # settled without bytes: the client's own copy is the one
     plan: Any = None
 
 
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -33,6 +33,11 @@
     outcome: Outcome
     answer: Answer | None = None
 
+    @property
+    def bare(self) -> bool:
+        """The client's own copy is the one that would be sent."""
+        return self.answer is not None and self.answer.word == "VALID"
+
 
 @dataclass(slots=True, eq=False)
 class Flight:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -80,8 +80,9 @@
         self.choice.take(one)
         return one
 
-    def end(self, launch, outcome=Outcome.OK, after=60, told=Told.NOTHING):
+    def end(self, launch, outcome=Outcome.OK, after=60, told=Told.NOTHING, bare=False):
         self.clock += after * MS
+        launch.bare = bare
         launch.outcome, launch.lag, launch.told = outcome, self.clock - launch.sent, told
         launch.retrieval.over = launch.retrieval.over or outcome is Outcome.OK
         self.choice.ended(launch)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -364,3 +364,12 @@
     launches = paper.ask(5).launches
     assert bool(launches) is (answers is not None)
     assert not launches or (launches[0].cache.role is Role.PARENT and launches[0].source.role is answers)
+
+
+@pytest.mark.parametrize("bare, work", [(False, 20 * MS), (True, 400 * MS)])
+def test_an_answer_without_bytes_teaches_no_size(front, bare, work):
+    paper = front()
+    paper.end(paper.ask(5, size=0).launches[0], after=400)
+    again = paper.ask(5, size=0)
+    paper.end(again.launches[0], after=20, bare=bare)
+    assert paper.ask(5, size=0).plan.work == work
