--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -130,7 +130,8 @@
 
 @pytest.mark.parametrize("line", [
     b"nonsense\n", b'{"index":1,"endpoints":{"servers":[{}]}}\n',
-    b'{"index":1,"evict":{"ref":"xyz","unix_ms":1}}\n', b'{"evict":{}}\n', b"[]\n", b'{"index":1,"endpoints":7}\n', b"x" * (2 << 20)])
+    b'{"index":1,"evict":{"ref":"xyz","unix_ms":1}}\n',
+    b'{"evict":{}}\n', b"[]\n", b'{"index":1,"endpoints":7}\n', b"x" * (2 << 20)])
 def test_an_unreadable_event_is_told(line):
     with pytest.raises(coordlines.BadLine):
         coordlines.Events().feed(line)
