--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import orjson
@@ -83,19 +84,20 @@
     def __init__(self) -> None:
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Event]:
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """Gives each event as it is read, so that what stands before a bad line still counts."""
         self.buffer += data
         *lines, rest = self.buffer.split(b"\n")
         if len(rest) > LONGEST_LINE:
             raise BadLine("a line without end")
         self.buffer = rest
-        events = []
         for line in lines:
+            if not line.strip():
+                continue
             try:
-                if line.strip():
-                    value = orjson.loads(line)
-                    events.append(Beat(value) if isinstance(value, int) else event(value))
+                value = orjson.loads(line)
+                read = Beat(value) if isinstance(value, int) else event(value)
             except (ValueError, KeyError, TypeError, AttributeError) as trouble:
-                # The caller follows anew from the last event that it applied, so nothing is lost.
                 raise BadLine("not an event") from trouble
-        return [one for one in events if one]
+            if read:
+                yield read
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -18,7 +18,7 @@
     """What a cutter gives for each split of the bytes in two, and for one byte at a time."""
     for cut in range(len(data) + 1):
         cutter = make()
-        yield cutter.feed(data[:cut]) + cutter.feed(data[cut:])
+        yield [*cutter.feed(data[:cut]), *cutter.feed(data[cut:])]
     cutter = make()
     yield [one for place in range(len(data)) for one in cutter.feed(data[place:place + 1])]
 
@@ -134,7 +134,7 @@
     b'{"evict":{}}\n', b"[]\n", b'{"index":1,"endpoints":7}\n', b"x" * (2 << 20)])
 def test_an_unreadable_event_is_told(line):
     with pytest.raises(coordlines.BadLine):
-        coordlines.Events().feed(line)
+        list(coordlines.Events().feed(line))
 
 
 HINTS = [datagrams.PlaceLeaves(41, "s-00c41f7a", 5), datagrams.PurgeTold(42, 1 << 63, 0, 1764576000123),
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,484 @@
+"""Connections over loopback: a stand-in cache, a client and the front between them."""
+
+from contextlib import suppress
+
+import gevent
+import pytest
+from gevent import socket
+
+from marbleglade.facade import Facade, Go
+from marbleglade.front import Front
+from marbleglade.ground import read_ground
+from marbleglade.interface import Cache, Launch, Outcome, Retrieval, Role, State
+from marbleglade.life import clock
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.memory.places import Places
+from marbleglade.memory.purges import Purges
+from marbleglade.memory.room import Room
+from marbleglade.wire.caches import Caches
+from marbleglade.wire.clients import Clients
+from marbleglade.wire.coordinator import Follower
+from marbleglade.wire.coordlines import ListChange, Member, Purge
+from marbleglade.wire.datagrams import PlaceLeaves, PurgeTold
+from marbleglade.wire.peers import Peers
+from marbleglade.wire.resp import Ask
+
+from .conftest import MS, OPTIONS
+
+WAIT = 2    # seconds: far above what anything here takes
+
+
+def listening(kind=socket.SOCK_STREAM):
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.bind(("127.0.0.1", 0))
+    if kind == socket.SOCK_STREAM:
+        sock.listen(16)
+    return sock
+
+
+def until(holds):
+    with gevent.Timeout(WAIT):
+        while not holds():
+            gevent.sleep(0.001)
+
+
+class Server:
+    """A stand-in for a cache or a coordinator: `said` holds what came, line by line, of all connections."""
+
+    def __init__(self):
+        self.listener, self.said, self.socks = listening(), [], []
+        self.address = self.listener.getsockname()
+        self.loop = gevent.spawn(self.accept)
+
+    def accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            self.socks.append(sock)
+            gevent.spawn(self.read, sock)
+
+    def read(self, sock):
+        rest = b""
+        with suppress(OSError):
+            while data := sock.recv(4096):
+                *lines, rest = (rest + data).split(b"\n")
+                self.said += [line.strip().decode() for line in lines if line.strip()]
+
+    def heard(self, count):
+        until(lambda: len(self.said) >= count)
+        return self.said[-1]
+
+    def close(self):
+        self.loop.kill()
+        self.listener.close()
+        for sock in self.socks:
+            sock.close()
+
+
+class Decide:
+    """Launches at the one place; gives up after a failure."""
+
+    def __init__(self, ground, front):
+        self.ground, self.front, self.caches, self.told = ground, front, [], []
+
+    def listed(self, caches, whole):
+        self.caches += [one for one in caches if one not in self.caches]
+
+    def take(self, retrieval):
+        self.front.launch(retrieval, self.caches[0], self.caches[-1], retrieval.until - self.front.now(), 2)
+
+    def ended(self, launch):
+        self.told.append(launch.outcome)
+        if not launch.retrieval.over:
+            self.front.push_back(launch.retrieval, 40 * MS)
+
+    def gone(self, retrieval):
+        for launch in retrieval.launches:
+            self.front.call_off(launch)
+
+    def give_up(self, retrieval):
+        self.front.push_back(retrieval)
+
+    def purged(self, thing, group, at):
+        self.told.append((thing, group, at))
+
+
+class World:
+    def __init__(self):
+        self.around = read_ground(OPTIONS, 7)
+        self.counters, self.room = Counters(), Room(1000)
+        guard = Guard(self.counters, Log("t", self.counters, sink=2))
+        self.places, self.purges = Places(self.around, clock.from_unix_ms), Purges(1000 * MS)
+        self.facade = Facade(self.around.ground, Decide, clock.now, 0, self.counters, lambda text: None)
+        self.guard, self.told = guard, self.facade.decisions.told
+        self.caches = Caches(self.places.by_cache, self.room, 4, 200 * MS, 30_000 * MS, 3, clock.now, guard,
+                             lambda one, since: self.purges.since(one.object, one.group, since))
+        self.front = Front(self.facade, self.caches, self.places, self.purges, guard)
+        self.clients = Clients(self.front, 3, 30_000 * MS, 50 * MS, lambda: True, clock.now, guard)
+        self.server, self.door, self.socks = Server(), listening(), []
+        self.profile = next(iter(self.around.profiles))
+        self.serving = gevent.spawn(self.clients.accept, self.door)
+
+    def list(self, *ids, state="active", started=0, address=None, whole=False):
+        address = address or self.server.address
+        self.front.apply(ListChange(1, whole, [Member(one, address, "z", "box", 0, state, started)
+                                               for one in ids]))
+        return [place.cache for place in self.places.by_id.values()]
+
+    def fly(self, wait=500, trace="t1", meanwhile=lambda go: None, cache=None, source=None):
+        """One launch as the pool sees it; gives its ending."""
+        cache = cache or self.places.by_id["s1"].cache
+        now = clock.now()
+        one = Retrieval(self.around.ground.profiles[0], 9, 0, 4, 0.0, now, now + wait * MS)
+        go = Go(Launch(one, cache, source or cache, now, wait * MS, 1), 0, False, False, False,
+                gevent.event.AsyncResult())
+        ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, "", b"")
+        flight = gevent.spawn(self.caches.fly, ask, go)
+        meanwhile(go)
+        return flight.get(timeout=WAIT)
+
+    def client(self):
+        sock = socket.create_connection(self.door.getsockname())
+        sock.settimeout(WAIT)
+        self.socks.append(sock)
+        return sock
+
+    def close(self):
+        self.serving.kill()
+        self.server.close()
+        for sock in (self.door, *self.socks):
+            sock.close()
+
+
+@pytest.fixture
+def world():
+    one = World()
+    one.list("s1")
+    yield one
+    one.close()
+
+
+def ask(world, tag, trace="9b1f03aa5c7e2d41", patience=1000, more=""):
+    fields = f"trace={trace},patience={patience},entity=7f3a9c21e0b4d655,block=3,family=17{more}"
+    words = ["ASK", str(tag), world.profile, fields, ""]
+    return "".join([f"*{len(words)}\r\n", *(f"${len(one)}\r\n{one}\r\n" for one in words)]).encode()
+
+
+def words(*said):
+    return b"*%d\r\n" % len(said) + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in said)
+
+
+def answering(world, data, place=0, after=1):
+    """Says this on the server's connection once so many lines have come."""
+    def act(go):
+        world.server.heard(after)
+        world.server.socks[place].sendall(data)
+    return act
+
+
+@pytest.mark.parametrize("said, outcome, body, bare", [
+    (b"t1 HIT entity=ab,issued=5 5\r\n\r\nabc\r\n", Outcome.OK, b"\r\nabc", False),
+    (b"t1 VALID entity=ab,issued=5 0\r\n\r\n", Outcome.OK, b"", True),
+    (b"t1 NONE - 0\r\n\r\n", Outcome.MISS, b"", False), (b"t1 SHED - 0\r\n\r\n", Outcome.FULL, b"", False),
+    (b"t1 FAULT - 0\r\n\r\n", Outcome.ERROR, b"", False), (b"t1 LATE - 0\r\n\r\n", Outcome.MOOT, b"", False),
+    (b"t1 WHAT - 0\r\n\r\n", Outcome.ERROR, b"", False),
+    (b"t9 HIT - 1\r\nx\r\nt1 HIT - 1\r\ny\r\n", Outcome.OK, b"y", False)])
+def test_each_answer_of_a_cache(world, said, outcome, body, bare):
+    ending = world.fly(meanwhile=answering(world, said))
+    assert (ending.outcome, ending.answer.body, ending.bare) == (outcome, body, bare)
+    world.caches.drop(ending)
+    assert world.room.free == world.room.size and world.caches.count == 1
+
+
+def test_a_connection_is_used_again_and_the_next_errand_stands_on_it(world):
+    for turn in (1, 2):
+        said = b"t%d HIT - 1\r\nx\r\n" % turn
+        world.fly(trace=f"t{turn}", meanwhile=answering(world, said, after=turn))
+    assert len(world.server.socks) == 1 and world.counters.counts["cache.reused"] == 1
+
+
+def test_a_refused_connect_never_ran(world):
+    world.server.close()
+    assert world.fly().outcome is Outcome.UNREACHED and world.caches.count == 0
+
+
+@pytest.mark.parametrize("before", [b"", b"t1 HIT - 500\r\nabc", b"no answer at all\r\n"])
+def test_what_breaks_off_may_have_run(world, before):
+    def act(go):
+        answering(world, before)(go)
+        if b"no answer" not in before:
+            gevent.sleep(0.01)
+            world.server.socks[0].close()
+    assert world.fly(meanwhile=act).outcome is Outcome.RESET
+    until(lambda: world.caches.count == 0)
+    assert world.room.free == world.room.size
+
+
+def test_silence_ends_by_our_own_limit_and_is_undone(world):
+    ending = world.fly(wait=30)
+    assert ending.outcome is Outcome.TIMEOUT and world.server.heard(2) == "undo t1"
+    # The late answer is dropped, and the connection serves on, but not for the same id.
+    world.server.socks[0].sendall(b"t1 HIT - 3\r\nold\r\n")
+    until(lambda: world.counters.counts["cache.late_answer"])
+    ending = world.fly(meanwhile=answering(world, b"t1 HIT - 3\r\nnew\r\n", after=3))
+    assert ending.answer.body == b"new" and world.caches.count == 1
+
+
+def test_the_same_id_never_goes_twice_on_a_connection_that_owes_its_end(world):
+    assert world.fly(wait=30).outcome is Outcome.TIMEOUT
+    world.fly(meanwhile=answering(world, b"t1 NONE - 0\r\n\r\n", place=-1, after=3))
+    assert len(world.server.socks) == 2
+
+
+def test_half_an_answer_that_is_given_up_closes_its_connection(world):
+    def act(go):
+        answering(world, b"t1 HIT - 500\r\nabc")(go)
+        until(lambda: world.room.free < world.room.size)
+        go.ended.set(None)
+    assert world.fly(meanwhile=act).outcome is Outcome.CALLED_OFF
+    assert world.caches.count == 0 and world.room.free == world.room.size
+
+
+def test_a_launch_called_off_ends_at_once(world):
+    def act(go):
+        world.server.heard(1)
+        go.ended.set(None)
+    began = clock.now()
+    assert world.fly(wait=60_000, meanwhile=act).outcome is Outcome.CALLED_OFF
+    assert clock.now() - began < WAIT * 1000 * MS and world.server.heard(2) == "undo t1"
+
+
+@pytest.mark.parametrize("told", ["cache", "source", "purge", "gone"])
+def test_what_is_told_before_a_launch_is_written_holds_for_it(world, told):
+    _, source = world.list("s1", "s2")
+    def act(go):
+        if told == "cache":
+            world.list("s1", state="leaving")
+        elif told == "source":
+            world.list("s2", state="leaving")
+        elif told == "purge":
+            world.front.apply(Purge(2, "", 4, 0))
+        else:
+            world.list("s2", whole=True)
+    assert world.fly(meanwhile=act, source=source).outcome is Outcome.CALLED_OFF
+    assert world.server.said == []
+
+
+@pytest.mark.parametrize("change, closed", [
+    (dict(state="left"), True), (dict(started=5), True), (dict(address=("127.0.0.1", 9)), True),
+    (dict(state="active"), False), (dict(state="leaving"), False)])
+def test_idle_connections_end_with_the_place_they_were_made_to(world, change, closed):
+    world.fly(meanwhile=answering(world, b"t1 NONE - 0\r\n\r\n"))
+    world.list("s1", **change)
+    assert (world.caches.count == 0) == closed
+
+
+def test_descriptors_are_bounded_and_idle_connections_make_room(world):
+    caches = world.list(*(f"s{n}" for n in range(1, 7)))
+    for place, cache in enumerate(caches):
+        world.fly(trace="a", cache=cache, meanwhile=answering(world, b"a NONE - 0\r\n\r\n", place, place + 1))
+    assert world.caches.count == world.caches.most == 4
+    busy = [gevent.spawn(world.fly, 300, "b", lambda go: None, cache) for cache in caches[:4]]
+    world.server.heard(10)
+    assert world.fly(cache=caches[4], trace="c").outcome is Outcome.MOOT
+    gevent.joinall(busy, timeout=WAIT)
+    assert world.counters.counts["cache.no_descriptor"] == 1
+
+
+def test_a_body_waits_for_room(world):
+    world.room.take(990)
+    def act(go):
+        answering(world, b"t1 HIT - 500\r\n")(go)
+        until(lambda: world.room.short)
+        world.room.give(990)
+        world.server.socks[0].sendall(b"x" * 500 + b"\r\n")
+    ending = world.fly(meanwhile=act)
+    assert len(ending.answer.body) == 500 and world.room.free == 500
+
+
+def test_a_probe_brings_the_report(world):
+    cache = world.places.by_id["s1"].cache
+    look = gevent.spawn(world.front._look, cache, 500 * MS)
+    assert world.server.heard(1) == "top look1"
+    world.server.socks[0].sendall(b"look1 PONG report=cpu_share:0.5;x1:1.25 0\r\n\r\n")
+    look.get(timeout=WAIT)
+    assert cache.crowd == 1.25
+
+
+def serve(world, said, tag=7, **more):
+    """A client's retrieval through the whole front; gives the client's connection."""
+    sock = world.client()
+    sock.sendall(ask(world, tag, **more))
+    world.server.heard(1)
+    world.server.socks[0].sendall(said)
+    return sock
+
+
+@pytest.mark.parametrize("said, answer", [
+    (b"HIT - 4\r\n\r\n\0x\r\n", (b"7", b"ok", b"", b"\r\n\0x")),
+    (b"VALID - 0\r\n\r\n", (b"7", b"ok", b"keep=1", b"")),
+    (b"NONE - 0\r\n\r\n", (b"7", b"full", b"pause=40", b""))])
+def test_a_retrieval_goes_through_and_its_answer_comes_back_whole(world, said, answer):
+    sock = serve(world, b"9b1f03aa5c7e2d41 " + said, more=",cached=4be0c1927d55a6f3")
+    assert sock.recv(4096) == words(*answer)
+    assert world.server.said[0].startswith(f"do 9b1f03aa5c7e2d41 profile={world.profile},"
+                                           "thing=7f3a9c21e0b4d655,nth=3,max=")
+    assert world.server.said[0].endswith(",prio=2,mine=4be0c1927d55a6f3 0")
+    assert len(world.facade.open) == 0 and world.room.free == world.room.size
+
+
+def test_after_nevermind_nothing_comes_and_the_launch_is_undone(world):
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    world.server.heard(1)
+    sock.sendall(words(b"NEVERMIND", b"7") + words(b"NEVERMIND", b"99"))
+    assert world.server.heard(2) == "undo 9b1f03aa5c7e2d41"
+    world.server.socks[0].sendall(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n")
+    until(lambda: world.counters.counts["cache.late_answer"])
+    sock.sendall(words(b"STATUS", b"8", b""))
+    assert sock.recv(4096) == words(b"8", b"yes", b"", b"")
+    assert len(world.facade.open) == 0
+
+
+@pytest.mark.parametrize("said, answer", [
+    (words(b"PUT", b"5"), words(b"5", b"fault", b"", b"")),
+    (words(b"ASK", b"5", b"unknown", b""), words(b"5", b"fault", b"", b""))])
+def test_what_cannot_be_carried_out_fails_under_its_tag(world, said, answer):
+    sock = world.client()
+    sock.sendall(said)
+    assert sock.recv(4096) == answer and world.server.said == []
+
+
+def test_a_bad_frame_ends_that_connection_alone(world):
+    bad, good = world.client(), world.client()
+    bad.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    assert bad.recv(10) == b""
+    good.sendall(words(b"STATUS", b"1"))
+    assert good.recv(4096) == words(b"1", b"yes", b"", b"")
+
+
+def test_more_than_a_connection_may_carry_is_pushed_back_at_once(world):
+    sock = world.client()
+    world.facade.decisions.take = lambda one: None
+    sock.sendall(b"".join(ask(world, tag) for tag in range(1, 34)))
+    assert sock.recv(4096) == words(b"33", b"full", b"", b"")
+
+
+def test_a_client_that_has_gone_takes_its_retrievals_along(world):
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    world.server.heard(1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()        # a reset
+    assert world.server.heard(2).startswith("undo")
+    until(lambda: not world.facade.open.cases)
+
+
+def test_a_client_that_sends_no_more_still_gets_its_answer(world):
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    sock.shutdown(socket.SHUT_WR)
+    world.server.heard(1)
+    world.server.socks[0].sendall(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n")
+    assert sock.recv(4096) == words(b"7", b"ok", b"", b"x") and sock.recv(10) == b""
+
+
+def test_a_client_that_does_not_read_is_closed_in_time(world):
+    world.room.size = world.room.free = 1 << 20
+    sock = world.client()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    for tag in range(1, 31):
+        sock.sendall(ask(world, tag, trace=f"{tag:016x}", patience=300))
+    def feed():
+        for place, sock in enumerate(world.server.socks):
+            sock.sendall(world.server.said[place].split()[1].encode() + b" HIT - 200000\r\n" + b"x" * 200000
+                         + b"\r\n")
+    until(lambda: len(world.server.said) >= 4)
+    next(iter(world.clients.clients)).sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    feed()
+    until(lambda: not world.clients.clients)
+    until(lambda: not world.facade.open.cases)
+    assert world.room.free == world.room.size
+
+
+def test_clients_keep_to_their_share(world):
+    socks = [world.client() for _ in range(4)]
+    until(lambda: world.counters.counts["client.over_share"])
+    assert len(world.clients.clients) == 3 and socks[0].recv(10) == b""
+
+
+def test_a_trouble_in_one_retrieval_is_answered_and_ends_there(world):
+    def broken(retrieval):
+        raise ZeroDivisionError
+    take, world.facade.decisions.take = world.facade.decisions.take, broken
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    assert sock.recv(4096) == words(b"7", b"fault", b"", b"")
+    world.facade.decisions.take = take
+    sock.sendall(ask(world, 8))
+    world.server.heard(1)
+    assert world.counters.counts["trouble.retrieval"] == 1
+
+
+LINE = b'{"index":%d,"evict":{"shard":%d,"unix_ms":1}}\n'
+
+
+def test_the_coordinator_is_followed_from_the_last_number(world):
+    coordinator, seen = Server(), []
+    follower = Follower(coordinator.address, 4, seen.append, world.guard, silent=0.1, pause=0.001)
+    loop = gevent.spawn(follower.run)
+    assert coordinator.heard(1) == "follow 4"
+    coordinator.socks[0].sendall(LINE % (4, 1) + LINE % (5, 2) + b"5\n" + LINE % (6, 3) + b"garbage\n")
+    assert coordinator.heard(2) == "follow 6"           # an unreadable line: from the last number
+    coordinator.socks[1].sendall(b"9\n")
+    assert coordinator.heard(3) == "follow 6"           # an event is missing
+    coordinator.socks[2].sendall(LINE % (7, 4))
+    assert coordinator.heard(4) == "follow 7"           # silent for too long
+    coordinator.socks[3].close()
+    assert coordinator.heard(5) == "follow 7"
+    loop.kill()
+    coordinator.close()
+    assert [one.index for one in seen] == [5, 6, 7]
+
+
+def test_peers_hear_what_is_taken_away_and_nothing_else(world):
+    socks = [listening(socket.SOCK_DGRAM) for _ in range(2)]
+    addresses = [one.getsockname() for one in socks]
+    for one in socks:
+        one.close()
+    heard = []
+    ends = [Peers(addresses[0], addresses, addresses[1], heard.append, world.guard),
+            Peers(addresses[1], addresses, addresses[0], world.front.heed, world.guard)]
+    loops = [gevent.spawn(one.run) for one in ends]
+    world.front.tell = ends[1].tell
+    world.list("s1", "s2")
+    world.front.pass_on(ListChange(2, False, [Member("s2", ("127.0.0.1", 9), "z", "box", 0, "leaving", 0)]))
+    world.front.pass_on(ListChange(3, False, [Member("s3", ("127.0.0.1", 9), "z", "box", 0, "active", 0)]))
+    world.front.pass_on(Purge(4, "1f", 0, 5))
+    until(lambda: len(heard) == 2)
+    assert heard == [PlaceLeaves(2, "s2", 0), PurgeTold(4, 31, 0, 5)]
+    for hint in (PlaceLeaves(5, "s1", 0), PlaceLeaves(5, "s1", 0), PlaceLeaves(6, "s3", 8),
+                 PlaceLeaves(7, "unknown", 0)):
+        ends[0].tell(hint)
+    socket.socket(socket.AF_INET, socket.SOCK_DGRAM).sendto(b"x" * 300, addresses[1])
+    until(lambda: world.counters.counts["peer.heard"] == 6 and world.counters.counts["peer.dropped"] == 1)
+    for loop in loops:
+        loop.kill()
+    states = {place.id: place.cache.state for place in world.places.by_id.values()}
+    assert states == {"s1": State.LEAVING, "s2": State.LEAVING, "s3": State.ACTIVE}
+
+
+@pytest.mark.parametrize("kind, role", [("box", Role.CACHE), ("hub", Role.PARENT), ("root", Role.ORIGIN),
+                                        ("new", Role.CACHE)])
+def test_a_listed_kind_has_its_role(world, kind, role):
+    member = Member("s9", ("127.0.0.1", 9), "z", kind, 0, "active", 0)
+    told, _ = world.places.apply(ListChange(2, False, [member]))
+    assert [one.role for one in told] == [role]
+
+
+def test_an_id_that_comes_back_is_another_place(world):
+    before = world.places.by_id["s1"].cache
+    world.list("s1", state="left")
+    assert before.state is State.LEFT and not world.places.by_id
+    assert world.list("s1")[0] is not before and isinstance(before, Cache)
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,183 @@
+"""Start, stop, and what a front tells about itself; and the whole program as a process."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import gevent
+import orjson
+import pytest
+from gevent import socket
+
+from marbleglade.life import assignment, clock
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.life.stop import Stop
+from marbleglade.memory.purges import Purges
+from marbleglade.memory.room import Room
+
+from .conftest import MS, OPTIONS
+from .test_connections import LINE, Server, listening, until, words
+
+S = 1000 * MS
+
+
+def told(**changes):
+    first = {"index": 1, "endpoints": {"version": 1, "full": True, "servers": [
+        {"id": one, "addr": "127.0.0.1:9", "zone": zone, "kind": kind, "cell": 0, "state": "active",
+         "weight": 1, "started_ms": 0} for one, zone, kind in
+        (("s1", "z", "box"), ("h1", "hubs", "hub"), ("o1", "hubs", "root"))]}}
+    return {"name": "n3", "listen": "127.0.0.1:4100", "seed": "8c1f30d27a5be964", "unknown": 1,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 300}, "coordinator": "127.0.0.1:9092",
+            "known": {"index": 2, "updates": [first, {"index": 2, "evict": {"shard": 4, "unix_ms": 5}}]},
+            "settings": OPTIONS} | changes
+
+
+def test_a_configuration_is_read(tmp_path):
+    (tmp_path / "c.json").write_text(json.dumps(told(peer_listen="127.0.0.1:7", peers=["127.0.0.1:8"])))
+    got = assignment.read({"GW_CONFIG": str(tmp_path / "c.json")})
+    assert (got.name, got.listen, got.memory, got.descriptors) == ("n3", ("127.0.0.1", 4100), 192 << 20, 300)
+    assert (got.last, len(got.known), got.peers, got.peers_all) == (2, 2, [("127.0.0.1", 8)], None)
+    assert got.around.ground.seed == 0x8c1f30d27a5be964 and list(got.around.profiles) == ["page"]
+
+
+@pytest.mark.parametrize("text, named", [
+    (None, "can't be read"), ("{", "can't be read"), ("[]", "no object"),
+    *((json.dumps({key: value for key, value in told().items() if key != gone}), gone)
+      for gone in ("name", "listen", "seed", "limits", "coordinator", "known", "settings")),
+    (json.dumps(told(seed="xyz")), "seed"), (json.dumps(told(listen="nowhere")), "listen"),
+    (json.dumps(told(limits={"memory_mb": 1})), "limits"), (json.dumps(told(known={"index": 1})), "known"),
+    (json.dumps(told(settings=OPTIONS | {"Classes": None})), "Classes")])
+def test_an_unfit_configuration_is_named_on_one_line_with_exit_2(tmp_path, text, named):
+    if text is not None:
+        (tmp_path / "c.json").write_text(text)
+    environ = os.environ | {"GW_CONFIG": str(tmp_path / "c.json")}
+    done = subprocess.run([sys.executable, "-m", "marbleglade"], env=environ, capture_output=True, text=True)
+    assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_without_a_configuration_it_does_not_start():
+    with pytest.raises(assignment.Unfit, match="GW_CONFIG"):
+        assignment.read({})
+
+
+def test_the_door_turns_unix_time_into_ours_and_never_ours_back():
+    early, late = clock.from_unix_ms(1000), clock.from_unix_ms(3000)
+    assert abs(late - early - 2000 * MS) < 100 * MS and late < clock.now()
+
+
+@pytest.mark.parametrize("timeout, since, still_open, over, given_up", [
+    (5 * S, None, 0, False, False), (5 * S, 0.3, 0, False, False), (5 * S, 0.8, 0, True, False),
+    (5 * S, 0.8, 1, False, False), (5 * S, 3.5, 1, False, True), (2 * S, 2.6, 1, False, True)])
+def test_when_a_front_may_leave(timeout, since, still_open, over, given_up):
+    stop = Stop(timeout)
+    if since is not None:
+        stop.ask(1000 * S)
+        stop.ask(1001 * S)      # asked again: the first counts
+    now = 1000 * S + int((since or 0) * S)
+    assert (stop.over(now, still_open), stop.given_up(now)) == (over, given_up)
+
+
+def test_a_trouble_is_counted_and_logged_with_its_line():
+    read, write = os.pipe()
+    counters = Counters()
+    guard = Guard(counters, Log("n1", counters, sink=write))
+    assert guard.run("here", lambda: 1 // 0) is None and guard.run("here", lambda: 7) == 7
+    line = orjson.loads(os.read(read, 4096))
+    assert (line["event"], line["front"], line["where"]) == ("trouble", "n1", "here") and line["line"] > 0
+    assert counters.table() == {"trouble.here": 1}
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up():
+    read, write = os.pipe()
+    os.set_blocking(write, False)
+    while True:
+        try:
+            os.write(write, b"x" * 4096)
+        except BlockingIOError:
+            break
+    os.set_blocking(write, True)
+    counters = Counters()
+    Log("n1", counters, sink=write).say("event")
+    assert counters.table() == {"log.dropped": 1}
+
+
+def test_room_is_given_in_turn_and_never_lost():
+    room, got = Room(100), []
+    room.take(80)
+    waiting = [gevent.spawn(lambda size=size: (room.take(size), got.append(size))) for size in (50, 10, 10)]
+    gevent.sleep(0)
+    assert room.short and got == []     # the small ones wait behind the large one
+    waiting[1].kill()
+    room.give(80)
+    gevent.joinall(waiting, timeout=2)
+    assert got == [50, 10] and room.free == 40 and not room.short
+
+
+def test_purges_are_kept_as_long_as_older_copies_may_lie_about():
+    purges = Purges(1000)
+    purges.add(7, 0, 100)
+    purges.add(0, 3, 200)
+    assert [purges.since(*one) for one in ((7, 9, 50), (7, 9, 100), (8, 3, 150), (8, 4, 0))] == [
+        True, False, True, False]
+    purges.add(9, 0, 1150)
+    assert not purges.since(7, 9, 50) and purges.since(8, 3, 150) and len(purges.told) == 2
+
+
+@pytest.fixture
+def program(tmp_path):
+    cache, coordinator = Server(), Server()
+    place = listening()
+    door = place.getsockname()
+    place.close()
+    servers = told()["known"]["updates"]
+    for server in servers[0]["endpoints"]["servers"]:
+        server["addr"] = f"{cache.address[0]}:{cache.address[1]}"
+    text = told(listen=f"{door[0]}:{door[1]}",
+                coordinator=f"{coordinator.address[0]}:{coordinator.address[1]}",
+                known={"index": 2, "updates": servers})
+    (tmp_path / "c.json").write_text(json.dumps(text))
+    process = subprocess.Popen([sys.executable, "-O", "-m", "marbleglade"], stderr=subprocess.PIPE,
+                               env=os.environ | {"GW_CONFIG": str(tmp_path / "c.json")})
+    coordinator.heard(1)
+    yield process, door, cache, coordinator
+    process.kill()
+    process.wait()
+    cache.close()
+    coordinator.close()
+
+
+def ask(tag, trace):
+    fields = b"trace=%016x,patience=2000,entity=7f3a9c21e0b4d655,block=0,family=17" % trace
+    return words(b"ASK", b"%d" % tag, b"page", fields, b"")
+
+
+def test_the_program_serves_and_leaves_when_all_is_answered(program):
+    process, door, cache, coordinator = program
+    assert coordinator.said == ["follow 2"]
+    coordinator.socks[0].sendall(LINE % (3, 9) + b"3\n")
+    sock = socket.create_connection(door)
+    sock.sendall(words(b"STATUS", b"1", b"") + ask(2, 2))
+    assert sock.recv(4096) == words(b"1", b"yes", b"", b"")
+    assert cache.heard(1).startswith("do 0000000000000002 profile=page,thing=7f3a9c21e0b4d655,nth=0,max=")
+    assert ",miss=h1,prio=1 0" in cache.said[0]
+    process.send_signal(signal.SIGTERM)
+    gevent.sleep(0.1)
+    late = socket.create_connection(door)       # it goes on accepting
+    late.sendall(ask(1, 3))
+    cache.heard(2)
+    gevent.sleep(0.8)
+    assert process.poll() is None               # two are open still
+    for place, said in enumerate(cache.said):
+        cache.socks[place].sendall(said.split()[1].encode() + b" HIT - 2\r\nok\r\n")
+    assert late.recv(4096) == words(b"1", b"ok", b"", b"ok")
+    assert sock.recv(4096) == words(b"2", b"ok", b"", b"ok")
+    until(lambda: process.poll() is not None)
+    lines = [orjson.loads(line) for line in process.stderr.read().splitlines()]
+    counts = lines[-1]["counts"]
+    assert process.returncode == 0 and lines[-1]["event"] == "counters"
+    assert (counts["retrieval.taken"], counts["retrieval.settled"], counts["answer.ok"]) == (2, 2, 2)
+    assert not [name for name in counts if name.startswith(("trouble", "broken"))]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,17 +7,10 @@
 
 from marbleglade.drill.wire import Malformed, serve
 
-OPTIONS = json.dumps({
-    "Classes": [{"Aim": 300.0, "AimStretch": 2.0, "Deadline": 2500.0, "Gain": 1.0, "Group": "all",
-                 "KeyTtl": 5000.0, "Repeat": "free"}],
-    "Limits": {"Cancel": True, "MaxAttempts": 6, "MaxRetryAfter": 500.0,
-               "RetryAfter": True},
-    "MembershipMode": "push", "Resolution": 2.0, "Unknown": {"Odd": 1}, "Zone": 1,
-    "Rules": {"Cold": 10000.0, "ColdFrom": 0.2, "Fall": 1000.0, "OverloadFactor": 3.0},
-    "Specifics": {"MaxAge": [0.0], "GraceFor": [0.0], "NeverKept": [False], "ParentKind": 1, "StoreKind": 2,
-                  "Sideways": "location", "Tells": "none", "OneFlowKbPerS": 1000.0}})
+from .conftest import OPTIONS
+
 ENTRIES = "LIST 0 3\nENTRY a:1 0 - 1 1 active 0\nENTRY p:1 1 - 1 0 active 0\nENTRY o:1 2 - 1 0 active 0\n"
-START = f"INIT 5 {OPTIONS}\n{ENTRIES}ENDPOINTS disk 0 1\n"
+START = f"INIT 5 {json.dumps(OPTIONS)}\n{ENTRIES}ENDPOINTS disk 0 1\n"
 
 
 def play(*batches):
@@ -58,10 +51,10 @@
 
 
 def test_probes_are_sent_and_reports_reach_the_cache():
-    options = json.loads(OPTIONS)
+    options = json.loads(json.dumps(OPTIONS))
     options["Limits"]["Probing"] = True
     options["Report"] = {"Names": ["x1"], "Via": "probe"}
-    start = START.replace(OPTIONS, json.dumps(options))
+    start = START.replace(json.dumps(OPTIONS), json.dumps(options))
     assert "HEALTH_CHECK a:1" in play("SWITCH_TO 3\n" + start, "SWITCH_TO 3\nELAPSED 1\n",
                                       "SWITCH_TO 3\nSAMPLED a:1 200 1.0 x1:0.5\nSAMPLED a:1 504 9.0 -\n")
 
