Bodies get a sixth of the memory; sizes known from bodies tried and undone

A log of each launch shows two caches of a location at more than twice the usual time, one of them with the least bytes: boxes differ in size, which nothing here tells. A body is held in the buffer, as an answer and as the encoded reply, so its share of the memory is less.

--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -35,9 +35,10 @@
     guard = Guard(counters, log)
     stop = Stop(max(profile.client_timeout for profile in ground.profiles))
 
-    # Shares of the limits: a quarter of the memory for bodies, a third of the descriptors for clients, half
-    # for connections to caches; the rest is for the process itself and for a margin.
-    room = Room(told.memory // 4)
+    # Shares of the limits: a sixth of the memory for bodies, which are held up to three times over while they
+    # are passed on, a third of the descriptors for clients, half for connections to caches; the rest is for
+    # the process itself and for a margin.
+    room = Room(told.memory // 6)
     places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
     facade = Facade(ground, Choice, clock.now, around.most_open, counters,
                     lambda text: log.say("note", text=text))
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -68,6 +68,8 @@
             while data := client.sock.recv(CHUNK):
                 client.last = self.clock()
                 for words in client.frames.feed(data):
+                    if client.closed:
+                        return
                     self._heard(client, words)
         except BadFrame:
             self.counters.add("client.bad_frame")
