--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -1,8 +1,8 @@
 """Every decision of marbleglade: which cache takes a retrieval, who fills a miss, when to move on or give up.
 
 A front makes one `Choice` an instance and calls it as `interface.Decisions` says; the module answers through
-`interface.Actions`. A retrieval runs down the chain Door, Again, Place, Source, Send; a stage passes it on
-or ends it. What comes back of a launch runs up the same chain. `docs/design.md` gives the reasons.
+`interface.Actions`. A retrieval runs down the chain Door, Again, Own, Place, Source, Send; a stage passes it
+on or ends it. What comes back of a launch runs up the same chain. `docs/design.md` gives the reasons.
 """
 
 from __future__ import annotations
@@ -11,7 +11,6 @@
 import zlib
 from collections import OrderedDict
 from hashlib import blake2b
-from itertools import pairwise
 
 from .interface import (NEVER_RAN, Actions, Cache, Ground, Group, Launch, Outcome, Profile, Repeat, Retrieval,
                         Role, State, Told)
@@ -34,8 +33,7 @@
         self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
         self.wrong = 0.0                     # share of launches gone wrong, lately
         self.shut = 0                        # left alone until then; from then on one trial at a time
-        self.spell = self.least = spell
-        self.trial, self.link, self.born = None, link, born
+        self.trial, self.link, self.born, self.spell, self.least = None, link, born, spell, spell
         self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
         self.first_byte = 0.0                # as a source: time that it adds to an answer
         self.paid, self.paid_at = -owed, now     # budget of a cold start, in sending time
@@ -136,8 +134,7 @@
         sight = seen[key] = seen.pop(key, None) or Sighting()
         plan = retrieval.plan = Plan(sight)
         work = int(retrieval.size_kb / (self.ground.pace_kb_s or 1.0) * 1e9) or sight.work
-        plan.work, plan.sized = work or self.choice.mean_work(profile), bool(work)
-        plan.new = not sight.uses
+        plan.work, plan.sized, plan.new = work or self.choice.mean_work(profile), bool(work), not sight.uses
         sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
         if len(seen) > LISTED:
             seen.popitem(last=False)
@@ -173,6 +170,22 @@
         return False
 
 
+class Own(Stage):
+    """Departure: a copy that the front itself holds spares the caches, where its own link is in time."""
+
+    free_at = 0     # when that link has sent what was given to it
+
+    def take(self, retrieval: Retrieval) -> None:
+        copy, plan, now = retrieval.held, retrieval.plan, self.actions.now()
+        oldest = self.choice.age_limit(retrieval, now) or retrieval.profile.fresh
+        free = max(now, self.free_at) + int(copy.work / self.ground.own_width) if copy else 0
+        if (not copy or 0 < oldest <= now - copy.issued
+                or max(free, now + copy.work) + self.choice.slack(retrieval) > plan.agreed):
+            return self.next.take(retrieval)
+        self.free_at = free
+        self.actions.settle(retrieval)
+
+
 class Place(Stage):
     """The shared hash ranks the location's caches; the first usable one takes the retrieval."""
 
@@ -256,7 +269,7 @@
         age = choice.age_limit(retrieval, now, profile.grace if slow else 0)
         launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
                                      plan.rank if cache.role is Role.CACHE else 0, age, self.ground.join,
-                                     held_only=held_only,
+                                     held_only=held_only, keep=plan.rank > 1,
                                      renew=profile.fresh > 0 and source is not cache and (slow or not age))
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
@@ -328,10 +341,9 @@
 
     def __init__(self, ground: Ground, actions: Actions) -> None:
         self.ground, self.actions, now = ground, actions, actions.now()
-        least = min(profile.agreed for profile in ground.profiles)
-        self.known: dict[Cache, None] = {}
+        self.agreed = min(profile.agreed for profile in ground.profiles)
         self.most = 1, 1    # caches of this location, and parents, that were listed at once
-        self.agreed, self.count, self.budget = least, 0, float(FURTHER_BURST)
+        self.known, self.count, self.budget, self.probe_at = dict[Cache, None](), 0, float(FURTHER_BURST), now
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         # The caches' links together, that of fills, and that of fills that no place is likely to hold.
         self.edges, self.fills, self.fetches = (Link(ground.crew, now, self.entry_age) for _ in range(3))
@@ -340,11 +352,10 @@
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges: dict[tuple[str, int], int] = {}
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
-        self.asked = Rate(now, self.entry_age)
-        self.stages = [kind(self) for kind in (Door, Again, Place, Source, Send)]
-        for one, after in pairwise(self.stages):
+        self.stages = [kind(self) for kind in (Door, Again, Own, Place, Source, Send)]
+        for one, after in zip(self.stages, self.stages[1:], strict=False):
             one.next = after
-        self.pulse, self.probe_at = max(self.agreed // 16, ground.resolution), now
+        self.asked, self.pulse = Rate(now, self.entry_age), max(self.agreed // 16, ground.resolution)
         actions.wake(self.pulse)
         if ground.must_ask:
             actions.watch_list()
@@ -390,9 +401,7 @@
         launch.cache.memory.heard = self.actions.now()
 
     def ended(self, launch: Launch) -> None:
-        for stage in reversed(self.stages):
-            if not stage.back(launch):
-                return
+        all(stage.back(launch) for stage in reversed(self.stages))      # up to the one that keeps it
 
     def woken(self) -> None:
         now = self.actions.now()
@@ -406,8 +415,7 @@
     def purged(self, thing: int, group: int, at: int) -> None:
         now, place = self.actions.now(), ("object", thing) if thing else ("group", group)
         self.purges[place] = max(at, self.purges.get(place, 0))
-        self.purges = {one: when for one, when in self.purges.items()
-                       if when + self.ground.purge_time * 2 > now}
+        self.purges = {one: t for one, t in self.purges.items() if t + self.ground.purge_time * 2 > now}
         for key, (of, entries) in self.directory.items():
             if key[0] == thing or (not thing and of == group):
                 entries.clear()
@@ -441,8 +449,7 @@
         ground, parent = self.ground, cache.role is Role.PARENT
         least, span, factor = (ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
                                ) if parent else (ground.cold_share, ground.cold_time, ground.cold_factor)
-        age = now - cache.born
-        if not cache.born or age >= span:
+        if not cache.born or (age := now - cache.born) >= span:
             return True
         # Half of what the rule bears where a warm one is fully used: the rest is for retries and chance.
         share = (least + (1 - least) * max(age, 0) / span) * factor / 2
@@ -499,9 +506,7 @@
 
     def give_up(self, retrieval: Retrieval) -> None:
         """The final answer at once: a pushback where a new try is harmless, else a break-off."""
-        terms = retrieval.profile.repeat, retrieval.profile.group
-        harmless = terms[0] is Repeat.PURE or terms == (Repeat.RECEIPTED, Group.ALL)
-        if not harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
+        if not retrieval.profile.harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
             return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
         self.actions.push_back(retrieval, int(wait * (0.5 + self.chance())))
@@ -520,8 +525,7 @@
         quiet = self.ground.tells_hits and now - standing.heard > self.agreed * 8
         if (quiet or not peers) and cache.role is Role.PARENT and self.origin:
             peers = [self.origin.memory.wrong]      # no other parent is open, or no fill came from this one
-        least = SHUT_AT + PEERS_ADD * sum(peers) / max(len(peers), 1)
-        if now < standing.shut or not peers or standing.wrong < least:
+        if now < standing.shut or not peers or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers):
             return
         standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
         standing.emptied = now
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -62,7 +62,8 @@
         return self.clock[0]
 
     def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
-               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False) -> Launch:
+               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False,
+               keep: bool = False) -> Launch:
         launch = Launch(retrieval, cache, source, self.now(), within, rank)
         tid = self.ids[retrieval]
         retrieval.launches.append(launch)
@@ -71,6 +72,9 @@
                           f"{rank} {ms(age) if age else 0} {join + 2 * held_only + 8 * renew}")
         return launch
 
+    def settle(self, retrieval: Retrieval) -> None:
+        raise Malformed("an instance here holds no copies")
+
     def call_off(self, launch: Launch) -> None:
         retrieval = launch.retrieval
         self.lines.append(f"ABANDON {self.ids[retrieval]} {retrieval.launches.index(launch)}")
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -34,6 +34,7 @@
 
     end: End
     retry_after: int = 0
+    own: bool = False       # settled with the copy that the front holds
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +46,7 @@
     join: bool
     renew: bool
     held_only: bool
+    keep: bool          # what comes is worth a copy of the front's own
     ended: AsyncResult
 
 
@@ -162,15 +164,19 @@
         return self.moment if self.inside else self.clock()
 
     def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
-               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False) -> Launch:
+               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False,
+               keep: bool = False) -> Launch:
         launch = Launch(retrieval, cache, source, self.now(), within, rank)
         case = self.open.cases[retrieval]
         retrieval.launches.append(launch)
-        go = Go(launch, age, join, renew, held_only, AsyncResult())
+        go = Go(launch, age, join, renew, held_only, keep, AsyncResult())
         case.out[launch] = go.ended
         case.steps.put(go)
         return launch
 
+    def settle(self, retrieval: Retrieval) -> None:
+        self._end(self.open.cases[retrieval], Final(End.SETTLED, own=True))
+
     def call_off(self, launch: Launch) -> None:
         case = self.open.cases.get(launch.retrieval)
         ended = case and case.out.get(launch)
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -11,9 +11,10 @@
 import gevent
 
 from .facade import End, Facade, Final, Go
-from .interface import Cache, Outcome, Retrieval, State
+from .interface import Cache, Held, Outcome, Retrieval, State
 from .life import clock
 from .life.guard import Guard
+from .memory.copies import Copies, Copy
 from .memory.places import STATES, Places
 from .memory.purges import Purges
 from .wire.caches import Caches, Ending
@@ -32,9 +33,14 @@
     body: bytes = b""
 
 
+SAME = 20       # the protocol's price of telling a client that its copy holds: one part in so many
+
+
 class Front:
-    def __init__(self, facade: Facade, caches: Caches, places: Places, purges: Purges, guard: Guard) -> None:
+    def __init__(self, facade: Facade, caches: Caches, places: Places, purges: Purges, copies: Copies,
+                 pace: int, guard: Guard) -> None:
         self.facade, self.caches, self.places, self.purges = facade, caches, places, purges
+        self.copies, self.pace = copies, pace       # bytes a second of one transfer; 0: no copies are kept
         self.guard, self.counters, self.log = guard, guard.counters, guard.log
         self.tell: Callable[[Hint], None] | None = None     # passes a hint to the other fronts, where allowed
 
@@ -45,6 +51,23 @@
         return Retrieval(ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience,
                          ask.again)
 
+    def hold(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
+        """Shows the decisions the front's own copy; gives what the client gets if they choose it."""
+        copy = self.copies.get(retrieval.object, retrieval.part)
+        if copy is None:
+            return None
+        same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
+        retrieval.held = Held(work // SAME if same else work, copy.issued)
+        return Reply(End.SETTLED, 0, same, b"" if same else copy.body)
+
+    def keep(self, retrieval: Retrieval, ending: Ending) -> None:
+        """Files what came as a copy of the front's own."""
+        told, thing, group = ending.answer.fields, retrieval.object, retrieval.group
+        if self.pace and "issued" in told:
+            issued = clock.from_unix_ms(int(told["issued"]))
+            copy = Copy(ending.answer.body, told.get("entity", ""), issued, group)
+            self.copies.put(thing, retrieval.part, copy, self.purges.latest(thing, group))
+
     def refuse(self) -> bool:
         """True while what is kept in memory is at its bound."""
         if not (self.caches.room.short or self.facade.open.full):
@@ -57,6 +80,7 @@
         kept: Ending | None = None
         reply = Reply(End.BROKEN_OFF)
         try:
+            own = self.hold(ask, retrieval)
             step = self.facade.pick(retrieval)
             while isinstance(step, Go):
                 ending = self.caches.fly(ask, step)
@@ -65,9 +89,12 @@
                 else:
                     self.caches.drop(ending)
                 self._note(ask, step, ending)
+                if step.keep and ending.whole:
+                    self.guard.run("keep", self.keep, retrieval, ending)
                 self.facade.report(step, ending.outcome, ending.bare)
                 step = self.facade.pick(retrieval)
-            reply = self._reply(step, kept)
+            reply = own if step.own and own else self._reply(step, kept)
+            self.counters.add("retrieval.own", step.own)
         except Exception as trouble:
             self.guard.note("retrieval", trouble)
             retrieval.over = True
@@ -127,8 +154,11 @@
             self.log.say("hint", index=hint.index, place=hint.id)
 
     def _purge(self, thing: int, group: int, unix_ms: int) -> None:
-        self.purges.add(thing, group, clock.now())
-        self.facade.purged(thing, group, min(clock.from_unix_ms(unix_ms), clock.now()))
+        now = clock.now()
+        at = min(clock.from_unix_ms(unix_ms), now)
+        self.purges.add(thing, group, at, now)
+        self.copies.purge(thing, group, at)
+        self.facade.purged(thing, group, at)
         self.counters.add("purge.told")
 
     # Work that nobody waits for.
--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -62,7 +62,7 @@
     return values[place] if place < len(values) else other
 
 
-def read_ground(settings: object, seed: int) -> Surroundings:
+def read_ground(settings: object, seed: int, own_width: float = 0.0) -> Surroundings:
     top = Reader(settings, "")
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
     reports = top.value.get("Report") or {}
@@ -97,7 +97,7 @@
         retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
         siblings=own.value.get("Sideways", "none") != "none", join=bool(own.value.get("CanJoin")),
         tells_hits=own.value.get("Tells", "none") != "none",
-        must_ask=top.value.get("MembershipMode") == "ask",
+        own_width=own_width, must_ask=top.value.get("MembershipMode") == "ask",
         probing=bool(limits.value.get("Probing")) and reports.get("Via") == "probe"
         and "x1" in (reports.get("Names") or ()))
     return Surroundings(
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -102,6 +102,11 @@
     never_kept: bool = False
     memory: Any = None
 
+    @property
+    def harmless(self) -> bool:
+        """True if a repeat does no harm anywhere."""
+        return self.repeat is Repeat.PURE or (self.repeat is Repeat.RECEIPTED and self.group is Group.ALL)
+
 
 @dataclass(slots=True, eq=False)
 class Ground:
@@ -130,9 +135,18 @@
     join: bool
     tells_hits: bool
     must_ask: bool
+    own_width: float    # transfers at full pace that fit the front's own link; 0: it keeps no copies
     probing: bool       # loads are reported to probes alone, and these are allowed
 
 
+@dataclass(slots=True, eq=False)
+class Held:
+    """A copy that the front itself keeps: its sending time at full pace, and when the origin gave it out."""
+
+    work: int
+    issued: int
+
+
 @dataclass(slots=True, eq=False)
 class Retrieval:
     profile: Profile
@@ -145,6 +159,7 @@
     repeated: bool = False
     launches: list[Launch] = field(default_factory=list)
     over: bool = False
+    held: Held | None = None
     plan: Any = None
 
 
@@ -172,7 +187,10 @@
     def now(self) -> int: ...
 
     def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
-               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False) -> Launch: ...
+               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False,
+               keep: bool = False) -> Launch: ...
+
+    def settle(self, retrieval: Retrieval) -> None: ...     # with the copy that the front holds
 
     def call_off(self, launch: Launch) -> None: ...
 
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -22,6 +22,7 @@
     memory: int             # bytes
     descriptors: int
     coordinator: tuple[str, int]
+    pace: int               # bytes a second of one transfer of the front's own; 0: not told
     peer_listen: tuple[str, int] | None
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
@@ -50,8 +51,10 @@
     try:
         field = "seed"
         seed = int(str(needed["seed"]), 16)
+        field = "flow_bytes_per_s or link_bytes_per_s"
+        pace, link = (int(told.get(one) or 0) for one in ("flow_bytes_per_s", "link_bytes_per_s"))
         field = "settings"
-        around = read_ground(needed["settings"], seed)
+        around = read_ground(needed["settings"], seed, link / pace if pace else 0.0)
         field = "limits"
         memory, descriptors = int(needed["limits"]["memory_mb"]), int(needed["limits"]["sockets"])
         field = "listen"
@@ -70,5 +73,5 @@
         raise Unfit(str(trouble)) from trouble
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
-    return Assignment(str(needed["name"]), listen, memory << 20, descriptors, coordinator, peer_listen, peers,
-                      peers_all, last, known, around)
+    return Assignment(str(needed["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
+                      peers, peers_all, last, known, around)
--- /dev/null
+++ b/marbleglade/memory/copies.py
@@ -0,0 +1,50 @@
+"""The front's own copies of objects: bounded in bytes, what was used longest ago goes first."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+NEAR = 1_000_000    # ns: a copy given out in the millisecond of a purge counts as older
+
+
+@dataclass(slots=True, eq=False)
+class Copy:
+    body: bytes
+    tag: str
+    issued: int     # when the origin gave it out, on our clock
+    group: int
+
+
+class Copies:
+    def __init__(self, size: int) -> None:
+        self.size, self.used = size, 0
+        self.kept: OrderedDict[tuple[int, int], Copy] = OrderedDict()
+
+    def get(self, thing: int, part: int) -> Copy | None:
+        copy = self.kept.get((thing, part))
+        if copy:
+            self.kept.move_to_end((thing, part))
+        return copy
+
+    def put(self, thing: int, part: int, copy: Copy, purged: int) -> None:
+        """Keeps a copy, unless it is older than one here or than a purge (0: none is known)."""
+        known = self.kept.get((thing, part))
+        if ((known and known.issued >= copy.issued) or (purged and copy.issued <= purged + NEAR)
+                or len(copy.body) > self.size):
+            return
+        self._drop((thing, part))
+        self.kept[thing, part] = copy
+        self.used += len(copy.body)
+        while self.used > self.size:
+            self._drop(next(iter(self.kept)))
+
+    def purge(self, thing: int, group: int, at: int) -> None:
+        """Drops what is older than a purge of an object or, where that is 0, of a group."""
+        for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR
+                    and (key[0] == thing or (not thing and copy.group == group))]:
+            self._drop(key)
+
+    def _drop(self, key: tuple[int, int]) -> None:
+        copy = self.kept.pop(key, None)
+        self.used -= len(copy.body) if copy else 0
--- a/marbleglade/memory/purges.py
+++ b/marbleglade/memory/purges.py
@@ -1,4 +1,4 @@
-"""When this front was told of which purge; kept until no older copy is left anywhere."""
+"""Which purge this front was told of, and when; kept until no older copy is left anywhere."""
 
 from __future__ import annotations
 
@@ -6,15 +6,21 @@
 class Purges:
     def __init__(self, lasting: int) -> None:
         self.lasting = lasting
-        self.told: dict[tuple[str, int], int] = {}      # in the order of telling
+        self.told: dict[tuple[str, int], tuple[int, int]] = {}  # when told, and of when; oldest first
 
-    def add(self, thing: int, group: int, now: int) -> None:
+    def add(self, thing: int, group: int, at: int, now: int) -> None:
         place = ("object", thing) if thing else ("group", group)
-        self.told.pop(place, None)
-        self.told[place] = now
-        while now - next(iter(self.told.values())) > self.lasting:
+        self.told[place] = now, max(at, self.told.pop(place, (0, at))[1])
+        while now - next(iter(self.told.values()))[0] > self.lasting:
             del self.told[next(iter(self.told))]
 
     def since(self, thing: int, group: int, moment: int) -> bool:
         """True if a purge of this object, or of its group, was told after that moment."""
-        return any(self.told.get(place, 0) > moment for place in (("object", thing), ("group", group)))
+        return any(told > moment for told, _ in self._both(thing, group))
+
+    def latest(self, thing: int, group: int) -> int:
+        """When this object, or its group, was last purged; 0: not lately."""
+        return max((at for _, at in self._both(thing, group)), default=0)
+
+    def _both(self, thing: int, group: int) -> list[tuple[int, int]]:
+        return [self.told[place] for place in (("object", thing), ("group", group)) if place in self.told]
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -40,6 +40,11 @@
         """The client's own copy is the one that would be sent."""
         return self.answer is not None and self.answer.word == "VALID"
 
+    @property
+    def whole(self) -> bool:
+        """The object itself came."""
+        return self.outcome is Outcome.OK and not self.bare
+
 
 @dataclass(slots=True, eq=False)
 class Flight:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,7 +32,7 @@
 
 class Paper:
     def __init__(self, repeat=Repeat.PURE, group=Group.ALL, **changes):
-        self.clock, self.sent, self.ages, self.said, self.notes = ERA, [], [], [], []
+        self.clock, self.sent, self.ages, self.said, self.notes, self.kept = ERA, [], [], [], [], []
         profile = dict(agreed=300 * MS, stretch=2.0, client_timeout=2500 * MS, repeat=repeat, group=group,
                        window=2000 * MS, fresh=changes.pop("fresh", 0), grace=0)
         figures = dict(
@@ -42,7 +42,7 @@
             purge_time=6000 * MS, most_launches=6,
             longest_retry_after=500 * MS, may_call_off=True,
             retry_after=True, direct=False, siblings=True, join=False,
-            tells_hits=False, must_ask=False, probing=False)
+            tells_hits=False, must_ask=False, probing=False, own_width=0.0)
         self.ground = Ground(**(figures | changes))
         self.choice = Choice(self.ground, self)
         self.caches = [Cache(b"c%d" % n, zone=1, cell=n) for n in range(4)]
@@ -56,11 +56,16 @@
     def launch(self, retrieval, cache, source, within, rank=0, age=0, join=False, held_only=False, **_):
         one = Launch(retrieval, cache, source, self.clock, within, rank)
         self.held_only = held_only
+        self.kept.append(_.get("keep"))
         retrieval.launches.append(one)
         self.sent.append(one)
         self.ages.append(age)
         return one
 
+    def settle(self, retrieval):
+        retrieval.over = True
+        self.said.append(("settle", retrieval))
+
     def call_off(self, launch):
         self.said.append(("call off", launch))
 
@@ -84,9 +89,9 @@
     def note(self, text):
         self.notes.append(text)
 
-    def ask(self, thing=1, size=50.0, wait=2500):
+    def ask(self, thing=1, size=50.0, wait=2500, held=None):
         one = Retrieval(self.ground.profiles[0], thing, 0, thing % 8, size, self.clock,
-                        self.clock + wait * MS)
+                        self.clock + wait * MS, held=held)
         self.choice.take(one)
         return one
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marbleglade.interface import Group, Outcome, Repeat, Role, State, Told
+from marbleglade.interface import Group, Held, Outcome, Repeat, Role, State, Told
 
 from .conftest import ERA, MS
 
@@ -373,3 +373,30 @@
     again = paper.ask(5, size=0)
     paper.end(again.launches[0], after=20, bare=bare)
     assert paper.ask(5, size=0).plan.work == work
+
+
+@pytest.mark.parametrize("work, age, purged, own", [
+    (50, 100, None, True), (50, 1900, None, True), (50, 2100, None, False), (600, 100, None, False),
+    (50, 100, 50, False), (50, 100, 200, True)])
+def test_a_copy_of_the_fronts_own_is_given_if_fresh_enough_and_in_time(front, work, age, purged, own):
+    paper = front(fresh=2000 * MS, own_width=4.0)
+    if purged:
+        paper.choice.purged(5, 0, paper.clock - purged * MS)
+    one = paper.ask(5, held=Held(work * MS, paper.clock - age * MS))
+    assert (paper.said == [("settle", one)], len(one.launches)) == (own, not own)
+
+
+def test_the_fronts_own_link_is_shared_and_what_it_cannot_take_goes_to_the_caches(front):
+    paper = front(own_width=4.0)
+    given = [not paper.ask(thing, size=100.0, held=Held(100 * MS, paper.clock)).launches
+             for thing in range(40)]
+    assert given == [True] * sum(given) + [False] * (40 - sum(given)) and 8 < sum(given) < 30
+    paper.clock += 1000 * MS
+    assert not paper.ask(50, held=Held(100 * MS, paper.clock)).launches
+
+
+def test_only_what_is_asked_for_again_is_kept(front):
+    paper = front(own_width=4.0)
+    for _ in range(3):
+        paper.end(paper.ask(5).launches[0])
+    assert paper.kept == [False, True, True]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Connections over loopback: a stand-in cache, a client and the front between them."""
 
+import time
 from contextlib import suppress
 
 import gevent
@@ -14,6 +15,7 @@
 from marbleglade.life.counters import Counters
 from marbleglade.life.guard import Guard
 from marbleglade.life.log import Log
+from marbleglade.memory.copies import Copies
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
@@ -86,7 +88,8 @@
         self.caches += [one for one in caches if one not in self.caches]
 
     def take(self, retrieval):
-        self.front.launch(retrieval, self.caches[0], self.caches[-1], retrieval.until - self.front.now(), 2)
+        self.front.launch(retrieval, self.caches[0], self.caches[-1], retrieval.until - self.front.now(), 2,
+                          keep=True)
 
     def ended(self, launch):
         self.told.append(launch.outcome)
@@ -114,7 +117,8 @@
         self.guard, self.told = guard, self.facade.decisions.told
         self.caches = Caches(self.places.by_cache, self.room, 4, 200 * MS, 30_000 * MS, 3, clock.now, guard,
                              lambda one, since: self.purges.since(one.object, one.group, since))
-        self.front = Front(self.facade, self.caches, self.places, self.purges, guard)
+        self.copies = Copies(100)
+        self.front = Front(self.facade, self.caches, self.places, self.purges, self.copies, 1000, guard)
         self.clients = Clients(self.front, 3, 30_000 * MS, 50 * MS, lambda: True, clock.now, guard)
         self.server, self.door, self.socks = Server(), listening(), []
         self.profile = next(iter(self.around.profiles))
@@ -131,7 +135,7 @@
         cache = cache or self.places.by_id["s1"].cache
         now = clock.now()
         one = Retrieval(self.around.ground.profiles[0], 9, 0, 4, 0.0, now, now + wait * MS)
-        go = Go(Launch(one, cache, source or cache, now, wait * MS, 1), 0, False, False, False,
+        go = Go(Launch(one, cache, source or cache, now, wait * MS, 1), 0, False, False, False, False,
                 gevent.event.AsyncResult())
         ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, "", b"")
         flight = gevent.spawn(self.caches.fly, ask, go)
@@ -344,6 +348,21 @@
     assert len(world.facade.open) == 0 and world.room.free == world.room.size
 
 
+@pytest.mark.parametrize("copy, answer", [
+    ("", (b"8", b"ok", b"", b"body")), (",cached=4be0c1927d55a6f3", (b"8", b"ok", b"keep=1", b""))])
+def test_the_fronts_own_copy_answers_until_it_is_purged(world, copy, answer):
+    script = world.facade.decisions
+    launch, said = script.take, b"9b1f03aa5c7e2d41 HIT entity=4be0c1927d55a6f3,issued=%d 4\r\nbody\r\n"
+    script.take = lambda one: world.facade.settle(one) if one.held else launch(one)
+    sock = serve(world, said % (time.time() * 1000))
+    sock.recv(4096)
+    sock.sendall(ask(world, 8, more=copy))
+    assert sock.recv(4096) == words(*answer) and len(world.server.said) == 1
+    world.front.apply(Purge(2, "7f3a9c21e0b4d655", 0, int(time.time() * 1000) + 5000))
+    sock.sendall(ask(world, 9))
+    world.server.heard(2)
+
+
 def test_after_nevermind_nothing_comes_and_the_launch_is_undone(world):
     sock = world.client()
     sock.sendall(ask(world, 7))
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -16,6 +16,7 @@
 from marbleglade.life.guard import Guard
 from marbleglade.life.log import Log
 from marbleglade.life.stop import Stop
+from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
 
@@ -119,14 +120,34 @@
 
 def test_purges_are_kept_as_long_as_older_copies_may_lie_about():
     purges = Purges(1000)
-    purges.add(7, 0, 100)
-    purges.add(0, 3, 200)
+    purges.add(7, 0, 90, 100)
+    purges.add(0, 3, 190, 200)
     assert [purges.since(*one) for one in ((7, 9, 50), (7, 9, 100), (8, 3, 150), (8, 4, 0))] == [
         True, False, True, False]
-    purges.add(9, 0, 1150)
+    assert [purges.latest(*one) for one in ((7, 3), (7, 9), (8, 3), (8, 4))] == [190, 90, 190, 0]
+    purges.add(9, 0, 1140, 1150)
     assert not purges.since(7, 9, 50) and purges.since(8, 3, 150) and len(purges.told) == 2
 
 
+def test_own_copies_are_bounded_renewed_and_purged():
+    copies, at = Copies(10), 1000 * MS
+    for thing in (1, 2, 3):
+        copies.put(thing, 0, Copy(b"xxxx", "", at, thing % 2), 0)
+    assert (copies.get(1, 0), copies.used) == (None, 8)         # the one used longest ago went
+    copies.get(2, 0)
+    copies.put(3, 0, Copy(b"older", "", at - 1, 1), 0)          # older than what is here
+    copies.put(4, 0, Copy(b"yy", "", at, 0), at + 5 * MS)       # older than a purge
+    copies.put(5, 0, Copy(b"z" * 11, "", at, 0), 0)             # larger than all room
+    assert copies.get(4, 0) is copies.get(5, 0) is None
+    copies.put(2, 0, Copy(b"x", "t", at + 9 * MS, 0), 0)
+    copies.put(3, 1, Copy(b"p", "", at, 1), 0)
+    assert (copies.get(2, 0).tag, copies.used) == ("t", 6)
+    copies.purge(0, 0, at + 20 * MS)
+    assert not copies.get(2, 0) and copies.get(3, 1)
+    copies.purge(3, 0, at)
+    assert not copies.kept and copies.used == 0
+
+
 @pytest.fixture
 def program(tmp_path):
     cache, coordinator = Server(), Server()
