--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # One front, told by the file that CONFIG names: make run CONFIG=front.json
 run: build
-	GW_CONFIG=$(CONFIG) $(PYTHON) -O -m marbleglade
+	GW_CONFIG=$(CONFIG) exec $(PYTHON) -O -m marbleglade
 
 # Has every front of this machine print its counters on its log.
 counters:
