What clients send is bounded by the memory limit; reports in answers are heeded

Half of a large frame on each of the clients' connections could have held more than the limit leaves (clients.py, _read: only the connections were bounded). A twelfth of the memory is theirs now: a connection that would pass it is closed, an ask with a body that would is pushed back.

--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -37,8 +37,8 @@
     stop = Stop(max(profile.client_timeout for profile in ground.profiles))
 
     # Shares of the limits: a sixth of the memory for bodies, which are held up to three times over while they
-    # are passed on, and a sixth for copies; a third of the descriptors for clients, and half for connections
-    # to caches; the rest is for the process itself and for a margin.
+    # are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors for
+    # clients and half for connections to caches. The rest is for the process itself and for a margin.
     room = Room(told.memory // 6)
     places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
     facade = Facade(ground, Choice, clock.now, around.most_open, counters,
@@ -47,7 +47,7 @@
                     around.streams, clock.now, guard,
                     lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
     front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
-    clients = Clients(front, told.descriptors // 3, around.idle_close, around.answer_slack,
+    clients = Clients(front, told.descriptors // 3, told.memory // 12, around.idle_close, around.answer_slack,
                       lambda: not stop.asked_at, clock.now, guard)
     for event in told.known:
         front.apply(event)
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -89,6 +89,8 @@
                 else:
                     self.caches.drop(ending)
                 self._note(ask, step, ending)
+                if ending.answer:
+                    self.facade.probed(step.launch.cache, ending.answer.report())
                 if step.keep and ending.whole:
                     self.guard.run("keep", self.keep, retrieval, ending)
                 self.facade.report(step, ending.outcome, ending.bare)
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -58,9 +58,12 @@
     body: bytes
 
     def report(self) -> dict[str, float]:
-        """The load report, where one came along."""
+        """The load report; empty where none that can be read came along."""
         pairs = (one.partition(":")[::2] for one in self.fields.get("report", "").split(";") if one)
-        return {name: float(value) for name, value in pairs}
+        try:
+            return {name: float(value) for name, value in pairs}
+        except ValueError:
+            return {}
 
 
 class Answers:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -126,11 +126,7 @@
             self.counters.add("probe.unanswered")
             return {}
         self.drop(ending)
-        try:
-            return ending.answer.report()
-        except ValueError:
-            self.counters.add("cache.bad_report")
-            return {}
+        return ending.answer.report()
 
     def drop(self, ending: Ending) -> None:
         """Gives back the room that an answer's body took."""
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -27,12 +27,14 @@
         self.open: dict[int, Retrieval] = {}
         self.turn = RLock()
         self.last = clock()
+        self.buffered = 0       # bytes of a frame that is not whole yet
         self.ended = self.closed = False    # the client sends no more; nothing can be written any more
 
 
 class Clients:
-    def __init__(self, front: Front, most: int, idle_close: int, slack: int, ready: Callable[[], bool],
-                 clock: Callable[[], int], guard: Guard) -> None:
+    def __init__(self, front: Front, most: int, most_buffered: int, idle_close: int, slack: int,
+                 ready: Callable[[], bool], clock: Callable[[], int], guard: Guard) -> None:
+        self.most_buffered, self.buffered = most_buffered, 0    # bytes from clients: parts of frames, bodies
         self.front, self.most, self.idle_close, self.slack = front, most, idle_close, slack
         self.ready, self.clock, self.guard, self.counters = ready, clock, guard, guard.counters
         self.profiles = front.places.around.profiles
@@ -71,6 +73,11 @@
                     if client.closed:
                         return
                     self._heard(client, words)
+                self.buffered += len(client.frames.buffer) - client.buffered
+                client.buffered = len(client.frames.buffer)
+                if self.buffered > self.most_buffered:
+                    self.counters.add("client.no_room")
+                    self._close(client)
         except BadFrame:
             self.counters.add("client.bad_frame")
             self._close(client)
@@ -90,13 +97,13 @@
         if isinstance(message, Ask):
             if message.tag in client.open:
                 raise BadFrame("a tag that is open already")
-            if len(client.open) >= MOST_OPEN or self.front.refuse():
+            if (len(client.open) >= MOST_OPEN or self.front.refuse()
+                    or self.buffered + len(message.body) > self.most_buffered):
                 self.counters.add("retrieval.refused_at_door")
                 self._write_now(client, message.tag, b"full")
                 return
             retrieval = client.open[message.tag] = self.front.take(message)
-            gevent.spawn(self.front.serve, message, retrieval,
-                         lambda reply: self._answer(client, message.tag, retrieval, reply))
+            gevent.spawn(self._serve, client, message, retrieval)
         elif isinstance(message, Nevermind):
             if (retrieval := client.open.pop(message.tag, None)) is not None:
                 self.counters.add("retrieval.nevermind")
@@ -107,6 +114,13 @@
             self.counters.add("client.unusable")
             self._write_now(client, message.tag, b"fault")
 
+    def _serve(self, client: Client, ask: Ask, retrieval: Retrieval) -> None:
+        self.buffered += len(ask.body)
+        try:
+            self.front.serve(ask, retrieval, lambda reply: self._answer(client, ask.tag, retrieval, reply))
+        finally:
+            self.buffered -= len(ask.body)
+
     def _answer(self, client: Client, tag: int, retrieval: Retrieval, reply: Reply) -> None:
         fields = b""
         if reply.end is End.PUSHED_BACK and reply.retry_after:
@@ -155,6 +169,8 @@
             return
         client.closed = True
         self.clients.pop(client, None)
+        self.buffered -= client.buffered
+        client.buffered = 0
         client.sock.close()
         self.counters.add("client.closed")
         for tag in list(client.open):
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -95,7 +95,7 @@
               cachelines.Answer("t1", "PONG", {"report": "inflight:7;util:0.61"}, b"")]
     assert all(got == wanted for got in split_everywhere(cachelines.Answers, data))
     assert wanted[2].report() == {"inflight": 7.0, "util": 0.61}
-    assert wanted[1].report() == {}
+    assert wanted[1].report() == cachelines.Answer("t1", "PONG", {"report": "util:much"}, b"").report() == {}
 
 
 def test_it_shows_when_an_answer_has_come_in_part():
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -119,7 +119,7 @@
                              lambda one, since: self.purges.since(one.object, one.group, since))
         self.copies = Copies(100)
         self.front = Front(self.facade, self.caches, self.places, self.purges, self.copies, 1000, guard)
-        self.clients = Clients(self.front, 3, 30_000 * MS, 50 * MS, lambda: True, clock.now, guard)
+        self.clients = Clients(self.front, 3, 100_000, 30_000 * MS, 50 * MS, lambda: True, clock.now, guard)
         self.server, self.door, self.socks = Server(), listening(), []
         self.profile = next(iter(self.around.profiles))
         self.serving = gevent.spawn(self.clients.accept, self.door)
@@ -336,7 +336,7 @@
 
 
 @pytest.mark.parametrize("said, answer", [
-    (b"HIT - 4\r\n\r\n\0x\r\n", (b"7", b"ok", b"", b"\r\n\0x")),
+    (b"HIT report=x1:1.5 4\r\n\r\n\0x\r\n", (b"7", b"ok", b"", b"\r\n\0x")),
     (b"VALID - 0\r\n\r\n", (b"7", b"ok", b"keep=1", b"")),
     (b"NONE - 0\r\n\r\n", (b"7", b"full", b"pause=40", b""))])
 def test_a_retrieval_goes_through_and_its_answer_comes_back_whole(world, said, answer):
@@ -345,6 +345,7 @@
     assert world.server.said[0].startswith(f"do 9b1f03aa5c7e2d41 profile={world.profile},"
                                            "thing=7f3a9c21e0b4d655,nth=3,max=")
     assert world.server.said[0].endswith(",prio=2,mine=4be0c1927d55a6f3 0")
+    assert world.places.by_id["s1"].cache.crowd == (1.5 if b"x1" in said else 0.0)
     assert len(world.facade.open) == 0 and world.room.free == world.room.size
 
 
@@ -437,6 +438,23 @@
     assert world.room.free == world.room.size
 
 
+@pytest.mark.parametrize("sent, closed, counted", [
+    (b"*5\r\n$3\r\nASK\r\n$1\r\n1\r\n$4\r\npage\r\n$1\r\nx\r\n$200000\r\n" + b"x" * 150_000, True,
+     "client.no_room"),
+    (b"", False, "retrieval.refused_at_door")])
+def test_what_clients_send_is_bounded(world, sent, closed, counted):
+    sock = world.client()
+    if not sent:        # a whole ask with a body, while others fill the bound
+        world.clients.buffered = 99_000
+        sent = ask(world, 7).replace(b"$0\r\n\r\n", b"$2000\r\n" + b"x" * 2000 + b"\r\n")
+    with suppress(OSError):
+        sock.sendall(sent)
+        answer = sock.recv(4096)
+    until(lambda: world.counters.counts[counted])
+    assert (world.clients.clients == {}) == closed
+    assert closed or answer == words(b"7", b"full", b"", b"")
+
+
 def test_clients_keep_to_their_share(world):
     socks = [world.client() for _ in range(4)]
     until(lambda: world.counters.counts["client.over_share"])
