--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -37,8 +37,8 @@
     stop = Stop(max(profile.client_timeout for profile in ground.profiles))
 
     # Shares of the limits: a sixth of the memory for bodies, which are held up to three times over while they
-    # are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors for
-    # clients and half for connections to caches. The rest is for the process itself and for a margin.
+    # are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors
+    # for clients and half for connections to caches. The rest is for the process itself and for a margin.
     room = Room(told.memory // 6)
     places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
     facade = Facade(ground, Choice, clock.now, around.most_open, counters,
