A client that leaves before its retrieval is looked at launches nothing

NEVERMIND in the same read as its ASK found no open case (facade.leave returned), and the retrieval was launched for nobody: no rule broken, but work wasted. Found by reading. An exception while a connection comes up no longer ends the greenlet that accepts (clients.accept).

--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -79,6 +79,8 @@
         """Blocks until there is a launch to make or the last word."""
         case = self.open.cases.get(retrieval)
         if case is None:
+            if retrieval.over:      # its client left before it was looked at
+                return Final(End.GONE)
             case = self.open.add(retrieval)
             with self.calling() as decisions:
                 decisions.take(retrieval)
@@ -108,6 +110,8 @@
     def leave(self, retrieval: Retrieval) -> None:
         """The client waits no more."""
         case = self.open.cases.get(retrieval)
+        if case is None:
+            retrieval.over = True
         if case is None or case.final:
             return
         try:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -48,16 +48,19 @@
                 self.counters.add("client.accept_failed")
                 gevent.sleep(self.front.facade.decisions.ground.resolution / 1e9)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(sock, self.clock)
-            self.clients[client] = None
-            self.counters.add("client.accepted")
-            gevent.spawn(self._read, client)
-            if len(self.clients) > self.most:
-                # Over the clients' share: the one that was idle longest makes room, else the new one goes.
-                idle = (one for one in self.clients if not one.open)
-                self.counters.add("client.over_share")
-                self._close(min(idle, key=lambda one: one.last, default=client))
+            self.guard.run("accept", self._accepted, sock)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(sock, self.clock)
+        self.clients[client] = None
+        self.counters.add("client.accepted")
+        gevent.spawn(self._read, client)
+        if len(self.clients) > self.most:
+            # Over the clients' share: the one that was idle longest makes room, else the new one goes.
+            idle = (one for one in self.clients if not one.open)
+            self.counters.add("client.over_share")
+            self._close(min(idle, key=lambda one: one.last, default=client))
 
     def sweep(self) -> None:
         """Closes what has been idle for as long as the settings let a connection be."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -401,6 +401,16 @@
     assert sock.recv(4096) == words(b"33", b"full", b"", b"")
 
 
+def test_a_connection_that_fails_as_it_comes_up_does_not_end_the_door(world):
+    accepted, world.clients._accepted = world.clients._accepted, lambda sock: 1 // 0
+    world.client()
+    until(lambda: world.counters.counts["trouble.accept"])
+    world.clients._accepted = accepted
+    sock = world.client()
+    sock.sendall(words(b"STATUS", b"1"))
+    assert sock.recv(4096) == words(b"1", b"yes", b"", b"")
+
+
 def test_a_client_that_has_gone_takes_its_retrievals_along(world):
     sock = world.client()
     sock.sendall(ask(world, 7))
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -120,6 +120,13 @@
     assert not len(facade.open)
 
 
+def test_a_client_that_leaves_before_its_retrieval_is_looked_at_launches_nothing(host):
+    facade, script, clock = host
+    one = retrieval(clock)
+    facade.leave(one)
+    assert facade.pick(one).end is End.GONE and script.heard == [] and not len(facade.open)
+
+
 def test_what_the_decisions_keep_too_long_ends_in_time(host):
     facade, script, clock = host
     one = retrieval(clock, wait=5)
