--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -62,8 +62,12 @@
         log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
                 cache_connections=caches.count)
 
+    def leave() -> None:
+        stop.ask(clock.now())
+        log.say("stopping", open=len(facade.open))
+
     gevent.signal_handler(signal.SIGUSR1, tell)
-    gevent.signal_handler(signal.SIGTERM, lambda: stop.ask(clock.now()))
+    gevent.signal_handler(signal.SIGTERM, leave)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(told.listen)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -199,6 +199,6 @@
     until(lambda: process.poll() is not None)
     lines = [orjson.loads(line) for line in process.stderr.read().splitlines()]
     counts = lines[-1]["counts"]
-    assert process.returncode == 0 and lines[-1]["event"] == "counters"
+    assert process.returncode == 0 and [line["event"] for line in lines[-2:]] == ["stopping", "counters"]
     assert (counts["retrieval.taken"], counts["retrieval.settled"], counts["answer.ok"]) == (2, 2, 2)
     assert not [name for name in counts if name.startswith(("trouble", "broken"))]
