--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -48,6 +48,9 @@
         """A client's ask as the decisions know it."""
         now = clock.now()
         self.counters.add("retrieval.taken")
+        if self.log.debug_on:
+            self.log.debug("taken", trace=ask.trace, profile=ask.profile_name, thing=ask.thing, part=ask.part,
+                           patience_us=ask.patience // 1000, again=ask.again, copy=ask.copy)
         return Retrieval(ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience,
                          ask.again)
 
@@ -78,6 +81,7 @@
     def serve(self, ask: Ask, retrieval: Retrieval, answer: Callable[[Reply], None]) -> None:
         """Runs a retrieval to its end. `answer` passes the reply on; it is called once at most."""
         kept: Ending | None = None
+        own: Reply | None = None
         reply = Reply(End.BROKEN_OFF)
         try:
             own = self.hold(ask, retrieval)
@@ -102,6 +106,9 @@
             retrieval.over = True
         try:
             self.counters.add(f"retrieval.{reply.end.name.lower()}")
+            if self.log.debug_on:
+                self.log.debug("ended", trace=ask.trace, end=reply.end.name, launches=len(retrieval.launches),
+                               own=reply is own, took_us=(clock.now() - retrieval.taken) // 1000)
             if reply.end is not End.GONE:
                 answer(reply)
         finally:
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -28,12 +28,13 @@
     join: bool = False
     held_only: bool = False
     renew: bool = False
+    through: bool = False       # a parent on the way keeps no copy
     copy: str = ""
     body: bytes = b""
 
     def encode(self) -> bytes:
         how = "+".join(word for word, wanted in (("ride", self.join), ("have-only", self.held_only),
-                                                 ("update", self.renew)) if wanted)
+                                                 ("through", self.through), ("update", self.renew)) if wanted)
         named = (("miss", self.source), ("prio", self.rank), ("within", self.age), ("f", how),
                  ("mine", self.copy))
         fields = ",".join([f"profile={self.profile}", f"thing={self.thing}", f"nth={self.part}",
@@ -45,9 +46,9 @@
     return b"undo %b\r\n" % id.encode()
 
 
-def encode_look(id: str) -> bytes:
-    """A probe that is answered with the load report."""
-    return b"top %b\r\n" % id.encode()
+def encode_look(id: str, report: bool = True) -> bytes:
+    """A probe, answered with the load report if that is wanted."""
+    return (b"top %b\r\n" if report else b"ping %b\r\n") % id.encode()
 
 
 @dataclass(slots=True)
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -179,8 +179,9 @@
             return Ending(Outcome.CALLED_OFF if place is None else Outcome.MOOT)
         errand = Errand(
             ask.trace, ask.profile_name, ask.thing, ask.part, max(1, left // 1_000_000),
-            "" if source is cache else place.id, launch.rank, max(1, go.age // 1_000_000) if go.age else 0,
-            go.join, go.held_only, go.renew, ask.copy, ask.body)
+            source="" if source is cache else place.id, rank=launch.rank,
+            age=max(1, go.age // 1_000_000) if go.age else 0, join=go.join, held_only=go.held_only,
+            renew=go.renew, copy=ask.copy, body=ask.body)
         return self._send(line, flight, errand.encode())
 
     def _start_look(self, flight: Flight, cache: Cache) -> Ending | None:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -80,13 +80,19 @@
 
 @pytest.mark.parametrize("more, line", [
     ({}, b"do ab profile=p,thing=cd,nth=2,max=900 0\r\n\r\n"),
-    (dict(source="s-1", rank=3, age=40, join=True, held_only=True, renew=True, copy="ef", body=b"\r\n"),
-     b"do ab profile=p,thing=cd,nth=2,max=900,miss=s-1,prio=3,within=40,f=ride+have-only+update,mine=ef 2"
-     b"\r\n\r\n\r\n")])
+    (dict(source="s-1", rank=3, age=40, join=True, held_only=True, renew=True, through=True, copy="ef",
+          body=b"\r\n"),
+     b"do ab profile=p,thing=cd,nth=2,max=900,miss=s-1,prio=3,within=40,f=ride+have-only+through+update,"
+     b"mine=ef 2\r\n\r\n\r\n")])
 def test_an_errand_is_encoded(more, line):
     assert cachelines.Errand("ab", "p", "cd", 2, 900, **more).encode() == line
 
 
+def test_giving_up_and_probes_are_encoded():
+    lines = (cachelines.encode_undo("ab"), cachelines.encode_look("t1"), cachelines.encode_look("t1", False))
+    assert lines == (b"undo ab\r\n", b"top t1\r\n", b"ping t1\r\n")
+
+
 def test_answers_are_the_same_however_the_bytes_come():
     data = (b"ab HIT entity=4be0,issued=1764576000123 %d\r\n%b\r\n" % (len(ODD), ODD) + b"cd SHED - 0\r\n\r\n"
             b"t1 PONG report=inflight:7;util:0.61 0\r\n\r\n")
