A launch whose retrieval is over is never written, also where nothing may be called off

caches.py, _start: only the launch's own end was looked at, which nothing sets where the settings forbid calling off. An event of the start that can't be applied is counted, not fatal.

--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -50,7 +50,7 @@
     clients = Clients(front, told.descriptors // 3, told.memory // 12, around.idle_close, around.answer_slack,
                       lambda: not stop.asked_at, clock.now, guard)
     for event in told.known:
-        front.apply(event)
+        guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.pass_on, guard)
     work = [follower.run, front.probe, lambda: clients.accept(listener)]
     if around.peer_messages and told.peer_listen and told.peers_all:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -167,7 +167,7 @@
         if not isinstance(line, Line):
             return Ending(line)
         # The launch may have waited for its connection: what was told since holds for it too.
-        if (flight.ended.ready() or cache.state is not State.ACTIVE or source.state is not State.ACTIVE
+        if (flight.ended.ready() or retrieval.over or cache.state is not State.ACTIVE or source.state is not State.ACTIVE
                 or self.purged(retrieval, launch.sent)):
             self._rest(line)
             self.counters.add("launch.stale")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -256,7 +256,7 @@
     assert clock.now() - began < WAIT * 1000 * MS and world.server.heard(2) == "undo t1"
 
 
-@pytest.mark.parametrize("told", ["cache", "source", "purge", "gone"])
+@pytest.mark.parametrize("told", ["cache", "source", "purge", "gone", "over"])
 def test_what_is_told_before_a_launch_is_written_holds_for_it(world, told):
     _, source = world.list("s1", "s2")
     def act(go):
@@ -264,6 +264,8 @@
             world.list("s1", state="leaving")
         elif told == "source":
             world.list("s2", state="leaving")
+        elif told == "over":
+            go.launch.retrieval.over = True
         elif told == "purge":
             world.front.apply(Purge(2, "", 4, 0))
         else:
