--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -167,8 +167,8 @@
         if not isinstance(line, Line):
             return Ending(line)
         # The launch may have waited for its connection: what was told since holds for it too.
-        if (flight.ended.ready() or retrieval.over or cache.state is not State.ACTIVE or source.state is not State.ACTIVE
-                or self.purged(retrieval, launch.sent)):
+        if (flight.ended.ready() or retrieval.over or self.purged(retrieval, launch.sent)
+                or cache.state is not State.ACTIVE or source.state is not State.ACTIVE):
             self._rest(line)
             self.counters.add("launch.stale")
             return Ending(Outcome.CALLED_OFF)
