One piece for what stood twice: the wait for a flight, kinds and states, reports, purges

No behaviour is meant to change. A launch and a probe wait by the same _wait; Flight.sent said no more than Flight.line; both doors translate kinds, states and load reports in ground.py; a purge is decoded once and goes to the peers as the value it came as; Room books an overdraft itself.

--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -8,13 +8,12 @@
 from typing import BinaryIO
 
 from ..choice import Choice
-from ..ground import Missing, Surroundings, read_ground
-from ..interface import Cache, Launch, Outcome, Retrieval, Role, State, Told
+from ..ground import STATES, Missing, Surroundings, file_report, read_ground
+from ..interface import Cache, Launch, Outcome, Retrieval, Told
 
 OUTCOMES = {200: Outcome.OK, 500: Outcome.ERROR, 503: Outcome.FULL, 504: Outcome.TIMEOUT,
             502: Outcome.UNREACHED, 598: Outcome.RESET, 499: Outcome.CALLED_OFF, 410: Outcome.MOOT,
             404: Outcome.MISS}
-STATES = {"active": State.ACTIVE, "leaving": State.LEAVING, "left": State.LEFT}
 
 Call = Callable[[], None]
 
@@ -55,7 +54,7 @@
         self.ids: dict[Retrieval, str] = {}
         self.open: dict[str, int] = {}
         self.caches: dict[str, Cache] = {}
-        self.parent_kind, self.origin_kind = around.parent_kind, around.origin_kind
+        self.around = around
         self.choice = Choice(around.ground, self)
 
     def now(self) -> int:
@@ -118,9 +117,7 @@
             cache = self.caches.get(fields[0])
             if cache is None:
                 cache = self.caches[fields[0]] = Cache(fields[0].encode())
-            kind = number(fields[1])
-            cache.role = (Role.PARENT if kind == self.parent_kind else
-                          Role.ORIGIN if kind == self.origin_kind else Role.CACHE)
+            cache.role = self.around.role(number(fields[1]))
             cache.born = ns(fields[2])
             cache.zone, cache.state, cache.cell = number(fields[4]), STATES[fields[5]], number(fields[6])
             told.append(cache)
@@ -174,8 +171,8 @@
 
     def report(self, name: str, values: dict[str, float]) -> None:
         cache = self.caches.get(name)
-        if cache and "x1" in values:
-            cache.crowd, cache.reported = values["x1"], self.now()
+        if cache:
+            file_report(cache, values, self.now())
 
 
 class Drill:
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -16,6 +16,7 @@
 from gevent.event import AsyncResult
 from gevent.queue import SimpleQueue
 
+from .ground import file_report
 from .interface import Cache, Decisions, Ground, Launch, Outcome, Retrieval
 from .life.counters import Counters
 from .memory.open import Case, Open
@@ -154,8 +155,7 @@
 
     def probed(self, cache: Cache, report: dict[str, float]) -> None:
         """Files a load report."""
-        if "x1" in report:
-            cache.crowd, cache.reported = report["x1"], self.clock()
+        file_report(cache, report, self.clock())
 
     def _end(self, case: Case, final: Final) -> None:
         if self.counters.must(not case.final, "ended_twice"):
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -11,15 +11,16 @@
 import gevent
 
 from .facade import End, Facade, Final, Go
+from .ground import STATES
 from .interface import Cache, Held, Outcome, Retrieval, State
 from .life import clock
 from .life.guard import Guard
 from .memory.copies import Copies, Copy
-from .memory.places import STATES, Places
+from .memory.places import Places
 from .memory.purges import Purges
 from .wire.caches import Caches, Ending
 from .wire.coordlines import ListChange, Purge
-from .wire.datagrams import Hint, PlaceLeaves, PurgeTold
+from .wire.datagrams import Hint, PlaceLeaves
 from .wire.resp import Ask
 
 
@@ -142,13 +143,13 @@
             self.facade.listed(told, event.whole)
             self.log.say("list", index=event.index, whole=event.whole, told=len(told))
         else:
-            self._purge(int(event.thing or "0", 16), event.group, event.unix_ms)
+            self._purge(event)
 
     def pass_on(self, event: ListChange | Purge) -> None:
         """Applies what the coordinator just told, then tells the other fronts what it takes away."""
         self.apply(event)
         if self.tell and isinstance(event, Purge):
-            self.tell(PurgeTold(event.index, int(event.thing or "0", 16), event.group, event.unix_ms))
+            self.tell(event)
         elif self.tell and isinstance(event, ListChange) and not event.whole:
             for member in event.members:
                 if STATES[member.state] is not State.ACTIVE:
@@ -156,18 +157,18 @@
 
     def heed(self, hint: Hint) -> None:
         """What another front was told. It guards against a coordinator that only this front can't hear."""
-        if isinstance(hint, PurgeTold):
-            self._purge(hint.thing, hint.group, hint.unix_ms)
+        if isinstance(hint, Purge):
+            self._purge(hint)
         elif cache := self.places.leaves(hint.id, hint.started_ms):
             self.facade.listed([cache], False)
             self.log.say("hint", index=hint.index, place=hint.id)
 
-    def _purge(self, thing: int, group: int, unix_ms: int) -> None:
+    def _purge(self, purge: Purge) -> None:
         now = clock.now()
-        at = min(clock.from_unix_ms(unix_ms), now)
-        self.purges.add(thing, group, at, now)
-        self.copies.purge(thing, group, at)
-        self.facade.purged(thing, group, at)
+        at = min(clock.from_unix_ms(purge.unix_ms), now)
+        self.purges.add(purge.thing, purge.group, at, now)
+        self.copies.purge(purge.thing, purge.group, at)
+        self.facade.purged(purge.thing, purge.group, at)
         self.counters.add("purge.told")
 
     # Work that nobody waits for.
--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -7,9 +7,10 @@
 
 from dataclasses import dataclass
 
-from .interface import Ground, Group, Profile, Repeat
+from .interface import Cache, Ground, Group, Profile, Repeat, Role, State
 
 REPEATS = {"free": Repeat.PURE, "guarded": Repeat.RECEIPTED, "single_shot": Repeat.EFFECTFUL}
+STATES = {"active": State.ACTIVE, "leaving": State.LEAVING, "left": State.LEFT}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
@@ -34,6 +35,16 @@
     answer_slack: int
     peer_messages: bool
 
+    def role(self, kind: int) -> Role:
+        """What a machine kind, by its place among the kinds, is for."""
+        return {self.parent_kind: Role.PARENT, self.origin_kind: Role.ORIGIN}.get(kind, Role.CACHE)
+
+
+def file_report(cache: Cache, report: dict[str, float], now: int) -> None:
+    """What decisions read of a load report."""
+    if "x1" in report:
+        cache.crowd, cache.reported = report["x1"], now
+
 
 class Reader:
     """One object of the settings; a needed key that is absent is named, an unknown one ignored."""
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -42,28 +42,25 @@
         raise Unfit(f"the file that GW_CONFIG names can't be read: {trouble}") from trouble
     if not isinstance(told, dict):
         raise Unfit("the configuration is no object")
-    needed = {}
     for field in ("name", "listen", "seed", "limits", "coordinator", "known", "settings"):
         if field not in told:
             raise Unfit(f"the configuration lacks {field}")
-        needed[field] = told[field]
-    field = ""
     try:
         field = "seed"
-        seed = int(str(needed["seed"]), 16)
+        seed = int(str(told["seed"]), 16)
         field = "flow_bytes_per_s or link_bytes_per_s"
         pace, link = (int(told.get(one) or 0) for one in ("flow_bytes_per_s", "link_bytes_per_s"))
         field = "settings"
-        around = read_ground(needed["settings"], seed, link / pace if pace else 0.0)
+        around = read_ground(told["settings"], seed, link / pace if pace else 0.0)
         field = "limits"
-        memory, descriptors = int(needed["limits"]["memory_mb"]), int(needed["limits"]["sockets"])
+        memory, descriptors = int(told["limits"]["memory_mb"]), int(told["limits"]["sockets"])
         field = "listen"
-        listen = address(needed["listen"])
+        listen = address(told["listen"])
         field = "coordinator"
-        coordinator = address(needed["coordinator"])
+        coordinator = address(told["coordinator"])
         field = "known"
-        last = int(needed["known"]["index"])
-        known = [one for one in map(event, needed["known"]["updates"]) if one]
+        last = int(told["known"]["index"])
+        known = [one for one in map(event, told["known"]["updates"]) if one]
         field = "peers"
         peers = [address(one) for one in told.get("peers") or ()]
         field = "peer_listen"
@@ -73,5 +70,5 @@
         raise Unfit(str(trouble)) from trouble
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
-    return Assignment(str(needed["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
+    return Assignment(str(told["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
                       peers, peers_all, last, known, around)
--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..ground import Surroundings
+from ..ground import STATES, Surroundings
 from ..interface import Cache, Role, State
-from ..wire.coordlines import ListChange, Member
-
-STATES = {"active": State.ACTIVE, "leaving": State.LEAVING, "left": State.LEFT}
+from ..wire.coordlines import ListChange
 
 
 @dataclass(slots=True, eq=False)
@@ -26,14 +24,9 @@
         self.by_id: dict[str, Place] = {}
         self.by_cache: dict[Cache, Place] = {}
 
-    def born(self, member: Member) -> int:
-        return self.from_unix_ms(member.started_ms) if member.started_ms else 0
-
     def role(self, kind: str) -> Role:
         kinds = self.around.kinds
-        number = kinds.index(kind) if kind in kinds else -2
-        return {self.around.parent_kind: Role.PARENT, self.around.origin_kind: Role.ORIGIN
-                }.get(number, Role.CACHE)
+        return self.around.role(kinds.index(kind)) if kind in kinds else Role.CACHE
 
     def leaves(self, id: str, started_ms: int) -> Cache | None:
         """A place that another front was told to leave; None if this one knew, or knows a later start."""
@@ -57,7 +50,8 @@
             if again or place.address != member.address:
                 stale.append(cache)
             if again:
-                place.started_ms, cache.born = member.started_ms, self.born(member)
+                place.started_ms = member.started_ms
+                cache.born = self.from_unix_ms(member.started_ms) if member.started_ms else 0
             place.address, cache.role, cache.cell = member.address, self.role(member.kind), member.cell
             cache.zone = self.around.zones.index(member.zone) if member.zone in self.around.zones else -1
             cache.state = STATES[member.state]
--- a/marbleglade/memory/room.py
+++ b/marbleglade/memory/room.py
@@ -28,6 +28,10 @@
                 self.waiting.remove(turn)
             raise
 
+    def overdraw(self, size: int) -> None:
+        """Books what is used already, whether there is room or not."""
+        self.free -= size
+
     def give(self, size: int) -> None:
         self.free += size
         while self.waiting and self.waiting[0][0] <= self.free:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -52,8 +52,7 @@
 
     id: str
     ended: AsyncResult
-    line: Line | None = None
-    sent: bool = False
+    line: Line | None = None    # from when it is written, until it ends
 
 
 class Line:
@@ -74,7 +73,6 @@
 class Pool:
     """The connections to one place. Idle ones are used again, the latest first."""
 
-    cache: Cache
     idle: list[Line] = field(default_factory=list)
     lines: set[Line] = field(default_factory=set)
     stale: bool = False     # the place is gone or began anew: nothing here is used again
@@ -96,33 +94,14 @@
     # What is asked of it.
 
     def fly(self, ask: Ask, go: Go) -> Ending:
-        launch = go.launch
-        flight = Flight(ask.trace, go.ended)
-        gevent.spawn(self._guard, self._start, flight, ask, go)
-        ending: Ending | None = None
-        try:
-            with gevent.Timeout(max(0, launch.sent + launch.within - self.clock()) / 1e9, False):
-                ending = go.ended.get() or Ending(Outcome.CALLED_OFF)
-        finally:
-            if not go.ended.ready():
-                go.ended.set(None)      # whoever still works for this launch stops
-            self._release(flight)
-        return ending or Ending(Outcome.TIMEOUT)
+        left = go.launch.sent + go.launch.within - self.clock()
+        return self._wait(Flight(ask.trace, go.ended), left, self._start, ask, go)
 
     def look(self, cache: Cache, within: int) -> dict[str, float]:
         """Probes a place; gives its load report, or nothing."""
         self.looks += 1
-        flight = Flight(f"look{self.looks}", AsyncResult())
-        gevent.spawn(self._guard, self._start_look, flight, cache)
-        ending: Ending | None = None
-        try:
-            with gevent.Timeout(within / 1e9, False):
-                ending = flight.ended.get()
-        finally:
-            if not flight.ended.ready():
-                flight.ended.set(None)
-            self._release(flight)
-        if not ending or not ending.answer:
+        ending = self._wait(Flight(f"look{self.looks}", AsyncResult()), within, self._start_look, cache)
+        if not ending.answer:
             self.counters.add("probe.unanswered")
             return {}
         self.drop(ending)
@@ -151,12 +130,25 @@
 
     # How a launch starts.
 
+    def _wait(self, flight: Flight, left: int, start: Callable[..., Ending | None], *told: object) -> Ending:
+        """Starts a flight and blocks until it has ended, one way or the other."""
+        gevent.spawn(self._guard, start, flight, *told)
+        ending: Ending | None = None
+        try:
+            with gevent.Timeout(max(0, left) / 1e9, False):
+                ending = flight.ended.get() or Ending(Outcome.CALLED_OFF)
+        finally:
+            if not flight.ended.ready():
+                flight.ended.set(None)      # whoever still works for this flight stops
+            self._release(flight)
+        return ending or Ending(Outcome.TIMEOUT)
+
     def _guard(self, start: Callable[..., Ending | None], flight: Flight, *told: object) -> None:
         try:
             ending = start(flight, *told)
         except Exception as trouble:
             self.guard.note("launch", trouble)
-            ending = Ending(Outcome.ERROR if flight.sent else Outcome.MOOT)
+            ending = Ending(Outcome.ERROR if flight.line else Outcome.MOOT)
         if ending and not flight.ended.ready():
             flight.ended.set(ending)
 
@@ -199,7 +191,6 @@
         except OSError:
             self._close(line)
             return Ending(Outcome.RESET)
-        flight.sent = True
         return None
 
     def _line(self, cache: Cache, flight: Flight) -> Line | Outcome:
@@ -209,7 +200,7 @@
             return Outcome.CALLED_OFF
         pool = self.pools.get(cache)
         if pool is None:
-            pool = self.pools[cache] = Pool(cache)
+            pool = self.pools[cache] = Pool()
         for line in reversed(pool.idle):
             if flight.id not in line.undone:
                 pool.idle.remove(line)
@@ -281,7 +272,7 @@
     def _answered(self, line: Line, answer: Answer) -> None:
         size, line.held = len(answer.body), line.held - len(answer.body)
         if line.held < 0:       # it came at one go, before room was asked for
-            self.room.free += line.held
+            self.room.overdraw(-line.held)
             line.held = 0
         flight = line.flights.pop(answer.id, None)
         if flight is None:
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -34,10 +34,10 @@
 
 @dataclass(slots=True)
 class Purge:
-    """Of one object (`thing`, hex), or of a group where `thing` is empty."""
+    """Of one object, or of a group where `thing` is 0."""
 
     index: int
-    thing: str
+    thing: int
     group: int
     unix_ms: int
 
@@ -68,9 +68,8 @@
         return ListChange(index, bool(told.get("full")), members)
     if "evict" in value:
         told = value["evict"]
-        thing = told.get("ref") or ""
-        int(thing or "0", 16)
-        return Purge(index, thing, int(told.get("shard") or 0), int(told["unix_ms"]))
+        thing, group = int(told.get("ref") or "0", 16), int(told.get("shard") or 0)
+        return Purge(index, thing, group, int(told["unix_ms"]))
     return None
 
 
--- a/marbleglade/wire/datagrams.py
+++ b/marbleglade/wire/datagrams.py
@@ -9,6 +9,8 @@
 import struct
 from dataclasses import dataclass
 
+from .coordlines import Purge
+
 LONGEST = 256       # bytes, by the protocol
 VERSION = 1
 HEAD = struct.Struct("!BBQ")
@@ -23,21 +25,13 @@
     started_ms: int
 
 
-@dataclass(slots=True)
-class PurgeTold:
-    index: int
-    thing: int      # 0: the group
-    group: int
-    unix_ms: int
-
-
-Hint = PlaceLeaves | PurgeTold
+Hint = PlaceLeaves | Purge
 STARTED = struct.Struct("!Q")
 
 
 def encode(hint: Hint) -> bytes | None:
     """The datagram, or None where it would not fit."""
-    if isinstance(hint, PurgeTold):
+    if isinstance(hint, Purge):
         return HEAD.pack(VERSION, PURGE, hint.index) + PURGED.pack(hint.thing, hint.group, hint.unix_ms)
     data = HEAD.pack(VERSION, PLACE, hint.index) + STARTED.pack(hint.started_ms) + hint.id.encode()
     return data if len(data) <= LONGEST else None
@@ -52,7 +46,7 @@
     if version != VERSION:
         return None
     if kind == PURGE and len(rest) == PURGED.size:
-        return PurgeTold(index, *PURGED.unpack(rest))
+        return Purge(index, *PURGED.unpack(rest))
     if kind == PLACE and len(rest) > STARTED.size:
         try:
             return PlaceLeaves(index, rest[STARTED.size:].decode("ascii"), *STARTED.unpack_from(rest))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,10 @@
-"""A front on paper: records what the decisions ask for and hands back what the test says."""
+"""A front on paper, which records what the decisions ask for, and what the tests on loopback share."""
 
+from contextlib import suppress
+
+import gevent
 import pytest
+from gevent import socket
 
 from marbleglade.choice import Choice
 from marbleglade.interface import (
@@ -107,3 +111,57 @@
 @pytest.fixture
 def front():
     return Paper
+
+
+LINE = b'{"index":%d,"evict":{"shard":%d,"unix_ms":1}}\n'
+WAIT = 2    # seconds: far above what anything here takes
+
+
+def listening(kind=socket.SOCK_STREAM):
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.bind(("127.0.0.1", 0))
+    if kind == socket.SOCK_STREAM:
+        sock.listen(16)
+    return sock
+
+
+def until(holds):
+    with gevent.Timeout(WAIT):
+        while not holds():
+            gevent.sleep(0.001)
+
+
+class Server:
+    """A stand-in for a cache or a coordinator: `said` holds what came, line by line, of all connections."""
+
+    def __init__(self):
+        self.listener, self.said, self.socks = listening(), [], []
+        self.address = self.listener.getsockname()
+        self.loop = gevent.spawn(self.accept)
+
+    def accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            self.socks.append(sock)
+            gevent.spawn(self.read, sock)
+
+    def read(self, sock):
+        rest = b""
+        with suppress(OSError):
+            while data := sock.recv(4096):
+                *lines, rest = (rest + data).split(b"\n")
+                self.said += [line.strip().decode() for line in lines if line.strip()]
+
+    def heard(self, count):
+        until(lambda: len(self.said) >= count)
+        return self.said[-1]
+
+    def close(self):
+        self.loop.kill()
+        self.listener.close()
+        for sock in self.socks:
+            sock.close()
+
+
+def words(*said):
+    return b"*%d\r\n" % len(said) + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in said)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -5,15 +5,13 @@
 from marbleglade.interface import Profile
 from marbleglade.wire import cachelines, coordlines, datagrams, resp
 
+from .conftest import words
+
 ODD = bytes(range(256)) + b"\r\n$3\r\n*1\r\n"
 PROFILES = {"segment": Profile(agreed=1, stretch=0.0, client_timeout=2)}
 FIELDS = b"trace=9b1f03aa5c7e2d41,patience=1500,entity=7f3a9c21e0b4d655,block=3,family=17"
 
 
-def frame(*words):
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in words)
-
-
 def split_everywhere(make, data):
     """What a cutter gives for each split of the bytes in two, and for one byte at a time."""
     for cut in range(len(data) + 1):
@@ -24,9 +22,9 @@
 
 
 def test_frames_are_the_same_however_the_bytes_come():
-    words = [[b"ASK", b"7", b"segment", FIELDS, ODD], [b"NEVERMIND", b"7"], [b"STATUS", b"8", b""]]
-    data = b"".join(frame(*one) for one in words)
-    assert all(got == words for got in split_everywhere(resp.Frames, data))
+    frames = [[b"ASK", b"7", b"segment", FIELDS, ODD], [b"NEVERMIND", b"7"], [b"STATUS", b"8", b""]]
+    data = b"".join(words(*one) for one in frames)
+    assert all(got == frames for got in split_everywhere(resp.Frames, data))
 
 
 @pytest.mark.parametrize("data", [
@@ -129,8 +127,8 @@
 def test_events_are_the_same_however_the_bytes_come():
     wanted = [coordlines.ListChange(41, False, [coordlines.Member(
         "s-00c41f7a", ("10.1.0.9", 4100), "east", "std", 2, "active", 5)]), coordlines.Beat(41),
-        coordlines.Purge(42, "7f3a9c21e0b4d655", 0, 1764576000123),
-        coordlines.Purge(43, "", 17, 1764576000480), coordlines.Beat(44)]
+        coordlines.Purge(42, 0x7f3a9c21e0b4d655, 0, 1764576000123),
+        coordlines.Purge(43, 0, 17, 1764576000480), coordlines.Beat(44)]
     assert all(got == wanted for got in split_everywhere(coordlines.Events, EVENTS))
 
 
@@ -143,8 +141,8 @@
         list(coordlines.Events().feed(line))
 
 
-HINTS = [datagrams.PlaceLeaves(41, "s-00c41f7a", 5), datagrams.PurgeTold(42, 1 << 63, 0, 1764576000123),
-         datagrams.PurgeTold(43, 0, 17, 1764576000480)]
+HINTS = [datagrams.PlaceLeaves(41, "s-00c41f7a", 5), coordlines.Purge(42, 1 << 63, 0, 1764576000123),
+         coordlines.Purge(43, 0, 17, 1764576000480)]
 
 
 @pytest.mark.parametrize("hint", HINTS)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -23,59 +23,11 @@
 from marbleglade.wire.clients import Clients
 from marbleglade.wire.coordinator import Follower
 from marbleglade.wire.coordlines import ListChange, Member, Purge
-from marbleglade.wire.datagrams import PlaceLeaves, PurgeTold
+from marbleglade.wire.datagrams import PlaceLeaves
 from marbleglade.wire.peers import Peers
 from marbleglade.wire.resp import Ask
 
-from .conftest import MS, OPTIONS
-
-WAIT = 2    # seconds: far above what anything here takes
-
-
-def listening(kind=socket.SOCK_STREAM):
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.bind(("127.0.0.1", 0))
-    if kind == socket.SOCK_STREAM:
-        sock.listen(16)
-    return sock
-
-
-def until(holds):
-    with gevent.Timeout(WAIT):
-        while not holds():
-            gevent.sleep(0.001)
-
-
-class Server:
-    """A stand-in for a cache or a coordinator: `said` holds what came, line by line, of all connections."""
-
-    def __init__(self):
-        self.listener, self.said, self.socks = listening(), [], []
-        self.address = self.listener.getsockname()
-        self.loop = gevent.spawn(self.accept)
-
-    def accept(self):
-        while True:
-            sock, _ = self.listener.accept()
-            self.socks.append(sock)
-            gevent.spawn(self.read, sock)
-
-    def read(self, sock):
-        rest = b""
-        with suppress(OSError):
-            while data := sock.recv(4096):
-                *lines, rest = (rest + data).split(b"\n")
-                self.said += [line.strip().decode() for line in lines if line.strip()]
-
-    def heard(self, count):
-        until(lambda: len(self.said) >= count)
-        return self.said[-1]
-
-    def close(self):
-        self.loop.kill()
-        self.listener.close()
-        for sock in self.socks:
-            sock.close()
+from .conftest import LINE, MS, OPTIONS, WAIT, Server, listening, until, words
 
 
 class Decide:
@@ -172,10 +124,6 @@
     return "".join([f"*{len(words)}\r\n", *(f"${len(one)}\r\n{one}\r\n" for one in words)]).encode()
 
 
-def words(*said):
-    return b"*%d\r\n" % len(said) + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in said)
-
-
 def answering(world, data, place=0, after=1):
     """Says this on the server's connection once so many lines have come."""
     def act(go):
@@ -267,7 +215,7 @@
         elif told == "over":
             go.launch.retrieval.over = True
         elif told == "purge":
-            world.front.apply(Purge(2, "", 4, 0))
+            world.front.apply(Purge(2, 0, 4, 0))
         else:
             world.list("s2", whole=True)
     assert world.fly(meanwhile=act, source=source).outcome is Outcome.CALLED_OFF
@@ -361,7 +309,7 @@
     sock.recv(4096)
     sock.sendall(ask(world, 8, more=copy))
     assert sock.recv(4096) == words(*answer) and len(world.server.said) == 1
-    world.front.apply(Purge(2, "7f3a9c21e0b4d655", 0, int(time.time() * 1000) + 5000))
+    world.front.apply(Purge(2, 0x7f3a9c21e0b4d655, 0, int(time.time() * 1000) + 5000))
     sock.sendall(ask(world, 9))
     world.server.heard(2)
 
@@ -486,9 +434,6 @@
     assert world.counters.counts["trouble.retrieval"] == 1
 
 
-LINE = b'{"index":%d,"evict":{"shard":%d,"unix_ms":1}}\n'
-
-
 def test_the_coordinator_is_followed_from_the_last_number(world):
     coordinator, seen = Server(), []
     follower = Follower(coordinator.address, 4, seen.append, world.guard, silent=0.1, pause=0.001)
@@ -520,9 +465,9 @@
     world.list("s1", "s2")
     world.front.pass_on(ListChange(2, False, [Member("s2", ("127.0.0.1", 9), "z", "box", 0, "leaving", 0)]))
     world.front.pass_on(ListChange(3, False, [Member("s3", ("127.0.0.1", 9), "z", "box", 0, "active", 0)]))
-    world.front.pass_on(Purge(4, "1f", 0, 5))
+    world.front.pass_on(Purge(4, 0x1f, 0, 5))
     until(lambda: len(heard) == 2)
-    assert heard == [PlaceLeaves(2, "s2", 0), PurgeTold(4, 31, 0, 5)]
+    assert heard == [PlaceLeaves(2, "s2", 0), Purge(4, 31, 0, 5)]
     for hint in (PlaceLeaves(5, "s1", 0), PlaceLeaves(5, "s1", 0), PlaceLeaves(6, "s3", 8),
                  PlaceLeaves(7, "unknown", 0)):
         ends[0].tell(hint)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -20,8 +20,7 @@
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
 
-from .conftest import MS, OPTIONS
-from .test_connections import LINE, Server, listening, until, words
+from .conftest import LINE, MS, OPTIONS, Server, listening, until, words
 
 S = 1000 * MS
 
