SIGHUP follows the coordinator of the new configuration; silence counts whole lines

Now: the file is read again, its coordinator followed at once from the last number (the old socket is closed under whatever waits on it), peers renewed, what can't change named; a bad file changes nothing. Silence is two beats without a whole line. A gap is asked for once more. An event that can't be used keeps its number.

--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -16,6 +16,7 @@
 from .life.counters import Counters
 from .life.guard import Guard
 from .life.log import Log
+from .life.renewal import Renewals
 from .life.stop import Stop
 from .memory.copies import Copies
 from .memory.places import Places
@@ -52,6 +53,7 @@
     for event in told.known:
         guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.pass_on, guard)
+    peers = None
     work = [follower.run, front.probe, lambda: clients.accept(listener)]
     if around.peer_messages and told.peer_listen and told.peers_all:
         peers = Peers(told.peer_listen, told.peers, told.peers_all, front.heed, guard)
@@ -66,6 +68,8 @@
         stop.ask(clock.now())
         log.say("stopping", open=len(facade.open))
 
+    renewals = Renewals(os.environ, told.fixed, follower, peers, log)
+    gevent.signal_handler(signal.SIGHUP, guard.run, "renewal", renewals.renew)
     gevent.signal_handler(signal.SIGUSR1, tell)
     gevent.signal_handler(signal.SIGTERM, leave)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -8,7 +8,11 @@
 import orjson
 
 from ..ground import Missing, Surroundings, read_ground
-from ..wire.coordlines import ListChange, Purge, address, event
+from ..wire.coordlines import ListChange, Other, Purge, address, event
+
+# What a running front can't change.
+FIXED = ("name", "listen", "seed", "limits", "settings", "peer_listen", "flow_bytes_per_s",
+         "link_bytes_per_s")
 
 
 class Unfit(Exception):
@@ -29,9 +33,25 @@
     last: int               # number of the last event that `known` holds
     known: list[ListChange | Purge]
     around: Surroundings
+    fixed: dict[str, bytes]
 
 
-def read(environ: Mapping[str, str]) -> Assignment:
+@dataclass(slots=True)
+class Renewal:
+    """What a running front takes over from a new configuration, and what it can't, to be compared."""
+
+    coordinator: tuple[str, int]
+    known: list[ListChange | Purge | Other]
+    peers: list[tuple[str, int]] | None
+    peers_all: tuple[str, int] | None
+    fixed: dict[str, bytes]
+
+
+def fixed(told: dict) -> dict[str, bytes]:
+    return {field: orjson.dumps(told[field], option=orjson.OPT_SORT_KEYS) for field in FIXED if field in told}
+
+
+def load(environ: Mapping[str, str]) -> dict:
     path = environ.get("GW_CONFIG")
     if not path:
         raise Unfit("GW_CONFIG is not set")
@@ -42,6 +62,26 @@
         raise Unfit(f"the file that GW_CONFIG names can't be read: {trouble}") from trouble
     if not isinstance(told, dict):
         raise Unfit("the configuration is no object")
+    return told
+
+
+def reread(environ: Mapping[str, str]) -> Renewal:
+    told = load(environ)
+    try:
+        field = "coordinator"
+        coordinator = address(told["coordinator"])
+        field = "known"
+        known = [event(one) for one in (told.get("known") or {}).get("updates") or ()]
+        field = "peers or peers_all"
+        peers = [address(one) for one in told["peers"]] if told.get("peers") else None
+        peers_all = address(told["peers_all"]) if told.get("peers_all") else None
+    except (ValueError, KeyError, TypeError, AttributeError) as trouble:
+        raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
+    return Renewal(coordinator, known, peers, peers_all, fixed(told))
+
+
+def read(environ: Mapping[str, str]) -> Assignment:
+    told = load(environ)
     for field in ("name", "listen", "seed", "limits", "coordinator", "known", "settings"):
         if field not in told:
             raise Unfit(f"the configuration lacks {field}")
@@ -60,7 +100,7 @@
         coordinator = address(told["coordinator"])
         field = "known"
         last = int(told["known"]["index"])
-        known = [one for one in map(event, told["known"]["updates"]) if one]
+        known = [one for one in map(event, told["known"]["updates"]) if not isinstance(one, Other)]
         field = "peers"
         peers = [address(one) for one in told.get("peers") or ()]
         field = "peer_listen"
@@ -71,4 +111,4 @@
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
     return Assignment(str(told["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
-                      peers, peers_all, last, known, around)
+                      peers, peers_all, last, known, around, fixed(told))
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -1,18 +1,19 @@
-"""The connection to the coordinator: follows its events and starts anew where it falls silent."""
+"""The connection to the coordinator: follows its events and starts anew where it falls silent or is moved."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
 
-import gevent
 from gevent import socket
+from gevent.event import Event as Signal
 
 from ..life.guard import Guard
-from .coordlines import BadLine, Beat, Events, ListChange, Purge, encode_follow
+from .coordlines import BadLine, Beat, Event, Events, ListChange, Other, Purge, encode_follow
 
 CHUNK = 1 << 16
 BEAT = 1.0          # seconds: the protocol promises a line as often
-SILENT = 3 * BEAT
+SILENT = 2 * BEAT   # of whole lines: bytes alone are no sign of life
 
 
 class Follower:
@@ -20,33 +21,65 @@
                  guard: Guard, silent: float = SILENT, pause: float = BEAT / 4) -> None:
         self.address, self.last, self.apply, self.guard = address, last, apply, guard
         self.counters, self.silent, self.pause = guard.counters, silent, pause
+        self.sock: socket.socket | None = None
+        self.moved = Signal()
+        self.gap = -1       # the last number after which one was found to be missing
 
     def run(self) -> None:
         while True:
+            self.moved.clear()
             try:
                 self._follow()
             except (OSError, BadLine) as trouble:
                 self.counters.add(f"coordinator.{type(trouble).__name__}")
             except Exception as trouble:
                 self.guard.note("coordinator", trouble)
-            gevent.sleep(self.pause)
+            self.moved.wait(self.pause)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Follows another address, from the last number and at once, whatever is being waited for."""
+        self.address = address
+        self.moved.set()
+        if self.sock:
+            self.sock.close()
+
+    def catch_up(self, events: Iterable[Event]) -> None:
+        """Events told another way, by a new configuration; only what follows on is taken."""
+        for event in events:
+            if event.index == self.last + 1:
+                self._heard(event)
 
     def _follow(self) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.settimeout(self.silent)        # of each call: a silent one means to start anew
+            sock.settimeout(self.silent / 2)
             sock.connect(self.address)
             sock.sendall(encode_follow(self.last))
             self.counters.add("coordinator.connected")
-            events = Events()
-            while data := sock.recv(CHUNK):
+            events, heard = Events(), time.monotonic()
+            while True:
+                sock.settimeout(max(heard + self.silent - time.monotonic(), 1e-3))
+                if not (data := sock.recv(CHUNK)):
+                    return
                 for event in events.feed(data):
-                    if isinstance(event, Beat):
-                        if event.index > self.last:
-                            raise BadLine("an event is missing")
-                    elif event.index > self.last:
-                        self.last = event.index
-                        self.apply(event)
-                        self.counters.add("coordinator.events")
+                    self._heard(event)
+                    heard = time.monotonic()
         finally:
+            self.sock = None
             sock.close()
+
+    def _heard(self, event: Event) -> None:
+        """Each number once and in turn. A gap is asked for anew, but only once: it may be all there is."""
+        beat = isinstance(event, Beat)
+        if event.index > (self.last if beat else self.last + 1) and self.gap != self.last:
+            self.gap = self.last
+            raise BadLine("an event is missing")
+        if beat or event.index <= self.last:
+            self.counters.add("coordinator.doubled", not beat)
+            return
+        self.last = event.index
+        self.counters.add("coordinator.events")
+        if isinstance(event, Other):
+            self.counters.add("coordinator.unknown")
+        else:
+            self.guard.run("event", self.apply, event)
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 
 import orjson
 
+from ..ground import STATES
+
 LONGEST_LINE = 1 << 20      # a whole list stands on one line
 
 
@@ -49,28 +52,48 @@
     index: int
 
 
-Event = ListChange | Purge | Beat
+@dataclass(slots=True)
+class Other:
+    """An event of a kind that is not known here, or that can't be used; its number counts all the same."""
+
+    index: int
+
+
+Event = ListChange | Purge | Other | Beat
 
 
 def address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    return host, int(port)
+    if not 0 < int(port) < 1 << 16:
+        raise ValueError(f"no port: {text}")
+    return str(IPv4Address(host)), int(port)
+
+
+def event(value: dict) -> ListChange | Purge | Other:
+    """One event as a typed value."""
+    index = value["index"]
+    if type(index) is not int or index < 0:
+        raise ValueError("no number")
+    try:
+        return _content(index, value)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return Other(index)
 
 
-def event(value: dict) -> ListChange | Purge | None:
-    """One event as a typed value; None for a kind that is not known here."""
-    index = int(value["index"])
+def _content(index: int, value: dict) -> ListChange | Purge | Other:
     if "endpoints" in value:
         told = value["endpoints"]
         members = [Member(str(one["id"]), address(one["addr"]), one["zone"], one["kind"],
                           int(one.get("cell") or 0), one["state"], int(one.get("started_ms") or 0))
                    for one in told["servers"]]
+        if not all(one.state in STATES for one in members):
+            raise ValueError("no state")
         return ListChange(index, bool(told.get("full")), members)
     if "evict" in value:
         told = value["evict"]
         thing, group = int(told.get("ref") or "0", 16), int(told.get("shard") or 0)
         return Purge(index, thing, group, int(told["unix_ms"]))
-    return None
+    return Other(index)
 
 
 def encode_follow(last: int) -> bytes:
@@ -95,8 +118,6 @@
                 continue
             try:
                 value = orjson.loads(line)
-                read = Beat(value) if isinstance(value, int) else event(value)
-            except (ValueError, KeyError, TypeError, AttributeError) as trouble:
+                yield Beat(value) if type(value) is int else event(value)
+            except (ValueError, KeyError, TypeError) as trouble:
                 raise BadLine("not an event") from trouble
-            if read:
-                yield read
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -18,6 +18,9 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(listen)
 
+    def renew(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+        self.peers, self.everyone = set(peers), everyone or self.everyone
+
     def tell(self, hint: Hint) -> None:
         """To every front of the tier; what can't go at once does not go."""
         data = encode(hint)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -170,6 +170,38 @@
     coordinator.close()
 
 
+def test_a_new_configuration_moves_the_coordinator_and_a_bad_one_changes_nothing(program, tmp_path):
+    process, door, cache, coordinator = program
+    file, other = tmp_path / "c.json", Server()
+    text, lines = file.read_text(), []
+
+    def renew(text):
+        file.write_text(text)
+        process.send_signal(signal.SIGHUP)
+        while not lines or lines[-1]["event"] != "renewal":
+            lines.append(orjson.loads(process.stderr.readline()))
+        return lines.pop()
+
+    for bad in ("{", "[]", json.dumps(json.loads(text) | {"coordinator": "x"})):
+        assert "unfit" in renew(bad)
+    new = json.loads(text) | {"coordinator": f"{other.address[0]}:{other.address[1]}", "seed": "1",
+                              "name": "n9"}
+    new["known"]["updates"].append({"index": 3, "evict": {"shard": 9, "unix_ms": 5}})
+    assert renew(json.dumps(new))["not_changed"] == ["name", "seed"]
+    assert other.heard(1) == "follow 3"
+    sock = socket.create_connection(door)
+    sock.sendall(ask(2, 2))
+    cache.heard(1)
+    process.send_signal(signal.SIGTERM)
+    assert renew(text)["last"] == 3             # again, and while it stops
+    assert coordinator.heard(2) == "follow 3" and coordinator.said == ["follow 2", "follow 3"]
+    cache.socks[0].sendall(cache.said[0].split()[1].encode() + b" HIT - 2\r\nok\r\n")
+    assert sock.recv(4096) == words(b"2", b"ok", b"", b"ok")
+    until(lambda: process.poll() is not None)
+    assert process.returncode == 0
+    other.close()
+
+
 def ask(tag, trace):
     fields = b"trace=%016x,patience=2000,entity=7f3a9c21e0b4d655,block=0,family=17" % trace
     return words(b"ASK", b"%d" % tag, b"page", fields, b"")
