A retrieval takes less of the core: no spare greenlets, timers and hashes on its way

Seen: on rate+silent+leave (simulated servers) both fronts use all of their 0.70 core from the fifteenth second on; user time is five times kernel time, so it is our own code (read off /proc and a sampling profiler). The profile is flat: a starter greenlet and two timers for each launch, a queue, a generator for each call of the decisions, the hash of each place anew, frames word by word. Also: a trouble amid a retrieval no longer leaves its launches on the books of the decisions; a connection on which bytes come that belong to nothing is not used again; a flood on one connection gives others their turn.

--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -78,6 +79,7 @@
     listener.listen(told.descriptors)
     for one in work:
         gevent.spawn(one)
+    gc.freeze()     # what a front starts with stays; the collector need not look at it again
     log.say("ready", places=len(places.by_id), last=told.last)
 
     swept = clock.now()
--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -10,6 +10,7 @@
 import heapq
 import zlib
 from collections import OrderedDict
+from functools import lru_cache
 from hashlib import blake2b
 
 from .interface import (NEVER_RAN, Actions, Cache, Ground, Group, Launch, Outcome, Profile, Repeat, Retrieval,
@@ -309,8 +310,7 @@
             part = (standing.wrong + SHUT_AT / 8) / (standing.wrong + source.memory.wrong + SHUT_AT / 4)
             choice.blame(cache, part, now)
             choice.blame(source, 1 - part, now)
-        # A further launch keeps to the cache, which may hold the object by then, and takes the next source;
-        # only a second failure, or one that can be none but the cache's, moves it to the next cache.
+        # A further launch keeps to the cache and takes the next source; a second failure moves it on.
         lost = launch.retrieval.plan.lost
         if outcome is not Outcome.CALLED_OFF:
             lost.append(cache if source in lost or outcome in (
@@ -436,12 +436,12 @@
             return longest if grace else 0
         return age
 
-    def score(self, thing: int, part: int, cache: Cache) -> int:
-        return int.from_bytes(blake2b(b"%d %d " % (thing, part) + cache.mark, digest_size=8).digest())
+    score = staticmethod(lru_cache(LISTED)(lambda thing, part, mark: int.from_bytes(
+        blake2b(b"%d %d " % (thing, part) + mark, digest_size=8).digest())))
 
     def ranked(self, caches: list[Cache], thing: int, part: int) -> list[Cache]:
         """Caches or parents in the order that every front gives this object or part of it."""
-        return sorted(caches, key=lambda one: self.score(thing, part, one), reverse=True)
+        return sorted(caches, key=lambda one: self.score(thing, part, one.mark), reverse=True)
 
     def in_slice(self, retrieval: Retrieval, cache: Cache, now: int) -> bool:
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
@@ -456,7 +456,7 @@
         standing, rate = cache.memory, share * self.asked.sum / self.asked.over / self.most[parent]
         step, standing.paid_at = now - max(standing.paid_at, cache.born), now
         standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
-        return standing.paid >= 0 and self.score(retrieval.object, -1, cache) / 2**64 < share
+        return standing.paid >= 0 and self.score(retrieval.object, -1, cache.mark) / 2**64 < share
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -7,13 +7,11 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
-import gevent
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 from gevent.queue import SimpleQueue
 
 from .ground import file_report
@@ -64,13 +62,12 @@
         self.inside, self.moment = False, clock()
         self.decisions = decide(ground, self)
 
-    @contextmanager
-    def calling(self) -> Iterator[Decisions]:
-        """The decisions, for one call; the clock stands still meanwhile."""
+    def _call(self, method: Callable[..., None], *told: object) -> None:
+        """One call of the decisions; the clock stands still meanwhile."""
         self.counters.must(not self.inside, "reentered")
         self.inside, self.moment = True, self.clock()
         try:
-            yield self.decisions
+            method(*told)
         finally:
             self.inside = False
 
@@ -83,17 +80,17 @@
             if retrieval.over:      # its client left before it was looked at
                 return Final(End.GONE)
             case = self.open.add(retrieval)
-            with self.calling() as decisions:
-                decisions.take(retrieval)
-        if not self.counters.must(not (case.final and case.steps.empty()), "picked_after_end"):
+            self._call(self.decisions.take, retrieval)
+        if not self.counters.must(not case.final or bool(case.steps), "picked_after_end"):
             return Final(End.GONE)
-        left = max(0, retrieval.until - self.clock())
-        with gevent.Timeout(left / 1e9, False):
-            return case.steps.get()
-        # The decisions keep it past its time: it ends here, and is counted.
-        self.counters.must(False, "held_too_long")
-        self._end(case, Final(End.BROKEN_OFF))
-        return case.steps.get()
+        if not case.steps:
+            case.wanted = Event()
+            if not case.wanted.wait(max(0, retrieval.until - self.clock()) / 1e9):
+                # The decisions keep it past its time: it ends here, and is counted.
+                self.counters.must(False, "held_too_long")
+                self._end(case, Final(End.BROKEN_OFF))
+            case.wanted = None
+        return case.steps.popleft()
 
     def report(self, go: Go, outcome: Outcome, bare: bool = False) -> None:
         """Says how a launch ended; `bare`: without bytes. The first that settles is the answer."""
@@ -105,8 +102,7 @@
         launch.outcome, launch.bare, launch.lag = outcome, bare, self.clock() - launch.sent
         if outcome is Outcome.OK and not launch.retrieval.over:
             self._end(case, Final(End.SETTLED))
-        with self.calling() as decisions:
-            decisions.ended(launch)
+        self._call(self.decisions.ended, launch)
 
     def leave(self, retrieval: Retrieval) -> None:
         """The client waits no more."""
@@ -116,38 +112,37 @@
         if case is None or case.final:
             return
         try:
-            with self.calling() as decisions:
-                decisions.gone(retrieval)
+            self._call(self.decisions.gone, retrieval)
         finally:
             self._end(case, Final(End.GONE))
 
     def close(self, retrieval: Retrieval) -> None:
-        """Forgets a retrieval whose last word was carried out."""
+        """Forgets a retrieval whose last word was carried out, and what a trouble left of its launches."""
+        case = self.open.cases.get(retrieval)
+        for go in list(case.out.values()) if case else ():
+            self.report(go, Outcome.CALLED_OFF)
         self.open.drop(retrieval)
+        retrieval.launches = []     # nothing points back: it goes at once, not when the collector comes by
 
     def last_call(self) -> None:
         """The front stops and can wait no longer: the decisions give up whatever is still open."""
         for case in list(self.open.cases.values()):
             if not case.final:
-                with self.calling() as decisions:
-                    decisions.gone(case.retrieval)
-                    decisions.give_up(case.retrieval)
+                self._call(self.decisions.gone, case.retrieval)
+                self._call(self.decisions.give_up, case.retrieval)
 
     def tick(self) -> int:
         """Runs what is due; gives the time at which something is due next."""
         while self.due and self.due[0] <= self.clock():
             heapq.heappop(self.due)
-            with self.calling() as decisions:
-                decisions.woken()
+            self._call(self.decisions.woken)
         return self.due[0] if self.due else 0
 
     def listed(self, caches: list[Cache], whole: bool) -> None:
-        with self.calling() as decisions:
-            decisions.listed(caches, whole)
+        self._call(self.decisions.listed, caches, whole)
 
     def purged(self, thing: int, group: int, at: int) -> None:
-        with self.calling() as decisions:
-            decisions.purged(thing, group, at)
+        self._call(self.decisions.purged, thing, group, at)
 
     def pick_probe(self) -> Cache:
         """Blocks until a place is to be probed."""
@@ -160,7 +155,12 @@
     def _end(self, case: Case, final: Final) -> None:
         if self.counters.must(not case.final, "ended_twice"):
             case.final = case.retrieval.over = True
-            case.steps.put(final)
+            self._next(case, final)
+
+    def _next(self, case: Case, step: Go | Final) -> None:
+        case.steps.append(step)
+        if case.wanted:
+            case.wanted.set()
 
     # What the decisions ask for; see `interface.Actions`.
 
@@ -174,8 +174,8 @@
         case = self.open.cases[retrieval]
         retrieval.launches.append(launch)
         go = Go(launch, age, join, renew, held_only, keep, AsyncResult())
-        case.out[launch] = go.ended
-        case.steps.put(go)
+        case.out[launch] = go
+        self._next(case, go)
         return launch
 
     def settle(self, retrieval: Retrieval) -> None:
@@ -183,9 +183,9 @@
 
     def call_off(self, launch: Launch) -> None:
         case = self.open.cases.get(launch.retrieval)
-        ended = case and case.out.get(launch)
-        if ended and not ended.ready():
-            ended.set(None)
+        go = case and case.out.get(launch)
+        if go and not go.ended.ready():
+            go.ended.set(None)
 
     def push_back(self, retrieval: Retrieval, retry_after: int = 0) -> None:
         self._end(self.open.cases[retrieval], Final(End.PUSHED_BACK, retry_after))
--- a/marbleglade/memory/open.py
+++ b/marbleglade/memory/open.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
+from typing import Any
 
-from gevent.event import AsyncResult
-from gevent.queue import SimpleQueue
+from gevent.event import Event
 
 from ..interface import Launch, Retrieval
 
 
 @dataclass(slots=True, eq=False)
 class Case:
-    """An open retrieval: `steps` holds what was decided and not yet picked up."""
+    """An open retrieval: `steps` holds what was decided and not yet picked up, `wanted` a wait for it."""
 
     retrieval: Retrieval
-    steps: SimpleQueue = field(default_factory=SimpleQueue)
-    out: dict[Launch, AsyncResult] = field(default_factory=dict)    # launches out; setting one calls it off
+    steps: deque = field(default_factory=deque)
+    wanted: Event | None = None
+    out: dict[Launch, Any] = field(default_factory=dict)    # launches out, each with what was asked for
     final: bool = False
 
 
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -60,6 +60,8 @@
 
     def report(self) -> dict[str, float]:
         """The load report; empty where none that can be read came along."""
+        if "report" not in self.fields:
+            return {}
         pairs = (one.partition(":")[::2] for one in self.fields.get("report", "").split(";") if one)
         try:
             return {name: float(value) for name, value in pairs}
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -78,6 +78,14 @@
     stale: bool = False     # the place is gone or began anew: nothing here is used again
 
 
+def send_now(sock: socket.socket, data: bytes) -> int:
+    """Writes what the machine takes at once and never waits; gives how much that was."""
+    try:
+        return sock.send(data, 0, 0.0)
+    except BlockingIOError:
+        return 0
+
+
 class Caches:
     """`fly` carries a launch out and blocks until it has ended."""
 
@@ -95,12 +103,12 @@
 
     def fly(self, ask: Ask, go: Go) -> Ending:
         left = go.launch.sent + go.launch.within - self.clock()
-        return self._wait(Flight(ask.trace, go.ended), left, self._start, ask, go)
+        return self._wait(Flight(ask.trace, go.ended), go.launch.cache, left, self._start, ask, go)
 
     def look(self, cache: Cache, within: int) -> dict[str, float]:
         """Probes a place; gives its load report, or nothing."""
         self.looks += 1
-        ending = self._wait(Flight(f"look{self.looks}", AsyncResult()), within, self._start_look, cache)
+        ending = self._wait(Flight(f"look{self.looks}", AsyncResult()), cache, within, self._start_look)
         if not ending.answer:
             self.counters.add("probe.unanswered")
             return {}
@@ -130,9 +138,14 @@
 
     # How a launch starts.
 
-    def _wait(self, flight: Flight, left: int, start: Callable[..., Ending | None], *told: object) -> Ending:
+    def _wait(self, flight: Flight, cache: Cache, left: int, start: Callable[..., Ending | None],
+              *told: object) -> Ending:
         """Starts a flight and blocks until it has ended, one way or the other."""
-        gevent.spawn(self._guard, start, flight, *told)
+        line = self._idle(cache, flight.id)
+        if line:
+            self._guard(flight, start, line, *told)     # nothing in this waits
+        else:
+            gevent.spawn(self._guard, flight, self._open, cache, start, *told)
         ending: Ending | None = None
         try:
             with gevent.Timeout(max(0, left) / 1e9, False):
@@ -143,7 +156,7 @@
             self._release(flight)
         return ending or Ending(Outcome.TIMEOUT)
 
-    def _guard(self, start: Callable[..., Ending | None], flight: Flight, *told: object) -> None:
+    def _guard(self, flight: Flight, start: Callable[..., Ending | None], *told: object) -> None:
         try:
             ending = start(flight, *told)
         except Exception as trouble:
@@ -152,12 +165,15 @@
         if ending and not flight.ended.ready():
             flight.ended.set(ending)
 
-    def _start(self, flight: Flight, ask: Ask, go: Go) -> Ending | None:
+    def _open(self, flight: Flight, cache: Cache, start: Callable[..., Ending | None],
+              *told: object) -> Ending | None:
+        """Starts on a connection that has to come up first, or to be shared."""
+        line = self._line(cache, flight.id)
+        return start(flight, line, *told) if isinstance(line, Line) else Ending(line)
+
+    def _start(self, flight: Flight, line: Line, ask: Ask, go: Go) -> Ending | None:
         launch = go.launch
         cache, source, retrieval = launch.cache, launch.source, launch.retrieval
-        line = self._line(cache, flight)
-        if not isinstance(line, Line):
-            return Ending(line)
         # The launch may have waited for its connection: what was told since holds for it too.
         if (flight.ended.ready() or retrieval.over or self.purged(retrieval, launch.sent)
                 or cache.state is not State.ACTIVE or source.state is not State.ACTIVE):
@@ -176,38 +192,58 @@
             renew=go.renew, copy=ask.copy, body=ask.body)
         return self._send(line, flight, errand.encode())
 
-    def _start_look(self, flight: Flight, cache: Cache) -> Ending | None:
-        line = self._line(cache, flight)
-        if not isinstance(line, Line):
-            return Ending(line)
+    def _start_look(self, flight: Flight, line: Line) -> Ending | None:
         return self._send(line, flight, encode_look(flight.id))
 
     def _send(self, line: Line, flight: Flight, data: bytes) -> Ending | None:
         flight.line, line.flights[flight.id] = line, flight
         self.counters.add("launch.sent")
+        sent, owned = 0, line.turn.acquire(blocking=False)
+        if owned:
+            try:
+                sent = send_now(line.sock, data)
+            except OSError:
+                line.turn.release()
+                self._close(line)
+                return Ending(Outcome.RESET)
+            if sent == len(data):
+                line.turn.release()
+                return None
+        gevent.spawn(self._push, line, memoryview(data)[sent:], owned)
+        return None
+
+    def _push(self, line: Line, data: memoryview, owned: bool) -> None:
+        """Writes what could not be written at once; the connection ends if it is given up amid it."""
         try:
-            with line.turn:
+            if owned or line.turn.acquire():
                 line.sock.sendall(data)
         except OSError:
             self._close(line)
-            return Ending(Outcome.RESET)
-        return None
+        finally:
+            line.turn.release()
 
-    def _line(self, cache: Cache, flight: Flight) -> Line | Outcome:
-        """An idle connection, or a new one; else why there is none."""
-        place = self.places.get(cache)
-        if place is None:
-            return Outcome.CALLED_OFF
+    def _idle(self, cache: Cache, id: str) -> Line | None:
+        """The connection that was idle for the shortest time, of those that may carry this errand."""
         pool = self.pools.get(cache)
-        if pool is None:
-            pool = self.pools[cache] = Pool()
-        for line in reversed(pool.idle):
-            if flight.id not in line.undone:
+        for line in list(reversed(pool.idle)) if pool else ():
+            if line.answers.amid:       # more than belongs to it is coming in: no further use
+                self._close(line)
+            elif id not in line.undone:
                 pool.idle.remove(line)
                 self.counters.add("cache.reused")
                 return line
+        return None
+
+    def _line(self, cache: Cache, id: str) -> Line | Outcome:
+        """A new connection, or one that has become idle or is shared; else why there is none."""
+        place = self.places.get(cache)
+        if place is None:
+            return Outcome.CALLED_OFF
+        pool = self.pools.setdefault(cache, Pool())
+        if line := self._idle(cache, id):
+            return line
         if self.count >= self.most and not self._spare():
-            return self._shared(pool, flight.id) or Outcome.MOOT
+            return self._shared(pool, id) or Outcome.MOOT
         self.count += 1
         sock = None
         try:
@@ -216,10 +252,12 @@
             sock.settimeout(self.connect_timeout / 1e9 or None)
             sock.connect(place.address)
             sock.settimeout(None)
-        except OSError:
+        except BaseException as trouble:
             self.count -= 1
             if sock is not None:
                 sock.close()
+            if not isinstance(trouble, OSError):
+                raise
             self.counters.add("cache.unreached")
             return Outcome.UNREACHED
         self.counters.add("cache.opened")
@@ -314,12 +352,10 @@
         self.counters.add("launch.undone")
         line.undone.add(flight.id)
         undo = encode_undo(flight.id)
-        line.sock.settimeout(0.0)       # a machine that takes no more bytes must not hold up the answer
-        try:
-            whole = line.sock.send(undo) == len(undo)
+        try:    # a machine that takes no more bytes must not hold up the answer
+            whole = send_now(line.sock, undo) == len(undo)
         except OSError:
             whole = False
-        line.sock.settimeout(None)
         if whole:
             self._rest(line)
         else:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -6,16 +6,18 @@
 
 import gevent
 from gevent import socket
-from gevent.lock import RLock
+from gevent.lock import Semaphore
 
 from ..facade import End
 from ..front import Front, Reply
 from ..interface import Retrieval
 from ..life.guard import Guard
+from .caches import send_now
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
 
 CHUNK = 1 << 16
 MOST_OPEN = 32      # the protocol's bound on one connection
+TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -25,7 +27,8 @@
     def __init__(self, sock: socket.socket, clock: Callable[[], int]) -> None:
         self.sock, self.frames = sock, Frames()
         self.open: dict[int, Retrieval] = {}
-        self.turn = RLock()
+        self.turn = Semaphore()         # to write
+        self.due: list[bytes] = []      # answers of the door, written together
         self.last = clock()
         self.buffered = 0       # bytes of a frame that is not whole yet
         self.ended = self.closed = False    # the client sends no more; nothing can be written any more
@@ -72,10 +75,15 @@
         try:
             while data := client.sock.recv(CHUNK):
                 client.last = self.clock()
-                for words in client.frames.feed(data):
-                    if client.closed:
-                        return
-                    self._heard(client, words)
+                frames = client.frames.feed(data)
+                for start in range(0, len(frames), TURN):
+                    if start:       # a flood from one must not hold up the others
+                        gevent.sleep(0)
+                    for words in frames[start:start + TURN]:
+                        if client.closed:
+                            return
+                        self._heard(client, words)
+                    self._flush(client)
                 self.buffered += len(client.frames.buffer) - client.buffered
                 client.buffered = len(client.frames.buffer)
                 if self.buffered > self.most_buffered:
@@ -103,19 +111,19 @@
             if (len(client.open) >= MOST_OPEN or self.front.refuse()
                     or self.buffered + len(message.body) > self.most_buffered):
                 self.counters.add("retrieval.refused_at_door")
-                self._write_now(client, message.tag, b"full")
+                self._at_door(client, message.tag, b"full")
                 return
             retrieval = client.open[message.tag] = self.front.take(message)
-            gevent.spawn(self._serve, client, message, retrieval)
+            gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
         elif isinstance(message, Nevermind):
             if (retrieval := client.open.pop(message.tag, None)) is not None:
                 self.counters.add("retrieval.nevermind")
                 self.guard.run("leave", self.front.facade.leave, retrieval)
         elif isinstance(message, Status):
-            self._write_now(client, message.tag, b"yes" if self.ready() else b"no")
+            self._at_door(client, message.tag, b"yes" if self.ready() else b"no")
         else:
             self.counters.add("client.unusable")
-            self._write_now(client, message.tag, b"fault")
+            self._at_door(client, message.tag, b"fault")
 
     def _serve(self, client: Client, ask: Ask, retrieval: Retrieval) -> None:
         self.buffered += len(ask.body)
@@ -130,42 +138,50 @@
             fields = b"pause=%d" % max(1, reply.retry_after // 1_000_000)
         elif reply.same:
             fields = b"keep=1"
-        left = max(retrieval.until + self.slack - self.clock(), 0)
-        with gevent.Timeout(left / 1e9, False):
-            self._write(client, tag, WORDS[reply.end], fields, reply.body, retrieval)
-        if client.open.pop(tag, None) is not None:
-            # Begun, or never got its turn: the client does not read. It can tell, as the connection ends.
-            self.counters.add("client.slow_reader")
-            self._close(client)
+        word, left = WORDS[reply.end], retrieval.until + self.slack - self.clock()
+        data = encode(tag, word, fields, reply.body)
+        if self._write(client, data, left, lambda: client.open.get(tag) is retrieval):
+            client.open.pop(tag, None)
+            self.counters.add(f"answer.{word.decode()}")
+            self.counters.add("answer.bytes", len(reply.body))
         if client.ended and not client.open:
             self._close(client)
 
-    def _write_now(self, client: Client, tag: int, word: bytes) -> None:
-        """Answers at the door. Nothing more is read of a client that does not take it, and it is closed."""
-        written = False
-        with gevent.Timeout(self.idle_close / 1e9 or None, False):
-            self._write(client, tag, word)
-            written = True
-        if not written:
-            self.counters.add("client.slow_reader")
-            self._close(client)
-
-    def _write(self, client: Client, tag: int, word: bytes, fields: bytes = b"", body: bytes = b"",
-               retrieval: Retrieval | None = None) -> None:
-        with client.turn:
-            # A client that left meanwhile gets nothing more.
-            if client.closed or (retrieval and client.open.get(tag) is not retrieval):
-                return
+    def _at_door(self, client: Client, tag: int, word: bytes) -> None:
+        self.counters.add(f"answer.{word.decode()}")
+        client.due.append(encode(tag, word))
+
+    def _flush(self, client: Client) -> None:
+        """Writes the door's answers. Nothing more is read of a client that does not take them."""
+        if client.due:
+            data, client.due = b"".join(client.due), []
+            self._write(client, data, self.idle_close)
+
+    def _write(self, client: Client, data: bytes, left: int,
+               wanted: Callable[[], bool] = lambda: True) -> bool:
+        """True once all is written. A client that does not take it in time is closed; so it can tell."""
+        due, sent = self.clock() + left, 0
+        if client.turn.acquire(timeout=max(left, 0) / 1e9):
             try:
-                client.sock.sendall(encode(tag, word, fields, body))
+                if client.closed or not wanted():       # it left meanwhile and gets nothing more
+                    return False
+                sent = send_now(client.sock, data)
+                if sent < len(data):
+                    with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
+                        client.sock.sendall(memoryview(data)[sent:])
+                        sent = len(data)
             except OSError:
                 self.counters.add("client.write_failed")
                 self._close(client)
-                return
-            client.last = self.clock()
-            client.open.pop(tag, None)
-            self.counters.add(f"answer.{word.decode()}")
-            self.counters.add("answer.bytes", len(body))
+                return False
+            finally:
+                client.turn.release()
+        if sent < len(data):
+            self.counters.add("client.slow_reader")
+            self._close(client)
+            return False
+        client.last = self.clock()
+        return True
 
     def _close(self, client: Client) -> None:
         if client.closed:
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -14,6 +14,11 @@
 NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
+# An ask as clients send it, up to its body: read at one go, since nothing else comes as often.
+USUAL = re.compile(rb"\*5\r\n\$3\r\n(ASK)\r\n\$(\d\d?)\r\n([0-9]{1,18})\r\n\$(\d{1,3})\r\n([!-~]{1,99})"
+                   rb"\r\n\$(\d{1,4})\r\n([!-~]{1,4096})\r\n\$(\d{1,6})\r\n")
+
+
 class BadFrame(Exception):
     """Bytes that no client of this protocol sends; the connection can't be followed any more."""
 
@@ -66,7 +71,13 @@
     def feed(self, data: bytes) -> list[list[bytes]]:
         self.buffer += data
         frames, at = [], 0
-        while (after := self._step(at)) >= 0:
+        while True:
+            if not self.due and (frame := self._usual(at)):
+                at = frame.pop()
+                frames.append(frame)
+                continue
+            if (after := self._step(at)) < 0:
+                break
             at = after
             if not self.due and self.words:
                 frames.append(self.words)
@@ -74,6 +85,17 @@
         del self.buffer[:at]
         return frames
 
+    def _usual(self, at: int) -> list | None:
+        """The words of a usual ask that is here whole, and where the next frame begins."""
+        if not (found := USUAL.match(self.buffer, at)):
+            return None
+        _, tag_size, tag, name_size, name, size, fields, body_size = found.groups()
+        start, stop = found.end(), found.end() + int(body_size)
+        if ((int(tag_size), int(name_size), int(size)) != (len(tag), len(name), len(fields))
+                or stop - start > LONGEST_OBJECT or self.buffer[stop:stop + 2] != b"\r\n"):
+            return None
+        return [b"ASK", tag, name, fields, bytes(self.buffer[start:stop]), stop + 2]
+
     def _step(self, at: int) -> int:
         """Takes one array head or one word; says where the next begins, or -1 where more bytes are needed."""
         end = self.buffer.find(b"\r\n", at, at + 24)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -156,7 +156,7 @@
 
 def test_a_call_from_within_a_call_is_noticed(host):
     facade, script, clock = host
-    script.on_take = lambda one: facade.purged(1, 0, 0)
+    script.on_take = lambda one: facade._call(script.gone, one)
     with pytest.raises(AssertionError, match="reentered"):
         facade.pick(retrieval(clock))
     assert not facade.inside
