--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -325,7 +325,7 @@
         full, most = launch.outcome is Outcome.FULL, plan.work + retrieval.profile.agreed
         # Turned away means that the last link had no place. One long wait must not outweigh what comes after.
         took = most if full else min(launch.lag - self.choice.slack(retrieval), most * 2)
-        # A quick answer speaks for all links on its way, a slow one for the likely cause; one lost is no crowd.
+        # A quick answer speaks for all links on its way, a slow one for the likely cause; one lost, for none.
         cause, ok = launch.plan[0 if launch.told is Told.HIT else -1][0], launch.outcome is Outcome.OK
         late = launch.lag > retrieval.profile.agreed
         cause.lost += ((late and not ok) - cause.lost) * LATELY
@@ -372,7 +372,7 @@
         for cache in [*entries, *gone]:
             if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
-                link = Link(self.ground.crew, now, self.entry_age, self.edges if cache.role is Role.CACHE else None)
+                link = Link(self.ground.crew, now, self.entry_age, (cache.role is Role.CACHE and self.edges) or None)
                 cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.known.pop(cache, None)
