--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -365,14 +365,14 @@
     # What the front calls.
 
     def listed(self, entries: list[Cache], whole: bool) -> None:
-        now = self.actions.now()
+        now, crew = self.actions.now(), self.ground.crew
         gone = [one for one in self.known if one not in entries] if whole else []
         for cache in gone:
             cache.state = State.LEFT
         for cache in [*entries, *gone]:
             if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
-                link = Link(self.ground.crew, now, self.entry_age, (cache.role is Role.CACHE and self.edges) or None)
+                link = Link(crew, now, self.entry_age, self.edges if cache.role is Role.CACHE else None)
                 cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.known.pop(cache, None)
