First decisions are taken where a retrieval is read; one buffer for all reads

A third of the retrievals end with the first decision (own copies), and each had a greenlet of its own. Now the first decision is taken by the reader; fields of an ask are cut by one expression; reads share one buffer. Bytes that wait for a slow reader count against the room of the clients.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -430,7 +430,7 @@
     def age_limit(self, retrieval: Retrieval, now: int, grace: int = 0) -> int:
         """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
         at = max(self.purges.get(("object", retrieval.object), 0),
-                 self.purges.get(("group", retrieval.group), 0))
+                 self.purges.get(("group", retrieval.group), 0)) if self.purges else 0
         longest = retrieval.profile.fresh + grace
         age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
         if 0 < longest < age or now - at > self.ground.purge_time * 3 // 2:
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -73,14 +73,21 @@
 
     # What the front calls.
 
+    def first(self, retrieval: Retrieval) -> Final | None:
+        """Hands a new retrieval to the decisions; gives their last word if that was their first."""
+        case = self.open.add(retrieval)
+        self._call(self.decisions.take, retrieval)
+        return case.steps.popleft() if case.final else None
+
     def pick(self, retrieval: Retrieval) -> Go | Final:
         """Blocks until there is a launch to make or the last word."""
         case = self.open.cases.get(retrieval)
         if case is None:
             if retrieval.over:      # its client left before it was looked at
                 return Final(End.GONE)
-            case = self.open.add(retrieval)
-            self._call(self.decisions.take, retrieval)
+            if final := self.first(retrieval):
+                return final
+            case = self.open.cases[retrieval]
         if not self.counters.must(not case.final or bool(case.steps), "picked_after_end"):
             return Final(End.GONE)
         if not case.steps:
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -34,6 +34,7 @@
     body: bytes = b""
 
 
+ENDED = {end: f"retrieval.{end.name.lower()}" for end in End}
 SAME = 20       # the protocol's price of telling a client that its copy holds: one part in so many
 
 
@@ -55,14 +56,12 @@
         return Retrieval(ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience,
                          ask.again)
 
-    def hold(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
-        """Shows the decisions the front's own copy; gives what the client gets if they choose it."""
-        copy = self.copies.get(retrieval.object, retrieval.part)
-        if copy is None:
-            return None
-        same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
-        retrieval.held = Held(work // SAME if same else work, copy.issued)
-        return Reply(End.SETTLED, 0, same, b"" if same else copy.body)
+    def hold(self, ask: Ask, retrieval: Retrieval) -> None:
+        """Shows the decisions the front's own copy, if there is one."""
+        if copy := self.copies.get(retrieval.object, retrieval.part):
+            same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
+            retrieval.held = Held(work // SAME if same else work, copy.issued,
+                                  Reply(End.SETTLED, 0, same, b"" if same else copy.body))
 
     def keep(self, retrieval: Retrieval, ending: Ending) -> None:
         """Files what came as a copy of the front's own."""
@@ -79,13 +78,26 @@
         self.counters.add("retrieval.no_room")
         return True
 
+    def answer_now(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
+        """Looks at a retrieval; its reply if the first decision is the last word, else `serve` goes on."""
+        try:
+            self.hold(ask, retrieval)
+            final = self.facade.first(retrieval)
+            if final is None:
+                return None
+            reply = self._reply(retrieval, final, None)
+        except Exception as trouble:
+            self.guard.note("retrieval", trouble)
+            retrieval.over, reply = True, Reply(End.BROKEN_OFF)
+        self._ended(ask, retrieval, reply)
+        self.facade.close(retrieval)
+        return reply
+
     def serve(self, ask: Ask, retrieval: Retrieval, answer: Callable[[Reply], None]) -> None:
-        """Runs a retrieval to its end. `answer` passes the reply on; it is called once at most."""
+        """Runs a retrieval that was looked at to its end. `answer` passes the reply on, once at most."""
         kept: Ending | None = None
-        own: Reply | None = None
         reply = Reply(End.BROKEN_OFF)
         try:
-            own = self.hold(ask, retrieval)
             step = self.facade.pick(retrieval)
             while isinstance(step, Go):
                 ending = self.caches.fly(ask, step)
@@ -100,16 +112,12 @@
                     self.guard.run("keep", self.keep, retrieval, ending)
                 self.facade.report(step, ending.outcome, ending.bare)
                 step = self.facade.pick(retrieval)
-            reply = own if step.own and own else self._reply(step, kept)
-            self.counters.add("retrieval.own", step.own)
+            reply = self._reply(retrieval, step, kept)
         except Exception as trouble:
             self.guard.note("retrieval", trouble)
             retrieval.over = True
         try:
-            self.counters.add(f"retrieval.{reply.end.name.lower()}")
-            if self.log.debug_on:
-                self.log.debug("ended", trace=ask.trace, end=reply.end.name, launches=len(retrieval.launches),
-                               own=reply is own, took_us=(clock.now() - retrieval.taken) // 1000)
+            self._ended(ask, retrieval, reply)
             if reply.end is not End.GONE:
                 answer(reply)
         finally:
@@ -117,7 +125,16 @@
                 self.caches.drop(kept)
             self.facade.close(retrieval)
 
-    def _reply(self, final: Final, kept: Ending | None) -> Reply:
+    def _ended(self, ask: Ask, retrieval: Retrieval, reply: Reply) -> None:
+        self.counters.add(ENDED[reply.end])
+        if self.log.debug_on:
+            self.log.debug("ended", trace=ask.trace, end=reply.end.name, launches=len(retrieval.launches),
+                           took_us=(clock.now() - retrieval.taken) // 1000)
+
+    def _reply(self, retrieval: Retrieval, final: Final, kept: Ending | None) -> Reply:
+        if final.own and retrieval.held:
+            self.counters.add("retrieval.own")
+            return retrieval.held.reply
         if final.end is not End.SETTLED:
             return Reply(final.end, final.retry_after)
         if not self.counters.must(kept is not None, "settled_without_answer"):
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -145,6 +145,7 @@
 
     work: int
     issued: int
+    reply: Any = None       # what its client gets of it
 
 
 @dataclass(slots=True, eq=False)
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -22,7 +22,7 @@
 from .cachelines import Answer, Answers, BadLine, Errand, encode_look, encode_undo
 from .resp import Ask
 
-CHUNK = 1 << 16
+SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
             "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
 PROBED = ("PONG", "SICK")
@@ -288,8 +288,8 @@
 
     def _read(self, line: Line) -> None:
         try:
-            while data := line.sock.recv(CHUNK):
-                for answer in line.answers.feed(data):
+            while size := line.sock.recv_into(SCRATCH):
+                for answer in line.answers.feed(SCRATCH[:size]):
                     self._answered(line, answer)
                 missing = line.answers.expected - line.held
                 if missing > 0:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -15,9 +15,10 @@
 from .caches import send_now
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
 
-CHUNK = 1 << 16
+SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 MOST_OPEN = 32      # the protocol's bound on one connection
 TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
+ANSWERS = {End.SETTLED: "answer.ok", End.PUSHED_BACK: "answer.full", End.BROKEN_OFF: "answer.fault"}
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -29,6 +30,7 @@
         self.open: dict[int, Retrieval] = {}
         self.turn = Semaphore()         # to write
         self.due: list[bytes] = []      # answers of the door, written together
+        self.due_size = 0
         self.last = clock()
         self.buffered = 0       # bytes of a frame that is not whole yet
         self.ended = self.closed = False    # the client sends no more; nothing can be written any more
@@ -73,9 +75,9 @@
 
     def _read(self, client: Client) -> None:
         try:
-            while data := client.sock.recv(CHUNK):
+            while size := client.sock.recv_into(SCRATCH):
                 client.last = self.clock()
-                frames = client.frames.feed(data)
+                frames = client.frames.feed(SCRATCH[:size])
                 for start in range(0, len(frames), TURN):
                     if start:       # a flood from one must not hold up the others
                         gevent.sleep(0)
@@ -83,6 +85,8 @@
                         if client.closed:
                             return
                         self._heard(client, words)
+                        if client.due_size > len(SCRATCH):
+                            self._flush(client)
                     self._flush(client)
                 self.buffered += len(client.frames.buffer) - client.buffered
                 client.buffered = len(client.frames.buffer)
@@ -114,7 +118,11 @@
                 self._at_door(client, message.tag, b"full")
                 return
             retrieval = client.open[message.tag] = self.front.take(message)
-            gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
+            if reply := self.front.answer_now(message, retrieval):
+                del client.open[message.tag]
+                self._due(client, self._encode(message.tag, reply))
+            else:
+                gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
         elif isinstance(message, Nevermind):
             if (retrieval := client.open.pop(message.tag, None)) is not None:
                 self.counters.add("retrieval.nevermind")
@@ -133,28 +141,34 @@
             self.buffered -= len(ask.body)
 
     def _answer(self, client: Client, tag: int, retrieval: Retrieval, reply: Reply) -> None:
-        fields = b""
+        left = retrieval.until + self.slack - self.clock()
+        if self._write(client, self._encode(tag, reply), left, lambda: client.open.get(tag) is retrieval):
+            client.open.pop(tag, None)
+        if client.ended and not client.open:
+            self._close(client)
+
+    def _encode(self, tag: int, reply: Reply) -> bytes:
+        fields, word = b"", WORDS[reply.end]
         if reply.end is End.PUSHED_BACK and reply.retry_after:
             fields = b"pause=%d" % max(1, reply.retry_after // 1_000_000)
         elif reply.same:
             fields = b"keep=1"
-        word, left = WORDS[reply.end], retrieval.until + self.slack - self.clock()
-        data = encode(tag, word, fields, reply.body)
-        if self._write(client, data, left, lambda: client.open.get(tag) is retrieval):
-            client.open.pop(tag, None)
-            self.counters.add(f"answer.{word.decode()}")
-            self.counters.add("answer.bytes", len(reply.body))
-        if client.ended and not client.open:
-            self._close(client)
+        self.counters.add(ANSWERS[reply.end])
+        self.counters.add("answer.bytes", len(reply.body))
+        return encode(tag, word, fields, reply.body)
 
     def _at_door(self, client: Client, tag: int, word: bytes) -> None:
         self.counters.add(f"answer.{word.decode()}")
-        client.due.append(encode(tag, word))
+        self._due(client, encode(tag, word))
+
+    def _due(self, client: Client, data: bytes) -> None:
+        client.due.append(data)
+        client.due_size += len(data)
 
     def _flush(self, client: Client) -> None:
         """Writes the door's answers. Nothing more is read of a client that does not take them."""
         if client.due:
-            data, client.due = b"".join(client.due), []
+            data, client.due, client.due_size = b"".join(client.due), [], 0
             self._write(client, data, self.idle_close)
 
     def _write(self, client: Client, data: bytes, left: int,
@@ -166,10 +180,14 @@
                 if client.closed or not wanted():       # it left meanwhile and gets nothing more
                     return False
                 sent = send_now(client.sock, data)
-                if sent < len(data):
-                    with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
-                        client.sock.sendall(memoryview(data)[sent:])
-                        sent = len(data)
+                if sent < len(data) and self.buffered + len(data) <= self.most_buffered:
+                    self.buffered += len(data)      # it waits for its reader
+                    try:
+                        with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
+                            client.sock.sendall(memoryview(data)[sent:])
+                            sent = len(data)
+                    finally:
+                        self.buffered -= len(data)
             except OSError:
                 self.counters.add("client.write_failed")
                 self._close(client)
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -12,6 +12,7 @@
 MOST_WORDS = 8
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
 NUMBER = re.compile(rb"[0-9]{1,18}")
+FIELD = re.compile(rb"([a-z]+)=([^,]*)(?:,|$)")
 
 
 # An ask as clients send it, up to its body: read at one go, since nothing else comes as often.
@@ -138,7 +139,10 @@
 def _ask(tag: int, words: list[bytes], profiles: dict[str, Profile]) -> Ask | None:
     if not 4 <= len(words) <= 5:
         return None
-    fields = dict(pair.partition(b"=")[::2] for pair in words[3].split(b","))
+    pairs = FIELD.findall(words[3])
+    fields = dict(pairs)
+    if len(fields) < len(pairs):        # a field twice: it says two things
+        return None
     trace, thing, copy = (fields.get(name, b"") for name in (b"trace", b"entity", b"cached"))
     numbers = [fields.get(name, b"") for name in (b"patience", b"block", b"family")]
     name = words[2].decode("ascii", "replace")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -180,6 +180,12 @@
     assert ending.answer.body == b"new" and world.caches.count == 1
 
 
+def test_a_connection_on_which_more_comes_than_belongs_to_it_is_not_used_again(world):
+    world.fly(meanwhile=answering(world, b"t1 NONE - 0\r\n\r\nt1 NO"))
+    world.fly(trace="t2", meanwhile=answering(world, b"t2 NONE - 0\r\n\r\n", place=-1, after=2))
+    assert len(world.server.socks) == 2 and world.caches.count == 1
+
+
 def test_the_same_id_never_goes_twice_on_a_connection_that_owes_its_end(world):
     assert world.fly(wait=30).outcome is Outcome.TIMEOUT
     world.fly(meanwhile=answering(world, b"t1 NONE - 0\r\n\r\n", place=-1, after=3))
@@ -351,6 +357,19 @@
     assert sock.recv(4096) == words(b"33", b"full", b"", b"")
 
 
+def test_a_flood_on_one_connection_gives_others_their_turn(world):
+    world.facade.decisions.take = lambda one: world.facade.push_back(one)
+    order, flood, other = [], world.client(), world.client()
+    until(lambda: len(world.clients.clients) == 2)
+    heard, door = world.clients._heard, {one.sock.getpeername(): one for one in world.clients.clients}
+    first = door[flood.getsockname()]
+    world.clients._heard = lambda client, said: (order.append(client is first), heard(client, said))
+    flood.sendall(b"".join(ask(world, tag) for tag in range(1, 200)))
+    other.sendall(ask(world, 1))
+    assert other.recv(4096) == words(b"1", b"full", b"", b"")
+    assert order.count(False) == 1 and order.index(False) <= 4 * 32
+
+
 def test_a_connection_that_fails_as_it_comes_up_does_not_end_the_door(world):
     accepted, world.clients._accepted = world.clients._accepted, lambda sock: 1 // 0
     world.client()
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -83,6 +83,25 @@
     assert (final.end, final.retry_after, one.over) == (end, pause, True)
 
 
+def test_the_first_decision_is_had_without_a_wait(host):
+    facade, script, clock = host
+    ones = [retrieval(clock) for _ in range(2)]
+    assert facade.first(ones[0]) is None and isinstance(facade.pick(ones[0]), Go)
+    script.on_take = facade.settle
+    final = facade.first(ones[1])
+    assert (final.end, final.own) == (End.SETTLED, True)
+
+
+def test_what_a_trouble_leaves_of_a_retrieval_is_taken_off_the_books(host):
+    facade, script, clock = host
+    one = retrieval(clock)
+    go = facade.pick(one)
+    one.over = True
+    facade.close(one)
+    assert script.heard == ["take", Outcome.CALLED_OFF] and go.launch.outcome is Outcome.CALLED_OFF
+    assert one.launches == [] and not len(facade.open)
+
+
 def test_a_further_launch_follows_a_failure(host):
     facade, script, clock = host
     one = retrieval(clock)
