--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -49,7 +49,7 @@
                     around.streams, clock.now, guard,
                     lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
     front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
-    clients = Clients(front, told.descriptors // 3, told.memory // 12, around.idle_close, around.answer_slack,
+    clients = Clients(front, told.descriptors // 3, told.memory // 12, around.answer_slack,
                       lambda: not stop.asked_at, clock.now, guard)
     for event in told.known:
         guard.run("known", front.apply, event)
@@ -85,7 +85,7 @@
     swept = clock.now()
     while not stop.over(clock.now(), len(facade.open)):
         due = guard.run("tick", facade.tick) or clock.now() + ground.resolution
-        if clock.now() - swept >= SECOND:
+        if clock.now() - swept >= SECOND // 4:
             swept = clock.now()
             guard.run("sweep", caches.sweep)
             guard.run("sweep", clients.sweep)
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -66,9 +66,9 @@
     def keep(self, retrieval: Retrieval, ending: Ending) -> None:
         """Files what came as a copy of the front's own."""
         told, thing, group = ending.answer.fields, retrieval.object, retrieval.group
-        if self.pace and "issued" in told:
-            issued = clock.from_unix_ms(int(told["issued"]))
-            copy = Copy(ending.answer.body, told.get("entity", ""), issued, group)
+        if self.pace:
+            issued = min(clock.from_unix_ms(int(told["issued"])), clock.now())
+            copy = Copy(ending.answer.body, told["entity"], issued, group)
             self.copies.put(thing, retrieval.part, copy, self.purges.latest(thing, group))
 
     def refuse(self) -> bool:
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import math
+import re
 from dataclasses import dataclass
 
-from .resp import LONGEST_OBJECT
+from .resp import HEX16, LONGEST_OBJECT
 
 LONGEST_LINE = 4_096
+NUMBER = re.compile(r"[0-9]{1,15}", re.ASCII)
+PROBED = ("PONG", "SICK")
+COPY = ("HIT", "VALID")     # with a copy's tag, and the millisecond at which the origin gave it out
+WORDS = (*COPY, *PROBED, "NONE", "SHED", "FAULT", "LATE")
 
 
 class BadLine(Exception):
@@ -58,15 +64,24 @@
     fields: dict[str, str]
     body: bytes
 
+    def fits(self, look: bool, copy: str) -> bool:
+        """Whether this answers what was asked: a probe, or an errand for a client that holds this copy."""
+        if look or self.word not in COPY:
+            return look == (self.word in PROBED)
+        tag, bare = self.fields.get("entity", ""), self.word == "VALID"
+        return (bool(HEX16.fullmatch(tag.encode())) and bool(NUMBER.fullmatch(self.fields.get("issued", "")))
+                and (not bare or (bool(copy) and tag == copy and not self.body)))
+
     def report(self) -> dict[str, float]:
         """The load report; empty where none that can be read came along."""
         if "report" not in self.fields:
             return {}
         pairs = (one.partition(":")[::2] for one in self.fields.get("report", "").split(";") if one)
         try:
-            return {name: float(value) for name, value in pairs}
+            report = {name: float(value) for name, value in pairs}
         except ValueError:
             return {}
+        return report if all(math.isfinite(one) and one >= 0 for one in report.values()) else {}
 
 
 class Answers:
@@ -109,11 +124,14 @@
             return False
         try:
             id, word, fields, size = self.buffer[:end].decode("ascii").split(" ")
-            named = {} if fields == "-" else dict(one.split("=", 1) for one in fields.split(","))
+            pairs = [] if fields == "-" else [one.split("=", 1) for one in fields.split(",")]
+            named = dict(pairs)
+            if word not in WORDS or len(named) < len(pairs) or not NUMBER.fullmatch(size):
+                raise ValueError(word)
             length = int(size)
         except ValueError as trouble:
             raise BadLine("not an answer") from trouble
-        if not 0 <= length <= LONGEST_OBJECT:
+        if length > LONGEST_OBJECT:
             raise BadLine("a body too long")
         self.head = id, word, named, length
         del self.buffer[:end + 2]
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -19,13 +19,12 @@
 from ..life.guard import Guard
 from ..memory.places import Place
 from ..memory.room import Room
-from .cachelines import Answer, Answers, BadLine, Errand, encode_look, encode_undo
+from .cachelines import PROBED, Answer, Answers, BadLine, Errand, encode_look, encode_undo
 from .resp import Ask
 
 SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
             "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
-PROBED = ("PONG", "SICK")
 
 
 @dataclass(slots=True)
@@ -52,6 +51,8 @@
 
     id: str
     ended: AsyncResult
+    copy: str = ""          # that its client holds
+    look: bool = False      # a probe
     line: Line | None = None    # from when it is written, until it ends
 
 
@@ -64,6 +65,7 @@
         self.flights: dict[str, Flight] = {}
         self.turn = Semaphore()         # to write
         self.undone: set[str] = set()   # given up here; their answers may still come and are dropped
+        self.last = ""                  # answered last; another copy of that may follow and is dropped
         self.held = 0                   # room taken for the body under way
         self.idle_since = 0
         self.closed = False
@@ -103,12 +105,13 @@
 
     def fly(self, ask: Ask, go: Go) -> Ending:
         left = go.launch.sent + go.launch.within - self.clock()
-        return self._wait(Flight(ask.trace, go.ended), go.launch.cache, left, self._start, ask, go)
+        return self._wait(Flight(ask.trace, go.ended, ask.copy), go.launch.cache, left, self._start, ask, go)
 
     def look(self, cache: Cache, within: int) -> dict[str, float]:
         """Probes a place; gives its load report, or nothing."""
         self.looks += 1
-        ending = self._wait(Flight(f"look{self.looks}", AsyncResult()), cache, within, self._start_look)
+        flight = Flight(f"look{self.looks}", AsyncResult(), look=True)
+        ending = self._wait(flight, cache, within, self._start_look)
         if not ending.answer:
             self.counters.add("probe.unanswered")
             return {}
@@ -228,7 +231,7 @@
         for line in list(reversed(pool.idle)) if pool else ():
             if line.answers.amid:       # more than belongs to it is coming in: no further use
                 self._close(line)
-            elif id not in line.undone:
+            elif id not in line.undone and id != line.last:
                 pool.idle.remove(line)
                 self.counters.add("cache.reused")
                 return line
@@ -268,7 +271,8 @@
 
     def _shared(self, pool: Pool, id: str) -> Line | None:
         """The connection to that place that carries least, where it may carry one more."""
-        lines = [one for one in pool.lines if id not in one.undone and id not in one.flights
+        lines = [one for one in pool.lines
+                 if id not in one.undone and id not in one.flights and id != one.last
                  and len(one.flights) < self.streams > len(one.undone)]
         if not lines:
             self.counters.add("cache.no_descriptor")
@@ -318,10 +322,13 @@
             self.room.give(size)
             self.counters.add("cache.late_answer")
             return
-        outcome = Outcome.OK if answer.word in PROBED else OUTCOMES.get(answer.word, Outcome.ERROR)
-        self.counters.add(f"cache.{answer.word}" if answer.word in OUTCOMES or answer.word in PROBED
-                          else "cache.unknown_word")
-        flight.line = None
+        if not answer.fits(flight.look, flight.copy):
+            line.flights[flight.id] = flight
+            self.room.give(size)
+            raise BadLine("not an answer to what was asked")
+        outcome = Outcome.OK if answer.word in PROBED else OUTCOMES[answer.word]
+        self.counters.add(f"cache.{answer.word}")
+        flight.line, line.last = None, flight.id
         if flight.ended.ready():
             self.room.give(size)
         else:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 
 import gevent
@@ -12,11 +13,16 @@
 from ..front import Front, Reply
 from ..interface import Retrieval
 from ..life.guard import Guard
+from ..memory.traces import Traces
 from .caches import send_now
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
 
 SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 MOST_OPEN = 32      # the protocol's bound on one connection
+# The protocol's clients close what is idle after 4 s. One that says nothing, or does not finish what it
+# began, is let go in half of that: the operators ask for an answer or a close within 3 s of connecting.
+IDLE = 4_000_000_000
+UNFINISHED = IDLE // 2
 TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
 ANSWERS = {End.SETTLED: "answer.ok", End.PUSHED_BACK: "answer.full", End.BROKEN_OFF: "answer.fault"}
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
@@ -31,22 +37,27 @@
         self.turn = Semaphore()         # to write
         self.due: list[bytes] = []      # answers of the door, written together
         self.due_size = 0
-        self.last = clock()
+        self.born = self.last = self.began = clock()    # `began`: the frame under way; 0: none is
+        self.whole = self.asked = False     # it has sent a whole message; a retrieval
+        self.turned_away = 0                # messages that could not be used or taken
         self.buffered = 0       # bytes of a frame that is not whole yet
         self.ended = self.closed = False    # the client sends no more; nothing can be written any more
 
 
 class Clients:
-    def __init__(self, front: Front, most: int, most_buffered: int, idle_close: int, slack: int,
+    def __init__(self, front: Front, most: int, most_buffered: int, slack: int,
                  ready: Callable[[], bool], clock: Callable[[], int], guard: Guard) -> None:
         self.most_buffered, self.buffered = most_buffered, 0    # bytes from clients: parts of frames, bodies
-        self.front, self.most, self.idle_close, self.slack = front, most, idle_close, slack
+        self.front, self.most, self.slack = front, most, slack
         self.ready, self.clock, self.guard, self.counters = ready, clock, guard, guard.counters
         self.profiles = front.places.around.profiles
+        self.traces = Traces(max(one.client_timeout for one in self.profiles.values()))
         self.clients: dict[Client, None] = {}
 
     def accept(self, listener: socket.socket) -> None:
-        while True:
+        for count in itertools.count(1):
+            if not count % TURN:        # hundreds at once must not hold up who is served
+                gevent.sleep(0)
             try:
                 sock, _ = listener.accept()
             except OSError:
@@ -62,22 +73,34 @@
         self.counters.add("client.accepted")
         gevent.spawn(self._read, client)
         if len(self.clients) > self.most:
-            # Over the clients' share: the one that was idle longest makes room, else the new one goes.
+            # Over the clients' share: who never sent anything whole makes room, then who never asked, then
+            # who was idle longest, and only then who has just come and had no time to ask.
             idle = (one for one in self.clients if not one.open)
             self.counters.add("client.over_share")
-            self._close(min(idle, key=lambda one: one.last, default=client))
+            just = self.clock() - UNFINISHED // 8
+            self._close(min(idle, default=client, key=lambda one: (
+                not one.whole and one.born > just, one.whole, one.asked, one.last)))
 
     def sweep(self) -> None:
-        """Closes what has been idle for as long as the settings let a connection be."""
-        for client in [one for one in self.clients
-                       if not one.open and self.clock() - one.last > self.idle_close > 0]:
-            self._close(client)
+        """Closes who says nothing, does not finish what it began, or is idle longer than clients are."""
+        now = self.clock()
+        for client in [one for one in self.clients if not one.open]:
+            if client.began and now - client.began > UNFINISHED:
+                self.counters.add("client.unfinished")
+                self._close(client)
+            elif now - client.last > IDLE * 5 // 4:
+                self.counters.add("client.idle")
+                self._close(client)
 
     def _read(self, client: Client) -> None:
         try:
             while size := client.sock.recv_into(SCRATCH):
                 client.last = self.clock()
                 frames = client.frames.feed(SCRATCH[:size])
+                if frames:
+                    client.whole, client.began = True, 0
+                if client.frames.amid:
+                    client.began = client.began or client.last
                 for start in range(0, len(frames), TURN):
                     if start:       # a flood from one must not hold up the others
                         gevent.sleep(0)
@@ -95,6 +118,7 @@
                     self._close(client)
         except BadFrame:
             self.counters.add("client.bad_frame")
+            self._flush(client)
             self._close(client)
         except OSError:
             self._close(client)
@@ -112,10 +136,15 @@
         if isinstance(message, Ask):
             if message.tag in client.open:
                 raise BadFrame("a tag that is open already")
+            if not self.traces.new(message.trace, client.last):
+                self.counters.add("retrieval.repeated_trace")
+                self._turn_away(client, message.tag, b"fault")
+                return
+            client.asked = True
             if (len(client.open) >= MOST_OPEN or self.front.refuse()
                     or self.buffered + len(message.body) > self.most_buffered):
                 self.counters.add("retrieval.refused_at_door")
-                self._at_door(client, message.tag, b"full")
+                self._turn_away(client, message.tag, b"full")
                 return
             retrieval = client.open[message.tag] = self.front.take(message)
             if reply := self.front.answer_now(message, retrieval):
@@ -131,7 +160,14 @@
             self._at_door(client, message.tag, b"yes" if self.ready() else b"no")
         else:
             self.counters.add("client.unusable")
-            self._at_door(client, message.tag, b"fault")
+            self._turn_away(client, message.tag, b"fault")
+
+    def _turn_away(self, client: Client, tag: int, word: bytes) -> None:
+        """Guards against who sends ever more of what gets nothing; usual ones never come near the bound."""
+        client.turned_away += 1
+        self._at_door(client, tag, word)
+        if client.turned_away > MOST_OPEN:
+            raise BadFrame("nothing but what can't be taken")
 
     def _serve(self, client: Client, ask: Ask, retrieval: Retrieval) -> None:
         self.buffered += len(ask.body)
@@ -169,7 +205,7 @@
         """Writes the door's answers. Nothing more is read of a client that does not take them."""
         if client.due:
             data, client.due, client.due_size = b"".join(client.due), [], 0
-            self._write(client, data, self.idle_close)
+            self._write(client, data, UNFINISHED)
 
     def _write(self, client: Client, data: bytes, left: int,
                wanted: Callable[[], bool] = lambda: True) -> bool:
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -69,6 +69,11 @@
         self.words: list[bytes] = []    # of the frame in hand
         self.due = 0                    # words that it still lacks
 
+    @property
+    def amid(self) -> bool:
+        """True while a frame has come in part."""
+        return bool(self.buffer or self.words or self.due)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         self.buffer += data
         frames, at = [], 0
@@ -150,7 +155,8 @@
             or (copy and not HEX16.fullmatch(copy)) or not all(map(NUMBER.fullmatch, numbers))):
         return None
     patience, part, group = map(int, numbers)
-    if not patience or group > 255:
+    # Far beyond the profile's client timeout, and so beyond what a cache can use.
+    if not 0 < patience * 500_000 <= profiles[name].client_timeout or group > 255:
         return None
     return Ask(tag, profiles[name], name, trace.decode(), patience * 1_000_000,
                fields.get(b"redo") == b"1", thing.decode(), part, group, copy.decode(),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -163,5 +163,10 @@
             sock.close()
 
 
+def full(said):
+    """A cache's answer with the fields that each copy brings."""
+    return said.replace(b" HIT - ", b" HIT entity=4be0c1927d55a6f3,issued=5 ")
+
+
 def words(*said):
     return b"*%d\r\n" % len(said) + b"".join(b"$%d\r\n%b\r\n" % (len(one), one) for one in said)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -8,7 +8,7 @@
 from .conftest import words
 
 ODD = bytes(range(256)) + b"\r\n$3\r\n*1\r\n"
-PROFILES = {"segment": Profile(agreed=1, stretch=0.0, client_timeout=2)}
+PROFILES = {"segment": Profile(agreed=1, stretch=0.0, client_timeout=10**9)}
 FIELDS = b"trace=9b1f03aa5c7e2d41,patience=1500,entity=7f3a9c21e0b4d655,block=3,family=17"
 
 
@@ -56,7 +56,10 @@
 @pytest.mark.parametrize("old, new", [
     (b"trace=9b", b"trace=zz"), (b"patience=1500", b"patience=0"), (b"patience=1500", b"patience=soon"),
     (b"entity=7f", b"entity=7"), (b"block=3", b"block=-1"), (b"family=17", b"family=256"),
-    (b",family=17", b""), (b"family=17", b"family=17,cached=nope"), (FIELDS, b"")])
+    (b",family=17", b""),
+    (b"patience=1500", b"patience=9000"), (b"block=3", b"block=3,block=4"),
+    (b",family=17", b",family=17,trace=0000000000000000"),
+    (b"family=17", b"family=17,cached=nope"), (FIELDS, b"")])
 def test_an_ask_with_an_unusable_field_keeps_its_tag(old, new):
     assert ask(FIELDS.replace(old, new)) == resp.Unusable(7)
 
@@ -99,6 +102,8 @@
               cachelines.Answer("t1", "PONG", {"report": "inflight:7;util:0.61"}, b"")]
     assert all(got == wanted for got in split_everywhere(cachelines.Answers, data))
     assert wanted[2].report() == {"inflight": 7.0, "util": 0.61}
+    for bad in ("nan", "inf", "-1", "1e999"):
+        assert cachelines.Answer("t1", "PONG", {"report": f"util:0.1;x1:{bad}"}, b"").report() == {}
     assert wanted[1].report() == cachelines.Answer("t1", "PONG", {"report": "util:much"}, b"").report() == {}
 
 
@@ -111,7 +116,9 @@
 
 @pytest.mark.parametrize("data", [
     b"ab HIT -\r\n", b"ab HIT - x\r\n", b"ab HIT - -4\r\n", b"ab HIT - 240001\r\n", b"ab HIT fields 0\r\n",
-    b"ab HIT - 1\r\nxyz", b"\xff\xfe HIT - 0\r\n", b"a" * 5000])
+    b"ab HIT - 1\r\nxyz",
+    b"ab HIT - +1\r\nx\r\n", b"ab HIT - 1_0\r\n", b"ab WHAT - 0\r\n\r\n", b"ab HIT a=1,a=2 0\r\n",
+    b"\xff\xfe HIT - 0\r\n", b"a" * 5000])
 def test_an_unreadable_answer_is_told(data):
     with pytest.raises(cachelines.BadLine):
         cachelines.Answers().feed(data)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -19,6 +19,7 @@
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
+from marbleglade.memory.traces import Traces
 from marbleglade.wire.caches import Caches
 from marbleglade.wire.clients import Clients
 from marbleglade.wire.coordinator import Follower
@@ -27,7 +28,7 @@
 from marbleglade.wire.peers import Peers
 from marbleglade.wire.resp import Ask
 
-from .conftest import LINE, MS, OPTIONS, WAIT, Server, listening, until, words
+from .conftest import LINE, MS, OPTIONS, WAIT, Server, full, listening, until, words
 
 
 class Decide:
@@ -71,7 +72,7 @@
                              lambda one, since: self.purges.since(one.object, one.group, since))
         self.copies = Copies(100)
         self.front = Front(self.facade, self.caches, self.places, self.purges, self.copies, 1000, guard)
-        self.clients = Clients(self.front, 3, 100_000, 30_000 * MS, 50 * MS, lambda: True, clock.now, guard)
+        self.clients = Clients(self.front, 3, 100_000, 50 * MS, lambda: True, clock.now, guard)
         self.server, self.door, self.socks = Server(), listening(), []
         self.profile = next(iter(self.around.profiles))
         self.serving = gevent.spawn(self.clients.accept, self.door)
@@ -82,14 +83,14 @@
                                                for one in ids]))
         return [place.cache for place in self.places.by_id.values()]
 
-    def fly(self, wait=500, trace="t1", meanwhile=lambda go: None, cache=None, source=None):
+    def fly(self, wait=500, trace="t1", meanwhile=lambda go: None, cache=None, source=None, copy=""):
         """One launch as the pool sees it; gives its ending."""
         cache = cache or self.places.by_id["s1"].cache
         now = clock.now()
         one = Retrieval(self.around.ground.profiles[0], 9, 0, 4, 0.0, now, now + wait * MS)
         go = Go(Launch(one, cache, source or cache, now, wait * MS, 1), 0, False, False, False, False,
                 gevent.event.AsyncResult())
-        ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, "", b"")
+        ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, copy, b"")
         flight = gevent.spawn(self.caches.fly, ask, go)
         try:
             meanwhile(go)
@@ -128,24 +129,52 @@
     """Says this on the server's connection once so many lines have come."""
     def act(go):
         world.server.heard(after)
-        world.server.socks[place].sendall(data)
+        world.server.socks[place].sendall(full(data))
     return act
 
 
 @pytest.mark.parametrize("said, outcome, body, bare", [
-    (b"t1 HIT entity=ab,issued=5 5\r\n\r\nabc\r\n", Outcome.OK, b"\r\nabc", False),
-    (b"t1 VALID entity=ab,issued=5 0\r\n\r\n", Outcome.OK, b"", True),
+    (b"t1 HIT - 5\r\n\r\nabc\r\n", Outcome.OK, b"\r\nabc", False),
+    (b"t1 VALID entity=4be0c1927d55a6f3,issued=5 0\r\n\r\n", Outcome.OK, b"", True),
     (b"t1 NONE - 0\r\n\r\n", Outcome.MISS, b"", False), (b"t1 SHED - 0\r\n\r\n", Outcome.FULL, b"", False),
     (b"t1 FAULT - 0\r\n\r\n", Outcome.ERROR, b"", False), (b"t1 LATE - 0\r\n\r\n", Outcome.MOOT, b"", False),
-    (b"t1 WHAT - 0\r\n\r\n", Outcome.ERROR, b"", False),
     (b"t9 HIT - 1\r\nx\r\nt1 HIT - 1\r\ny\r\n", Outcome.OK, b"y", False)])
 def test_each_answer_of_a_cache(world, said, outcome, body, bare):
-    ending = world.fly(meanwhile=answering(world, said))
+    ending = world.fly(copy="4be0c1927d55a6f3", meanwhile=answering(world, said))
     assert (ending.outcome, ending.answer.body, ending.bare) == (outcome, body, bare)
     world.caches.drop(ending)
     assert world.room.free == world.room.size and world.caches.count == 1
 
 
+@pytest.mark.parametrize("said", [
+    b"t1 WHAT - 0\r\n\r\n", b"t1 PONG - 0\r\n\r\n", b"t1 SICK - 0\r\n\r\n",
+    b"t1 HIT issued=5 1\r\nx\r\n",
+    b"t1 HIT entity=4be0c1927d55a6f3 1\r\nx\r\n", b"t1 HIT entity=4be0c192,issued=5 1\r\nx\r\n",
+    b"t1 HIT entity=4be0c1927d55a6f3,issued=now 1\r\nx\r\n",
+    b"t1 VALID entity=4be0c1927d55a6f3,issued=5 0\r\n\r\n",
+    b"t1 HIT entity=4be0c1927d55a6f3,issued=5 3000000000\r\nxxxx"])
+def test_an_answer_to_something_else_ends_its_connection_and_settles_nothing(world, said):
+    assert world.fly(meanwhile=answering(world, said)).outcome is Outcome.RESET
+    until(lambda: world.caches.count == 0)
+    assert world.room.free == world.room.size and world.counters.counts["cache.bad_line"] == 1
+
+
+@pytest.mark.parametrize("said", [b"look1 HIT - 1\r\nx\r\n", b"look1 NONE - 0\r\n\r\n"])
+def test_a_probe_believes_nothing_but_the_answer_to_a_probe(world, said):
+    look = gevent.spawn(world.front._look, world.places.by_id["s1"].cache, 500 * MS)
+    world.server.heard(1)
+    world.server.socks[0].sendall(full(said))
+    look.get(timeout=WAIT)
+    assert world.counters.counts["cache.bad_line"] == world.counters.counts["probe.unanswered"] == 1
+
+
+def test_a_second_copy_of_an_answer_never_meets_a_later_launch_of_the_same_retrieval(world):
+    world.fly(meanwhile=answering(world, b"t1 NONE - 0\r\n\r\n"))
+    world.server.socks[0].sendall(b"t1 NONE - 0\r\n\r\n")
+    ending = world.fly(meanwhile=answering(world, b"t1 HIT - 1\r\nx\r\n", place=-1, after=2))
+    assert ending.outcome is Outcome.OK and len(world.server.socks) == 2
+
+
 def test_a_connection_is_used_again_and_the_next_errand_stands_on_it(world):
     for turn in (1, 2):
         said = b"t%d HIT - 1\r\nx\r\n" % turn
@@ -174,7 +203,7 @@
     ending = world.fly(wait=30)
     assert ending.outcome is Outcome.TIMEOUT and world.server.heard(2) == "undo t1"
     # The late answer is dropped, and the connection serves on, but not for the same id.
-    world.server.socks[0].sendall(b"t1 HIT - 3\r\nold\r\n")
+    world.server.socks[0].sendall(full(b"t1 HIT - 3\r\nold\r\n"))
     until(lambda: world.counters.counts["cache.late_answer"])
     ending = world.fly(meanwhile=answering(world, b"t1 HIT - 3\r\nnew\r\n", after=3))
     assert ending.answer.body == b"new" and world.caches.count == 1
@@ -257,7 +286,7 @@
     world.server.heard(3)
     flights[1].kill()       # its client left: undone without harm to the others
     assert world.server.heard(4) == "undo b" and len(world.server.socks) == 1
-    world.server.socks[0].sendall(b"c HIT - 1\r\nC\r\nb HIT - 1\r\nB\r\na HIT - 1\r\nA\r\n")
+    world.server.socks[0].sendall(full(b"c HIT - 1\r\nC\r\nb HIT - 1\r\nB\r\na HIT - 1\r\nA\r\n"))
     assert [flights[place].get(timeout=WAIT).answer.body for place in (0, 2)] == [b"A", b"C"]
     assert world.counters.counts["cache.shared"] == 2 and len(world.caches.pools) == 1
 
@@ -287,13 +316,13 @@
     sock = world.client()
     sock.sendall(ask(world, tag, **more))
     world.server.heard(1)
-    world.server.socks[0].sendall(said)
+    world.server.socks[0].sendall(full(said))
     return sock
 
 
 @pytest.mark.parametrize("said, answer", [
-    (b"HIT report=x1:1.5 4\r\n\r\n\0x\r\n", (b"7", b"ok", b"", b"\r\n\0x")),
-    (b"VALID - 0\r\n\r\n", (b"7", b"ok", b"keep=1", b"")),
+    (b"HIT report=x1:1.5,entity=4be0c1927d55a6f3,issued=5 4\r\n\r\n\0x\r\n", (b"7", b"ok", b"", b"\r\n\0x")),
+    (b"VALID entity=4be0c1927d55a6f3,issued=5 0\r\n\r\n", (b"7", b"ok", b"keep=1", b"")),
     (b"NONE - 0\r\n\r\n", (b"7", b"full", b"pause=40", b""))])
 def test_a_retrieval_goes_through_and_its_answer_comes_back_whole(world, said, answer):
     sock = serve(world, b"9b1f03aa5c7e2d41 " + said, more=",cached=4be0c1927d55a6f3")
@@ -313,10 +342,10 @@
     script.take = lambda one: world.facade.settle(one) if one.held else launch(one)
     sock = serve(world, said % (time.time() * 1000))
     sock.recv(4096)
-    sock.sendall(ask(world, 8, more=copy))
+    sock.sendall(ask(world, 8, "0000000000000008", more=copy))
     assert sock.recv(4096) == words(*answer) and len(world.server.said) == 1
     world.front.apply(Purge(2, 0x7f3a9c21e0b4d655, 0, int(time.time() * 1000) + 5000))
-    sock.sendall(ask(world, 9))
+    sock.sendall(ask(world, 9, "0000000000000009"))
     world.server.heard(2)
 
 
@@ -326,7 +355,7 @@
     world.server.heard(1)
     sock.sendall(words(b"NEVERMIND", b"7") + words(b"NEVERMIND", b"99"))
     assert world.server.heard(2) == "undo 9b1f03aa5c7e2d41"
-    world.server.socks[0].sendall(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n")
+    world.server.socks[0].sendall(full(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n"))
     until(lambda: world.counters.counts["cache.late_answer"])
     sock.sendall(words(b"STATUS", b"8", b""))
     assert sock.recv(4096) == words(b"8", b"yes", b"", b"")
@@ -342,6 +371,53 @@
     assert sock.recv(4096) == answer and world.server.said == []
 
 
+def test_a_trace_that_comes_again_is_failed_at_the_door(world):
+    first, second = world.client(), world.client()
+    first.sendall(ask(world, 7))
+    world.server.heard(1)
+    second.sendall(ask(world, 1).replace(b"7f3a", b"0000"))
+    assert second.recv(4096) == words(b"1", b"fault", b"", b"")
+    assert len(world.server.said) == 1 and len(world.facade.open) == 1
+    traces = Traces(10)
+    assert traces.new("ab", 1) and not traces.new("AB", 11) and traces.new("ab", 12)
+
+
+def test_who_sends_nothing_but_what_cannot_be_used_is_closed(world):
+    sock, got = world.client(), b""
+    sock.sendall(words(b"PUT", b"5") * 100)
+    with suppress(ConnectionError):
+        while data := sock.recv(65536):
+            got += data
+    assert got == words(b"5", b"fault", b"", b"") * 33 and not world.clients.clients
+
+
+@pytest.mark.parametrize("sent, after, closed", [
+    (b"", 2100, True), (b"", 1900, False), (b"*3\r\n$6\r\nSTATUS\r\n", 2100, True),
+    (words(b"STATUS", b"1"), 2100, False),
+    (words(b"STATUS", b"1"), 5100, True), (words(b"STATUS", b"1") + b"*", 2100, True)])
+def test_who_says_nothing_or_stays_amid_a_message_is_closed(world, sent, after, closed):
+    sock, now = world.client(), clock.now()
+    world.clients.clock = lambda: now
+    until(lambda: world.clients.clients)
+    client = next(iter(world.clients.clients))
+    sock.sendall(sent)
+    until(lambda: not sent or client.whole or client.frames.amid)
+    gevent.sleep(0.01)
+    world.clients.clock = lambda: now + after * MS
+    sock.sendall(b"")
+    world.clients.sweep()
+    assert client.closed == closed
+
+
+def test_a_retrieval_that_is_out_is_no_idleness(world):
+    sock, now = world.client(), clock.now()
+    sock.sendall(ask(world, 7) + b"*")
+    world.server.heard(1)
+    world.clients.clock = lambda: now + 60_000 * MS
+    world.clients.sweep()
+    assert len(world.clients.clients) == 1
+
+
 def test_a_bad_frame_ends_that_connection_alone(world):
     bad, good = world.client(), world.client()
     bad.sendall(b"GET / HTTP/1.1\r\n\r\n")
@@ -353,7 +429,7 @@
 def test_more_than_a_connection_may_carry_is_pushed_back_at_once(world):
     sock = world.client()
     world.facade.decisions.take = lambda one: None
-    sock.sendall(b"".join(ask(world, tag) for tag in range(1, 34)))
+    sock.sendall(b"".join(ask(world, tag, f"{tag:016x}") for tag in range(1, 34)))
     assert sock.recv(4096) == words(b"33", b"full", b"", b"")
 
 
@@ -364,7 +440,7 @@
     heard, door = world.clients._heard, {one.sock.getpeername(): one for one in world.clients.clients}
     first = door[flood.getsockname()]
     world.clients._heard = lambda client, said: (order.append(client is first), heard(client, said))
-    flood.sendall(b"".join(ask(world, tag) for tag in range(1, 200)))
+    flood.sendall(b"".join(ask(world, tag, f"{tag:016x}") for tag in range(1, 200)))
     other.sendall(ask(world, 1))
     assert other.recv(4096) == words(b"1", b"full", b"", b"")
     assert order.count(False) == 1 and order.index(False) <= 4 * 32
@@ -395,7 +471,7 @@
     sock.sendall(ask(world, 7))
     sock.shutdown(socket.SHUT_WR)
     world.server.heard(1)
-    world.server.socks[0].sendall(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n")
+    world.server.socks[0].sendall(full(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n"))
     assert sock.recv(4096) == words(b"7", b"ok", b"", b"x") and sock.recv(10) == b""
 
 
@@ -407,8 +483,8 @@
         sock.sendall(ask(world, tag, trace=f"{tag:016x}", patience=300))
     def feed():
         for place, sock in enumerate(world.server.socks):
-            sock.sendall(world.server.said[place].split()[1].encode() + b" HIT - 200000\r\n" + b"x" * 200000
-                         + b"\r\n")
+            sock.sendall(full(world.server.said[place].split()[1].encode() + b" HIT - 200000\r\n"
+                              + b"x" * 200000 + b"\r\n"))
     until(lambda: len(world.server.said) >= 4)
     next(iter(world.clients.clients)).sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     feed()
@@ -435,9 +511,19 @@
 
 
 def test_clients_keep_to_their_share(world):
-    socks = [world.client() for _ in range(4)]
-    until(lambda: world.counters.counts["client.over_share"])
-    assert len(world.clients.clients) == 3 and socks[0].recv(10) == b""
+    asked, told, silent = [world.client() for _ in range(3)]
+    world.facade.decisions.take = world.facade.push_back
+    for sock, said in ((asked, ask(world, 1)), (told, words(b"STATUS", b"1"))):
+        sock.sendall(said)
+        sock.recv(4096)
+    now = clock.now()
+    world.clients.clock = lambda: now + 300 * MS
+    for gone in (silent, told):     # who never said anything, then who never asked
+        world.client().sendall(ask(world, 1, f"{gone.fileno():016x}"))
+        assert gone.recv(10) == b""
+    until(lambda: world.counters.counts["client.over_share"] == 2)
+    asked.sendall(words(b"STATUS", b"2"))
+    assert asked.recv(4096) == words(b"2", b"yes", b"", b"")
 
 
 def test_a_trouble_in_one_retrieval_is_answered_and_ends_there(world):
@@ -448,7 +534,7 @@
     sock.sendall(ask(world, 7))
     assert sock.recv(4096) == words(b"7", b"fault", b"", b"")
     world.facade.decisions.take = take
-    sock.sendall(ask(world, 8))
+    sock.sendall(ask(world, 8, "0000000000000008"))
     world.server.heard(1)
     assert world.counters.counts["trouble.retrieval"] == 1
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -20,7 +20,7 @@
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
 
-from .conftest import LINE, MS, OPTIONS, Server, listening, until, words
+from .conftest import LINE, MS, OPTIONS, Server, full, listening, until, words
 
 S = 1000 * MS
 
@@ -195,7 +195,7 @@
     process.send_signal(signal.SIGTERM)
     assert renew(text)["last"] == 3             # again, and while it stops
     assert coordinator.heard(2) == "follow 3" and coordinator.said == ["follow 2", "follow 3"]
-    cache.socks[0].sendall(cache.said[0].split()[1].encode() + b" HIT - 2\r\nok\r\n")
+    cache.socks[0].sendall(full(cache.said[0].split()[1].encode() + b" HIT - 2\r\nok\r\n"))
     assert sock.recv(4096) == words(b"2", b"ok", b"", b"ok")
     until(lambda: process.poll() is not None)
     assert process.returncode == 0
@@ -224,7 +224,7 @@
     gevent.sleep(0.8)
     assert process.poll() is None               # two are open still
     for place, said in enumerate(cache.said):
-        cache.socks[place].sendall(said.split()[1].encode() + b" HIT - 2\r\nok\r\n")
+        cache.socks[place].sendall(full(said.split()[1].encode() + b" HIT - 2\r\nok\r\n"))
     assert late.recv(4096) == words(b"1", b"ok", b"", b"ok")
     assert sock.recv(4096) == words(b"2", b"ok", b"", b"ok")
     until(lambda: process.poll() is not None)
