Errors on objects that nobody ever answered with blame nobody; three such errors end it

Send.back laid each error on cache and source by their records, and Again launched such an object up to eight times.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -107,8 +107,7 @@
 
     def __init__(self, sight: Sighting) -> None:
         self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
-        # That time is its own; it was not asked for before; its answer has started, and the client owns it.
-        self.sized = self.new = self.begun = False
+        self.sized = self.new = self.begun = False      # that time is its own; new; its answer has started
         self.rank, self.sight = 1, sight
         self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
 
@@ -164,6 +163,7 @@
         price = (0 if missed and launch.source.role is Role.CACHE and launch.source is not launch.cache else
                  1 / 4 if launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed else 1)
         if ((missed and price) or launch.outcome is Outcome.MOOT
+                or (not plan.sized and sum(one.outcome is Outcome.ERROR for one in retrieval.launches) > 2)
                 or len(retrieval.launches) >= self.ground.most_launches
                 or now + plan.work >= retrieval.until or self.choice.budget < price):
             return True
@@ -288,6 +288,7 @@
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
         standing, outcome, filled = cache.memory, launch.outcome, len(launch.plan) > 1
+        erred = outcome is Outcome.ERROR and launch.retrieval.plan.sized    # else there may be no such object
         for place in (standing, source.memory):
             place.out.pop(launch, None)
             place.feeds.pop(launch, None)
@@ -302,11 +303,11 @@
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
                     filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now    # a fill for certain, or all but certain
-        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (outcome is Outcome.ERROR and source is cache):
+        elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (erred and source is cache):
             choice.blame(cache, 1, now)
         elif outcome is Outcome.FULL and filled:
             choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
-        elif outcome is Outcome.ERROR:
+        elif erred:
             # Either of two: each takes what its own record lately makes likely.
             part = (standing.wrong + SHUT_AT / 8) / (standing.wrong + source.memory.wrong + SHUT_AT / 4)
             choice.blame(cache, part, now)
@@ -516,8 +517,7 @@
         return zlib.crc32(b"%d %d" % (self.ground.seed, self.count)) / 2**32
 
     def blame(self, cache: Cache, part: float, now: int) -> None:
-        """Lays a failure on a place; leaves it alone for a while if it does worse than its peers. Where all
-        do badly the cause lies behind them or in the load, and shutting one would only move it on."""
+        """Lays a failure on a place; shuts it if it does worse than its peers: what hits all lies behind."""
         standing = cache.memory
         standing.judge(part, now)
         group = self.near if cache.role is Role.CACHE else [p for p in self.parents if not p.memory.shut]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -419,3 +419,17 @@
         for launch in lost:
             paper.end(launch, Outcome.TIMEOUT, 0)
     assert (narrowed > 0) == crowded
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_an_object_that_nobody_has_blames_nobody_and_is_soon_given_up(front, known):
+    paper = front()
+    for thing in range(1, 60):
+        if known:
+            paper.end(paper.ask(thing, size=0).launches[0], after=5)
+        one = paper.ask(thing, size=0)
+        while not one.over:
+            paper.end(one.launches[-1], Outcome.ERROR, 5)
+        assert known or len(one.launches) <= 3
+    wrong = [cache.memory.wrong for cache in (*paper.caches, *paper.parents)]
+    assert (max(wrong) > 0) == known and (known or paper.notes == [])
