An answer in time on a link used beyond its room widens it a little

It can narrow by chance losses and never widens, since it learns from sized answers alone (Send.learn).

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -106,9 +106,8 @@
     """What the stages note on one retrieval."""
 
     def __init__(self, sight: Sighting) -> None:
-        self.work = self.agreed = 0     # its sending time at full pace; when its agreed time ends
+        self.rank, self.sight, self.work, self.agreed = 1, sight, 0, 0      # sending time; end of agreed time
         self.sized = self.new = self.begun = False      # that time is its own; new; its answer has started
-        self.rank, self.sight = 1, sight
         self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
 
 
@@ -116,8 +115,7 @@
     """A link of the chain: `take` runs to the caches; `back` to the client, true passing the launch on."""
 
     def __init__(self, choice: Choice) -> None:
-        self.choice, self.ground, self.actions = choice, choice.ground, choice.actions
-        self.next: Stage = self
+        self.choice, self.ground, self.actions, self.next = choice, choice.ground, choice.actions, self
 
     def take(self, retrieval: Retrieval) -> None:
         self.next.take(retrieval)
@@ -335,6 +333,8 @@
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
                 link.learn(held, plan.work, took, self.choice.actions.now())
+            elif ok and not late and link is cause and held > link.room > 0:    # it carries more than thought
+                link.room += LATELY / 4
         if not retrieval.size_kb and ok and not launch.bare:
             plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -433,3 +433,14 @@
         assert known or len(one.launches) <= 3
     wrong = [cache.memory.wrong for cache in (*paper.caches, *paper.parents)]
     assert (max(wrong) > 0) == known and (known or paper.notes == [])
+
+
+@pytest.mark.parametrize("lag, wider", [(10, True), (400, False)])
+def test_answers_in_time_widen_a_link_that_only_new_objects_use(front, lag, wider):
+    paper = front()
+    out = [paper.ask(thing, size=0).launches[0] for thing in range(1, 9)]
+    link = paper.choice.fetches
+    link.room = before = 4.0
+    for launch in out[4:]:
+        paper.end(launch, after=lag)
+    assert (link.room > before) == wider
