A connection on which an errand went unanswered is not used again

Ruled out: one cache or source (2 in 100 of each, by the log), crowds (what was answered came in 100 ms at the median), new objects (two thirds were known).

--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -68,7 +68,7 @@
         self.last = ""                  # answered last; another copy of that may follow and is dropped
         self.held = 0                   # room taken for the body under way
         self.idle_since = 0
-        self.closed = False
+        self.closed = self.silent = False   # silent: an errand on it went unanswered, and nothing came since
 
 
 @dataclass(slots=True, eq=False)
@@ -278,7 +278,7 @@
             self.counters.add("cache.no_descriptor")
             return None
         self.counters.add("cache.shared")
-        return min(lines, key=lambda line: len(line.flights))
+        return min(lines, key=lambda line: (line.silent, len(line.flights)))
 
     def _spare(self) -> bool:
         """Closes the connection that has been idle longest, whosever it is."""
@@ -312,7 +312,7 @@
             self._close(line)
 
     def _answered(self, line: Line, answer: Answer) -> None:
-        size, line.held = len(answer.body), line.held - len(answer.body)
+        size, line.held, line.silent = len(answer.body), line.held - len(answer.body), False
         if line.held < 0:       # it came at one go, before room was asked for
             self.room.overdraw(-line.held)
             line.held = 0
@@ -346,26 +346,26 @@
             line.pool.idle.append(line)
 
     def _release(self, flight: Flight) -> None:
-        """The launch is over for us. If no answer came it is given up at the cache too."""
+        """The launch is over for us. If no answer came it is given up at the cache, with its connection:
+        guards against one that stays open and is no further use, on which the next errand would be lost too.
+        Where errands share, those on it go on, and it is taken for new ones last until it answers. It costs a
+        new connection for each client that leaves."""
         line, flight.line = flight.line, None
         if line is None or line.flights.get(flight.id) is not flight:
             return
         del line.flights[flight.id]
-        # In the midst of a message to it nothing else can be said; amid one from it the next would wait.
-        spent = line.answers.amid or len(line.undone) >= self.streams
-        if line.turn.locked() or (spent and not line.flights):
+        if line.turn.locked():      # in the midst of a message to it nothing else can be said
             self._close(line)
             return
         self.counters.add("launch.undone")
         line.undone.add(flight.id)
+        line.silent = True
         undo = encode_undo(flight.id)
         try:    # a machine that takes no more bytes must not hold up the answer
             whole = send_now(line.sock, undo) == len(undo)
         except OSError:
             whole = False
-        if whole:
-            self._rest(line)
-        else:
+        if not whole or not line.flights:
             self._close(line)
 
     def _close(self, line: Line) -> None:
