--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,9 @@
 run: build
 	GW_CONFIG=$(CONFIG) exec $(PYTHON) -O -m marbleglade
 
-# Has every front of this machine print its counters on its log.
+# Has one front print its counters on its log: make counters PID=1234
 counters:
-	pkill -USR1 -f 'python -O -m marbleglade$$'
+	kill -USR1 $(PID)
 
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache
--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -63,7 +63,7 @@
 
     def tell() -> None:
         log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
-                cache_connections=caches.count)
+                cache_connections=caches.count, places=front.survey())
 
     def leave() -> None:
         stop.ask(clock.now())
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -159,6 +160,10 @@
         """Files a load report."""
         file_report(cache, report, self.clock())
 
+    def out(self) -> Counter[Cache]:
+        """How many launches of open retrievals are out at each place."""
+        return Counter(launch.cache for case in self.open.cases.values() for launch in case.out)
+
     def _end(self, case: Case, final: Final) -> None:
         if self.counters.must(not case.final, "ended_twice"):
             case.final = case.retrieval.over = True
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -188,6 +188,18 @@
         self.facade.purged(purge.thing, purge.group, at)
         self.counters.add("purge.told")
 
+    def survey(self) -> list[dict[str, object]]:
+        """What is believed of each place, beside what its sockets show."""
+        now, asked, seen = clock.now(), self.facade.out(), []
+        for cache, place in self.places.by_cache.items():
+            belief = cache.memory
+            seen.append({"place": place.id, "state": cache.state.name, "asked": asked.get(cache, 0),
+                         "believed": len(getattr(belief, "out", ())), "flights": self.caches.aloft[cache],
+                         "connections": self.caches.connections(cache),
+                         "report_ms": (now - cache.reported) // 1_000_000 if cache.reported else None,
+                         "shut_ms": max(0, getattr(belief, "shut", 0) - now) // 1_000_000})
+        return seen
+
     # Work that nobody waits for.
 
     def probe(self) -> None:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -98,14 +99,24 @@
         self.connect_timeout, self.idle_close, self.streams = connect_timeout, idle_close, streams
         self.clock, self.guard, self.counters = clock, guard, guard.counters
         self.pools: dict[Cache, Pool] = {}
+        self.aloft: Counter[Cache] = Counter()      # launches that were begun and have not ended
         self.count = 0      # connections up or coming up
         self.looks = 0
 
     # What is asked of it.
 
     def fly(self, ask: Ask, go: Go) -> Ending:
-        left = go.launch.sent + go.launch.within - self.clock()
-        return self._wait(Flight(ask.trace, go.ended, ask.copy), go.launch.cache, left, self._start, ask, go)
+        cache, left = go.launch.cache, go.launch.sent + go.launch.within - self.clock()
+        self.aloft[cache] += 1
+        try:
+            return self._wait(Flight(ask.trace, go.ended, ask.copy), cache, left, self._start, ask, go)
+        finally:
+            self.aloft[cache] -= 1
+            if not self.aloft[cache]:       # places come and go
+                del self.aloft[cache]
+
+    def connections(self, cache: Cache) -> int:
+        return len(self.pools[cache].lines) if cache in self.pools else 0
 
     def look(self, cache: Cache, within: int) -> dict[str, float]:
         """Probes a place; gives its load report, or nothing."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -303,6 +303,22 @@
     assert len(ending.answer.body) == 500 and world.room.free == 500
 
 
+def test_what_is_believed_of_a_place_stands_beside_what_its_sockets_show(world):
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    world.server.heard(1)
+    seen = world.front.survey()[0]
+    names = ("place", "asked", "flights", "connections", "report_ms")
+    assert [seen[one] for one in names] == ["s1", 1, 1, 1, None]
+    world.server.socks[0].sendall(
+        b"9b1f03aa5c7e2d41 HIT report=x1:2,entity=4be0c1927d55a6f3,issued=5 1\r\nx\r\n")
+    sock.recv(4096)
+    seen = world.front.survey()[0]
+    assert [seen[one] for one in names[1:4]] == [0, 0, 1] and seen["report_ms"] < 1000 * WAIT
+    world.list("s1", state="left")
+    assert world.front.survey() == [] and not world.caches.aloft
+
+
 def test_a_probe_brings_the_report(world):
     cache = world.places.by_id["s1"].cache
     look = gevent.spawn(world.front._look, cache, 500 * MS)
