A trouble while a retrieval is taken off the books leaves nothing open

Read: Facade.close reported what was out before it dropped the case, so an exception of the decisions there kept the case for good, and on the way of the reader it ended the client's connection. The case is dropped on every path now, and counted.

--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -127,10 +127,12 @@
     def close(self, retrieval: Retrieval) -> None:
         """Forgets a retrieval whose last word was carried out, and what a trouble left of its launches."""
         case = self.open.cases.get(retrieval)
-        for go in list(case.out.values()) if case else ():
-            self.report(go, Outcome.CALLED_OFF)
-        self.open.drop(retrieval)
-        retrieval.launches = []     # nothing points back: it goes at once, not when the collector comes by
+        try:
+            for go in list(case.out.values()) if case else ():
+                self.report(go, Outcome.CALLED_OFF)
+        finally:
+            self.open.drop(retrieval)
+            retrieval.launches = []     # nothing points back: it goes at once, without the collector
 
     def last_call(self) -> None:
         """The front stops and can wait no longer: the decisions give up whatever is still open."""
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -90,7 +90,7 @@
             self.guard.note("retrieval", trouble)
             retrieval.over, reply = True, Reply(End.BROKEN_OFF)
         self._ended(ask, retrieval, reply)
-        self.facade.close(retrieval)
+        self.guard.run("close", self.facade.close, retrieval)
         return reply
 
     def serve(self, ask: Ask, retrieval: Retrieval, answer: Callable[[Reply], None]) -> None:
@@ -123,7 +123,7 @@
         finally:
             if kept:
                 self.caches.drop(kept)
-            self.facade.close(retrieval)
+            self.guard.run("close", self.facade.close, retrieval)
 
     def _ended(self, ask: Ask, retrieval: Retrieval, reply: Reply) -> None:
         self.counters.add(ENDED[reply.end])
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -543,14 +543,20 @@
     assert asked.recv(4096) == words(b"2", b"yes", b"", b"")
 
 
-def test_a_trouble_in_one_retrieval_is_answered_and_ends_there(world):
+@pytest.mark.parametrize("amid", [False, True])
+def test_a_trouble_in_one_retrieval_is_answered_and_ends_there(world, amid):
+    ended = world.facade.decisions.ended
     def broken(retrieval):
+        if amid:
+            take(retrieval)
+            world.facade.decisions.ended = lambda launch: 1 // 0
         raise ZeroDivisionError
     take, world.facade.decisions.take = world.facade.decisions.take, broken
     sock = world.client()
     sock.sendall(ask(world, 7))
     assert sock.recv(4096) == words(b"7", b"fault", b"", b"")
-    world.facade.decisions.take = take
+    assert not len(world.facade.open) and not world.facade.inside
+    world.facade.decisions.take, world.facade.decisions.ended = take, ended
     sock.sendall(ask(world, 8, "0000000000000008"))
     world.server.heard(1)
     assert world.counters.counts["trouble.retrieval"] == 1
