--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -76,7 +76,7 @@
         """The load report; empty where none that can be read came along."""
         if "report" not in self.fields:
             return {}
-        pairs = (one.partition(":")[::2] for one in self.fields.get("report", "").split(";") if one)
+        pairs = (one.partition(":")[::2] for one in self.fields["report"].split(";") if one)
         try:
             report = {name: float(value) for name, value in pairs}
         except ValueError:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -22,8 +22,8 @@
 from ..memory.room import Room
 from .cachelines import PROBED, Answer, Answers, BadLine, Errand, encode_look, encode_undo
 from .resp import Ask
+from .sockets import SCRATCH, send_now
 
-SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
             "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
 
@@ -81,14 +81,6 @@
     stale: bool = False     # the place is gone or began anew: nothing here is used again
 
 
-def send_now(sock: socket.socket, data: bytes) -> int:
-    """Writes what the machine takes at once and never waits; gives how much that was."""
-    try:
-        return sock.send(data, 0, 0.0)
-    except BlockingIOError:
-        return 0
-
-
 class Caches:
     """`fly` carries a launch out and blocks until it has ended."""
 
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -14,17 +14,15 @@
 from ..interface import Retrieval
 from ..life.guard import Guard
 from ..memory.traces import Traces
-from .caches import send_now
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
+from .sockets import SCRATCH, send_now
 
-SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 MOST_OPEN = 32      # the protocol's bound on one connection
 # The protocol's clients close what is idle after 4 s. One that says nothing, or does not finish what it
 # began, is let go in half of that: the operators ask for an answer or a close within 3 s of connecting.
 IDLE = 4_000_000_000
 UNFINISHED = IDLE // 2
 TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
-ANSWERS = {End.SETTLED: "answer.ok", End.PUSHED_BACK: "answer.full", End.BROKEN_OFF: "answer.fault"}
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -35,8 +33,7 @@
         self.sock, self.frames = sock, Frames()
         self.open: dict[int, Retrieval] = {}
         self.turn = Semaphore()         # to write
-        self.due: list[bytes] = []      # answers of the door, written together
-        self.due_size = 0
+        self.due = bytearray()          # answers of the door, written together
         self.born = self.last = self.began = clock()    # `began`: the frame under way; 0: none is
         self.whole = self.asked = False     # it has sent a whole message; a retrieval
         self.turned_away = 0                # messages that could not be used or taken
@@ -47,7 +44,7 @@
 class Clients:
     def __init__(self, front: Front, most: int, most_buffered: int, slack: int,
                  ready: Callable[[], bool], clock: Callable[[], int], guard: Guard) -> None:
-        self.most_buffered, self.buffered = most_buffered, 0    # bytes from clients: parts of frames, bodies
+        self.most_buffered, self.buffered = most_buffered, 0    # parts of frames, bodies, answers that wait
         self.front, self.most, self.slack = front, most, slack
         self.ready, self.clock, self.guard, self.counters = ready, clock, guard, guard.counters
         self.profiles = front.places.around.profiles
@@ -108,7 +105,7 @@
                         if client.closed:
                             return
                         self._heard(client, words)
-                        if client.due_size > len(SCRATCH):
+                        if len(client.due) > len(SCRATCH):
                             self._flush(client)
                     self._flush(client)
                 self.buffered += len(client.frames.buffer) - client.buffered
@@ -149,7 +146,7 @@
             retrieval = client.open[message.tag] = self.front.take(message)
             if reply := self.front.answer_now(message, retrieval):
                 del client.open[message.tag]
-                self._due(client, self._encode(message.tag, reply))
+                client.due += self._encode(message.tag, reply)
             else:
                 gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
         elif isinstance(message, Nevermind):
@@ -189,22 +186,20 @@
             fields = b"pause=%d" % max(1, reply.retry_after // 1_000_000)
         elif reply.same:
             fields = b"keep=1"
-        self.counters.add(ANSWERS[reply.end])
         self.counters.add("answer.bytes", len(reply.body))
-        return encode(tag, word, fields, reply.body)
+        return self._counted(tag, word, fields, reply.body)
 
-    def _at_door(self, client: Client, tag: int, word: bytes) -> None:
+    def _counted(self, tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
         self.counters.add(f"answer.{word.decode()}")
-        self._due(client, encode(tag, word))
+        return encode(tag, word, fields, body)
 
-    def _due(self, client: Client, data: bytes) -> None:
-        client.due.append(data)
-        client.due_size += len(data)
+    def _at_door(self, client: Client, tag: int, word: bytes) -> None:
+        client.due += self._counted(tag, word)
 
     def _flush(self, client: Client) -> None:
         """Writes the door's answers. Nothing more is read of a client that does not take them."""
         if client.due:
-            data, client.due, client.due_size = b"".join(client.due), [], 0
+            data, client.due = client.due, bytearray()
             self._write(client, data, UNFINISHED)
 
     def _write(self, client: Client, data: bytes, left: int,
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 
 from gevent import socket
 from gevent.event import Event as Signal
 
+from ..life import clock
 from ..life.guard import Guard
 from .coordlines import BadLine, Beat, Event, Events, ListChange, Other, Purge, encode_follow
 
@@ -56,14 +56,14 @@
             sock.connect(self.address)
             sock.sendall(encode_follow(self.last))
             self.counters.add("coordinator.connected")
-            events, heard = Events(), time.monotonic()
+            events, heard = Events(), clock.now()
             while True:
-                sock.settimeout(max(heard + self.silent - time.monotonic(), 1e-3))
+                sock.settimeout(max(self.silent - (clock.now() - heard) / 1e9, 1e-3))
                 if not (data := sock.recv(CHUNK)):
                     return
                 for event in events.feed(data):
                     self._heard(event)
-                    heard = time.monotonic()
+                    heard = clock.now()
         finally:
             self.sock = None
             sock.close()
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -13,10 +13,8 @@
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
 NUMBER = re.compile(rb"[0-9]{1,18}")
 FIELD = re.compile(rb"([a-z]+)=([^,]*)(?:,|$)")
-
-
 # An ask as clients send it, up to its body: read at one go, since nothing else comes as often.
-USUAL = re.compile(rb"\*5\r\n\$3\r\n(ASK)\r\n\$(\d\d?)\r\n([0-9]{1,18})\r\n\$(\d{1,3})\r\n([!-~]{1,99})"
+USUAL = re.compile(rb"\*5\r\n\$3\r\nASK\r\n\$(\d\d?)\r\n([0-9]{1,18})\r\n\$(\d{1,3})\r\n([!-~]{1,99})"
                    rb"\r\n\$(\d{1,4})\r\n([!-~]{1,4096})\r\n\$(\d{1,6})\r\n")
 
 
@@ -95,7 +93,7 @@
         """The words of a usual ask that is here whole, and where the next frame begins."""
         if not (found := USUAL.match(self.buffer, at)):
             return None
-        _, tag_size, tag, name_size, name, size, fields, body_size = found.groups()
+        tag_size, tag, name_size, name, size, fields, body_size = found.groups()
         start, stop = found.end(), found.end() + int(body_size)
         if ((int(tag_size), int(name_size), int(size)) != (len(tag), len(name), len(fields))
                 or stop - start > LONGEST_OBJECT or self.buffer[stop:stop + 2] != b"\r\n"):
