--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,20 @@
 
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run counters clean
+.PHONY: build test lint run gateway bench-gateway schema counters clean
 
-build: .venv/made-from .venv/tested-with
+build: .venv/made-from .venv/made-with .venv/tested-with
 
 .venv/made-from: requirements.txt
 	python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt
 	cp requirements.txt $@
 
+# What the front does not need: the command line, deployments, gateways.
+.venv/made-with: requirements-extras.txt .venv/made-from
+	.venv/bin/pip -q install -r requirements-extras.txt
+	cp requirements-extras.txt $@
+
 .venv/tested-with: requirements-test.txt .venv/made-from
 	.venv/bin/pip -q install -r requirements-test.txt
 	cp requirements-test.txt $@
@@ -19,12 +24,25 @@
 	$(PYTHON) -m pytest -q
 
 lint: build
-	.venv/bin/ruff check marbleglade tests
+	.venv/bin/ruff check marbleglade tests benchmarks
 
 # One front, told by the file that CONFIG names: make run CONFIG=front.json
 run: build
 	GW_CONFIG=$(CONFIG) exec $(PYTHON) -O -m marbleglade
 
+# One gateway: make gateway DEPLOYMENT=deploy/gateway.textproto NAME=east-1
+gateway: build
+	exec $(PYTHON) -O -m marbleglade gateway --deployment $(DEPLOYMENT) --name "$(NAME)"
+
+bench-gateway: build
+	$(PYTHON) -O -m benchmarks.gateway
+
+# Made anew after a change of a schema, with grpcio-tools in an environment of its own.
+schema:
+	test -d .schema || (python3 -m venv .schema && .schema/bin/pip -q install grpcio-tools==1.85.1)
+	.schema/bin/python -m grpc_tools.protoc -I. --python_out=. marbleglade/deployment/deployment.proto \
+		marbleglade/gateway/link.proto
+
 # Has one front print its counters on its log: make counters PID=1234
 counters:
 	kill -USR1 $(PID)
--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -1,111 +1,31 @@
-"""`python -m marbleglade`: one front. This file only puts the parts together."""
+"""`python -m marbleglade`: one front of the platform; with words behind it, the command line."""
 
 from __future__ import annotations
 
-import gc
 import os
-import signal
 import sys
 
-import gevent
-from gevent import socket
 
-from .choice import Choice
-from .facade import Facade
-from .front import Front
-from .life import assignment, clock
-from .life.counters import Counters
-from .life.guard import Guard
-from .life.log import Log
-from .life.renewal import Renewals
-from .life.stop import Stop
-from .memory.copies import Copies
-from .memory.places import Places
-from .memory.purges import Purges
-from .memory.room import Room
-from .wire.caches import Caches
-from .wire.clients import Clients
-from .wire.coordinator import Follower
-from .wire.peers import Peers
+def front() -> int:
+    """The front that the environment tells of; 0 at its planned end, 2 where the configuration is unfit."""
+    from .life import assignment, service
 
-SECOND = 1_000_000_000
-
-
-def run(told: assignment.Assignment) -> None:
-    around, ground = told.around, told.around.ground
-    counters = Counters()
-    log = Log(told.name, counters, bool(os.environ.get("MARBLEGLADE_DEBUG")))
-    guard = Guard(counters, log)
-    stop = Stop(max(profile.client_timeout for profile in ground.profiles))
-
-    # Shares of the limits: a sixth of the memory for bodies, which are held up to three times over while they
-    # are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors
-    # for clients and half for connections to caches. The rest is for the process itself and for a margin.
-    room = Room(told.memory // 6)
-    places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
-    facade = Facade(ground, Choice, clock.now, around.most_open, counters,
-                    lambda text: log.say("note", text=text))
-    caches = Caches(places.by_cache, room, told.descriptors // 2, around.connect_timeout, around.idle_close,
-                    around.streams, clock.now, guard,
-                    lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
-    front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
-    clients = Clients(front, told.descriptors // 3, told.memory // 12, around.answer_slack,
-                      lambda: not stop.asked_at, clock.now, guard)
-    for event in told.known:
-        guard.run("known", front.apply, event)
-    follower = Follower(told.coordinator, told.last, front.pass_on, guard)
-    peers = None
-    work = [follower.run, front.probe, lambda: clients.accept(listener)]
-    if around.peer_messages and told.peer_listen and told.peers_all:
-        peers = Peers(told.peer_listen, told.peers, told.peers_all, front.heed, guard)
-        front.tell = peers.tell
-        work.append(peers.run)
-
-    def tell() -> None:
-        log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
-                cache_connections=caches.count, places=front.survey())
-
-    def leave() -> None:
-        stop.ask(clock.now())
-        log.say("stopping", open=len(facade.open))
-
-    renewals = Renewals(os.environ, told.fixed, follower, peers, log)
-    gevent.signal_handler(signal.SIGHUP, guard.run, "renewal", renewals.renew)
-    gevent.signal_handler(signal.SIGUSR1, tell)
-    gevent.signal_handler(signal.SIGTERM, leave)
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(told.listen)
-    listener.listen(told.descriptors)
-    for one in work:
-        gevent.spawn(one)
-    gc.freeze()     # what a front starts with stays; the collector need not look at it again
-    log.say("ready", places=len(places.by_id), last=told.last)
-
-    swept = clock.now()
-    while not stop.over(clock.now(), len(facade.open)):
-        due = guard.run("tick", facade.tick) or clock.now() + ground.resolution
-        if clock.now() - swept >= SECOND // 4:
-            swept = clock.now()
-            guard.run("sweep", caches.sweep)
-            guard.run("sweep", clients.sweep)
-        if stop.given_up(clock.now()):
-            guard.run("last_call", facade.last_call)
-        gevent.sleep(max(0, due - clock.now()) / 1e9)
-        if clock.now() - due > ground.resolution:
-            counters.add("timer.late")
-    tell()
-
-
-def main() -> int:
     try:
         told = assignment.read(os.environ)
     except assignment.Unfit as trouble:
         print(f"marbleglade: {trouble}", file=sys.stderr)
         return 2
-    run(told)
+    service.run(told)
     return 0
 
 
+def main() -> int:
+    if len(sys.argv) < 2:
+        return front()
+    from .command import main as command
+
+    return command()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/marbleglade/command/line.py
@@ -0,0 +1,147 @@
+"""`marbleglade`: its sub-commands on click."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import click
+
+from .. import __version__
+
+UNFIT = 2       # the deployment, the configuration or the words can't be used
+
+
+def _read(path: str, name: str):
+    from ..deployment.reading import Unfit, read
+
+    try:
+        return read(path, name)
+    except Unfit as trouble:
+        for fault in trouble.faults:
+            click.echo(f"marbleglade: {fault}", err=True)
+        sys.exit(UNFIT)
+
+
+DEPLOYMENT = click.Path(dir_okay=False)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def line() -> None:
+    """A front for caches of large objects behind thin links, and gateways between regions.
+
+    Without a sub-command it is one front of the platform, told by the file that GW_CONFIG names.
+
+    Exit codes: 0 done; 1 a check failed; 2 a deployment, a configuration or the words can't be used;
+    3 a library of this sub-command is not installed.
+    """
+
+
+@line.command()
+def front() -> None:
+    """Run one front, told by the file that GW_CONFIG names.
+
+    SIGHUP reads the file again, SIGUSR1 prints counters, SIGTERM ends it once all is answered.
+    """
+    from ..__main__ import front as serve
+
+    sys.exit(serve())
+
+
+@line.command()
+@click.option("--deployment", required=True, type=DEPLOYMENT, help="The installation's file (textproto).")
+@click.option("--name", default="", help="Which gateway of it this is; else the file's `self`.")
+def gateway(deployment: str, name: str) -> None:
+    """Run one gateway between regions.
+
+    SIGUSR1 prints counters and links, SIGTERM ends it once all that it took is answered.
+    """
+    deployed = _read(deployment, name)
+    from ..gateway.life import run
+
+    try:
+        run(deployed)
+    except OSError as trouble:
+        click.echo(f"marbleglade: {trouble}", err=True)
+        sys.exit(UNFIT)
+
+
+@line.command()
+@click.argument("deployment", type=DEPLOYMENT)
+@click.option("--quiet", is_flag=True, help="Say nothing where all is well.")
+def check(deployment: str, quiet: bool) -> None:
+    """Check DEPLOYMENT as a whole and print what is in force, defaults filled in.
+
+    All faults are named with their fields, a line each on standard error; the exit code is 1 then.
+    """
+    from ..deployment.reading import Unfit, faults, load, shown
+
+    try:
+        told = load(deployment)
+        wrong = faults(told)
+    except Unfit as trouble:
+        told, wrong = None, trouble.faults
+    for fault in wrong:
+        click.echo(fault, err=True)
+    if wrong:
+        sys.exit(1)
+    if not quiet:
+        click.echo(shown(told), nl=False)
+
+
+@line.command()
+@click.argument("deployment", type=DEPLOYMENT)
+@click.argument("thing", metavar="OBJECT")
+@click.option("--group", type=click.IntRange(0, 255), help="The object's group, where it is known.")
+@click.option("--from", "home", default="", help="The region that asks; else that of the file's `self`.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+def route(deployment: str, thing: str, group: int | None, home: str, as_json: bool) -> None:
+    """Say which regions are asked for OBJECT (16 hex digits), in their order, by DEPLOYMENT's routes."""
+    from ..deployment.reading import Unfit, faults, load
+    from ..gateway.routes import UNKNOWN, Routes, rule
+
+    try:
+        told = load(deployment)
+        wrong = faults(told)
+    except Unfit as trouble:
+        told, wrong = None, trouble.faults
+    if wrong:
+        for fault in wrong:
+            click.echo(f"marbleglade: {fault}", err=True)
+        sys.exit(UNFIT)
+    try:
+        number = int(thing, 16)
+        if len(thing) != 16:
+            raise ValueError(thing)
+    except ValueError:
+        raise click.BadParameter("not 16 hex digits", param_hint="OBJECT") from None
+    names = [one.name for one in told.regions]
+    home = home or next((region.name for region in told.regions
+                         for one in region.gateways if one.name == told.self), names[0])
+    if home not in names:
+        raise click.BadParameter(f"no region is named {home}", param_hint="--from")
+    rules = [rule(one.region, one.first_group if one.HasField("first_group") else None,
+                  one.last_group if one.HasField("last_group") else None, one.prefix) for one in told.routes]
+    routes = Routes(home, [one for one in names if one != home], rules, 1, 1)
+    of = UNKNOWN if group is None else group
+    legs, why = routes.legs(number, of, (), 0), routes.why(number, of, 0)
+    if as_json:
+        click.echo(json.dumps({"object": thing, "from": home, "regions": legs, "by": why}))
+    else:
+        click.echo(f"{' then '.join(legs)}   (by {why})")
+
+
+@line.command()
+def version() -> None:
+    """Print the version."""
+    click.echo(f"marbleglade {__version__}")
+
+
+@line.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print the completion script for SHELL, to be sourced there."""
+    from click.shell_completion import get_completion_class
+
+    kind = get_completion_class(shell)
+    click.echo(kind(line, {}, "marbleglade", "_MARBLEGLADE_COMPLETE").source())
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -12,7 +12,7 @@
 
 from .facade import End, Facade, Final, Go
 from .ground import STATES
-from .interface import Cache, Held, Outcome, Retrieval, State
+from .interface import NEVER_RAN, Cache, Held, Outcome, Profile, Retrieval, Role, State
 from .life import clock
 from .life.guard import Guard
 from .memory.copies import Copies, Copy
@@ -32,6 +32,10 @@
     retry_after: int = 0
     same: bool = False
     body: bytes = b""
+    tag: str = ""           # of the copy that was given, and the Unix millisecond at which it was given out
+    issued: int = 0
+    lacking: bool = False   # not settled, and the origin said last that there is no such object
+    ran: bool = False       # not settled, and something may have run
 
 
 ENDED = {end: f"retrieval.{end.name.lower()}" for end in End}
@@ -61,7 +65,8 @@
         if copy := self.copies.get(retrieval.object, retrieval.part):
             same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
             retrieval.held = Held(work // SAME if same else work, copy.issued,
-                                  Reply(End.SETTLED, 0, same, b"" if same else copy.body))
+                                  Reply(
+                End.SETTLED, 0, same, b"" if same else copy.body, copy.tag, clock.to_unix_ms(copy.issued)))
 
     def keep(self, retrieval: Retrieval, ending: Ending) -> None:
         """Files what came as a copy of the front's own."""
@@ -78,6 +83,18 @@
         self.counters.add("retrieval.no_room")
         return True
 
+    @property
+    def profiles(self) -> dict[str, Profile]:
+        return self.places.around.profiles
+
+    @property
+    def resolution(self) -> int:
+        return self.facade.decisions.ground.resolution
+
+    def leave(self, retrieval: Retrieval) -> None:
+        """The client waits no more."""
+        self.facade.leave(retrieval)
+
     def answer_now(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
         """Looks at a retrieval; its reply if the first decision is the last word, else `serve` goes on."""
         try:
@@ -96,7 +113,7 @@
     def serve(self, ask: Ask, retrieval: Retrieval, answer: Callable[[Reply], None]) -> None:
         """Runs a retrieval that was looked at to its end. `answer` passes the reply on, once at most."""
         kept: Ending | None = None
-        reply = Reply(End.BROKEN_OFF)
+        reply, lacking = Reply(End.BROKEN_OFF), False
         try:
             step = self.facade.pick(retrieval)
             while isinstance(step, Go):
@@ -105,6 +122,9 @@
                     kept = ending
                 else:
                     self.caches.drop(ending)
+                source = step.launch.source
+                lacking = (ending.outcome is Outcome.MISS and not step.held_only
+                           and (source.role is Role.ORIGIN or source is step.launch.cache))
                 self._note(ask, step, ending)
                 if ending.answer:
                     self.facade.probed(step.launch.cache, ending.answer.report())
@@ -113,6 +133,7 @@
                 self.facade.report(step, ending.outcome, ending.bare)
                 step = self.facade.pick(retrieval)
             reply = self._reply(retrieval, step, kept)
+            reply.lacking = lacking and reply.end is End.PUSHED_BACK
         except Exception as trouble:
             self.guard.note("retrieval", trouble)
             retrieval.over = True
@@ -136,10 +157,12 @@
             self.counters.add("retrieval.own")
             return retrieval.held.reply
         if final.end is not End.SETTLED:
-            return Reply(final.end, final.retry_after)
+            ran = any(one.outcome not in NEVER_RAN for one in retrieval.launches)
+            return Reply(final.end, final.retry_after, ran=ran)
         if not self.counters.must(kept is not None, "settled_without_answer"):
             return Reply(End.BROKEN_OFF)
-        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body)
+        told = kept.answer.fields
+        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body, told["entity"], int(told["issued"]))
 
     def _note(self, ask: Ask, go: Go, ending: Ending) -> None:
         launch = go.launch
--- /dev/null
+++ b/marbleglade/gateway/answerer.py
@@ -0,0 +1,292 @@
+"""The answering side: takes carries of other regions' gateways, has them served, and accounts for them."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from google.protobuf.message import Message
+
+from ..facade import End
+from ..front import Reply
+from ..life import clock
+from ..life.guard import Guard
+from ..wire.resp import Ask
+from . import returns
+from .book import Account, Book, Entry, Fate
+from .connection import OPENING, WINDOW, Connection
+from .crossing import Crossing, Journey
+from .frames import VERSION, BadFrame
+from .link_pb2 import Carry, Caught, Credit, Head, Hello, Leaving, Purge, Refused
+from .link_pb2 import Fate as FateFrame
+from .purgelog import Marked, Telling
+from .windows import Inflow
+
+MS = 1_000_000
+WORDS = {End.PUSHED_BACK: Head.PUSHED_BACK, End.BROKEN_OFF: Head.BROKEN_OFF}
+
+
+class Peer:
+    """One connection from another region's gateway."""
+
+    def __init__(self) -> None:
+        self.account: Account | None = None
+        self.connection: Connection | None = None
+        self.region = ""
+        self.leaving = False
+        self.bodies: dict[int, tuple[Message, Inflow]] = {}     # carries whose own body is still coming
+
+
+class Work:
+    """What runs for an entry of the book, and what its asker has of the answer."""
+
+    def __init__(self, journey: Journey | None, had: Message | None) -> None:
+        self.journey, self.had = journey, had
+
+
+class Answerer:
+    """`known`: the gateways that may come, with their regions. `deaf`: the coordinator is not heard."""
+
+    def __init__(self, home: str, gateway: str, start_ms: int, known: dict[str, str], silent: int,
+                 crossing: Crossing, book: Book, telling: Telling, deaf: Callable[[], bool], most: int,
+                 guard: Guard) -> None:
+        self.home, self.gateway, self.start_ms, self.known = home, gateway, start_ms, known
+        self.silent, self.crossing, self.book, self.telling = silent, crossing, book, telling
+        self.deaf, self.most, self.guard, self.counters = deaf, most, guard, guard.counters
+        self.peers: dict[str, Peer] = {}        # by gateway: the latest connection
+        self.connections: set[Connection] = set()
+        self.leaving = False
+
+    def accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                self.counters.add("link.accept_failed")
+                gevent.sleep(self.silent / 1e9 / 8)
+                continue
+            if len(self.connections) >= self.most:
+                self.counters.add("link.too_many")
+                sock.close()
+                continue
+            gevent.spawn(self.guard.run, "link", self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        peer = Peer()
+        connection = peer.connection = Connection(
+            sock, self.silent, self.guard, lambda kind, message: self._heard(peer, kind, message))
+        self.connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            connection.close("ended")
+            self.connections.discard(connection)
+            if peer.account and self.peers.get(peer.account.gateway) is peer:
+                del self.peers[peer.account.gateway]
+                self.guard.log.say("link.gone", gateway=peer.account.gateway, why=connection.why,
+                                   kept=len(peer.account.entries))
+            self._incomplete(peer)
+
+    def _incomplete(self, peer: Peer) -> None:
+        """What never came whole never ran; its number is used up all the same."""
+        while peer.bodies:
+            self.book.drop(peer.account, peer.bodies.popitem()[0])
+
+    def beat(self) -> None:
+        for connection in list(self.connections):
+            if connection.frames.begun:
+                connection.beat(self.deaf())
+
+    def leave(self) -> None:
+        """Takes no more; says so."""
+        self.leaving = True
+        for peer in self.peers.values():
+            peer.connection.say(leaving=Leaving())
+
+    def end(self) -> None:
+        """What was answered is written before the connections end."""
+        for connection in list(self.connections):
+            connection.finish()
+
+    def told(self, mark: Marked) -> None:
+        """A purge that this side was told goes to every other region at once."""
+        for peer in self.peers.values():
+            peer.connection.say(purge=_purge(mark))
+
+    def sweep(self) -> None:
+        for entry in self.book.expire(clock.now()):
+            self._stop(entry)
+
+    # What is heard.
+
+    def _heard(self, peer: Peer, kind: str, message: Message) -> None:
+        if kind != "hello" and peer.account is None:
+            raise BadFrame(f"a {kind} before the hello")
+        hear = getattr(self, f"_hear_{kind}", None)
+        if hear is None:
+            raise BadFrame(f"a {kind} from who asks")
+        hear(peer, message)
+
+    def _hear_hello(self, peer: Peer, message: Message) -> None:
+        why = ""
+        if message.to_region != self.home:
+            why = f"this is not {message.to_region}"
+        elif self.known.get(message.gateway) != message.region:
+            why = "no such gateway there"
+        else:
+            known = self.peers.get(message.gateway)
+            account, ended = self.book.meet(message.gateway, message.start_ms, message.turn,
+                                            known is not None)
+            for entry in ended:
+                self._stop(entry)
+            if account is None:
+                why = "a later start or connection is known"
+        if why:
+            self.counters.add("link.refused")
+            peer.connection.say(refused=Refused(why=why))
+            peer.connection.finish()
+            return
+        if known:
+            known.connection.close("replaced")
+            self._incomplete(known)
+        peer.account, peer.region = account, message.region
+        self.peers[message.gateway] = peer
+        outbox = peer.connection.outbox
+        outbox.opening, outbox.pace.window = min(message.opening, OPENING), min(message.window, WINDOW)
+        peer.connection.say(hello=Hello(
+            version=VERSION, region=self.home, gateway=self.gateway, start_ms=self.start_ms,
+            to_region=message.region, turn=message.turn, opening=OPENING, window=WINDOW))
+        held = message.known_index if message.known_start_ms == self.start_ms else 0
+        held = min(held, self.telling.index)
+        for mark in self.telling.after(held):
+            peer.connection.say(purge=_purge(mark))
+        peer.connection.say(caught=Caught(index=self.telling.index, since_ms=self.telling.reaches(held)))
+        peer.connection.beat(self.deaf())
+        if self.leaving:
+            peer.connection.say(leaving=Leaving())
+        self.guard.log.say("link.taken", gateway=message.gateway, start_ms=message.start_ms,
+                           turn=message.turn)
+
+    def _hear_beat(self, peer: Peer, message: Message) -> None:
+        if not message.echo_ns:         # its first: answered at once, so that the link is up sooner
+            peer.connection.beat(self.deaf())
+
+    def _hear_credit(self, peer: Peer, message: Message) -> None:
+        """Taken by the connection itself."""
+
+    def _hear_leaving(self, peer: Peer, message: Message) -> None:
+        peer.leaving = True
+
+    def _hear_carry(self, peer: Peer, message: Message) -> None:
+        self.counters.add("carried.taken")
+        if message.passed[-1] != peer.region:
+            raise BadFrame("a carry of another region")
+        if self.leaving or self.book.full or self.crossing.refuse() or (
+                message.profile not in self.crossing.profiles):
+            if not self.book.skip(peer.account, message.number):
+                raise BadFrame("a carry that was there before")
+            self.counters.add("carried.turned_away")
+            known = message.profile in self.crossing.profiles
+            peer.connection.say(head=Head(
+                number=message.number, word=Head.PUSHED_BACK if known else Head.BROKEN_OFF))
+            return
+        entry = self.book.take(peer.account, message.number, clock.now() + 2 * message.within_ms * MS)
+        if entry is None:
+            raise BadFrame("a carry that was there before")
+        entry.work = Work(None, message.had if message.HasField("had") else None)
+        if message.body:
+            inflow = Inflow(message.body, 0, OPENING)
+            peer.bodies[message.number] = message, inflow
+            if more := inflow.grant():
+                peer.connection.say(credit=Credit(number=message.number, bytes=more))
+        else:
+            self._begin(peer.account, entry, message, b"")
+
+    def _hear_chunk(self, peer: Peer, message: Message) -> None:
+        peer.connection.credited(len(message.data))
+        if message.number not in peer.bodies:
+            if message.number > peer.account.last:
+                raise BadFrame("a chunk of no carry")
+            return      # it was given up or turned away
+        carry, inflow = peer.bodies[message.number]
+        inflow.put(message.at, message.data)
+        if inflow.whole:
+            del peer.bodies[message.number]
+            if entry := peer.account.entries.get(message.number):
+                self._begin(peer.account, entry, carry, bytes(inflow.data))
+
+    def _hear_undo(self, peer: Peer, message: Message) -> None:
+        peer.connection.outbox.drop(message.number)
+        peer.bodies.pop(message.number, None)
+        if entry := self.book.drop(peer.account, message.number):
+            self.counters.add("carried.had" if message.had else "carried.undone")
+            self._stop(entry)
+
+    def _hear_query(self, peer: Peer, message: Message) -> None:
+        fate, entry = self.book.fate(peer.account, message.number)
+        self.counters.add(f"carried.fate_{fate.name.lower()}")
+        peer.connection.say(fate=FateFrame(number=message.number, state=fate.value))
+        had = message.had if message.HasField("had") else None
+        if fate is Fate.RUNNING and had:
+            entry.work.had = had
+        elif fate is Fate.ANSWERED:
+            self._say(peer, entry, had)
+
+    # What runs.
+
+    def _begin(self, account: Account, entry: Entry, message: Carry, body: bytes) -> None:
+        profile = self.crossing.profiles[message.profile]
+        ask = Ask(message.number, profile, message.profile, message.trace,
+                  min(message.within_ms * MS, profile.client_timeout), message.again, f"{message.thing:016x}",
+                  message.part, message.group, message.copy, body, message.oldest_ms * MS,
+                  tuple(message.passed))
+        journey = self.crossing.take(ask)
+        entry.work.journey = journey
+        if reply := self.crossing.answer_now(ask, journey):
+            self._answered(account, entry, reply)
+        else:
+            gevent.spawn(self.guard.run, "carried", self.crossing.serve, ask, journey,
+                         lambda reply: self._answered(account, entry, reply))
+
+    def _stop(self, entry: Entry) -> None:
+        """Its asker wants it no more."""
+        if isinstance(entry.work, Work) and entry.work.journey:
+            self.guard.run("leave", self.crossing.leave, entry.work.journey)
+
+    def _answered(self, account: Account, entry: Entry, reply: Reply) -> None:
+        if account.entries.get(entry.number) is not entry:
+            return
+        had, body = entry.work.had, reply.body
+        self.book.answered(account, entry, reply, len(body))
+        peer = self.peers.get(account.gateway)
+        if peer and peer.account is account and not peer.connection.closed:
+            self._say(peer, entry, had, reply)
+
+    def _say(self, peer: Peer, entry: Entry, had: Message | None, reply: Reply | None = None) -> None:
+        reply = reply or entry.answer
+        self.counters.add(f"carried.{reply.end.name.lower()}")
+        if reply.end is not End.SETTLED:
+            word = Head.LACKING if reply.lacking else WORDS[reply.end]
+            peer.connection.say(head=Head(number=entry.number, word=word, ran=reply.ran,
+                                          pause_ms=reply.retry_after // MS))
+        elif reply.same:
+            peer.connection.say(head=Head(number=entry.number, word=Head.SAME, tag=reply.tag,
+                                          issued_ms=reply.issued))
+        else:
+            at = returns.goes_on(had.tag, had.issued_ms, had.bytes, reply.tag, reply.issued,
+                                 len(reply.body)) if had else 0
+            peer.connection.say(head=Head(
+                number=entry.number, word=Head.SETTLED, tag=reply.tag, issued_ms=reply.issued,
+                size=len(reply.body), at=at, check=zlib.crc32(reply.body)))
+            peer.connection.give(entry.number, reply.body, at)
+
+    def survey(self) -> list[dict[str, object]]:
+        """What is kept for whom."""
+        return [{"gateway": name, "start_ms": one.account.start, "entries": len(one.account.entries),
+                 "last": one.account.last} for name, one in self.peers.items()]
+
+
+def _purge(mark: Marked) -> Purge:
+    return Purge(index=mark.index, thing=mark.thing, group=mark.group, at_ms=mark.at_ms)
--- /dev/null
+++ b/marbleglade/gateway/crossing.py
@@ -0,0 +1,127 @@
+"""The life of a retrieval at a gateway: at home, across, or one and then the other; never both at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ..facade import End
+from ..front import Front, Reply
+from ..interface import Profile, Retrieval
+from ..life import clock
+from ..wire.resp import Ask
+from .asker import Links
+from .routes import UNKNOWN, Routes
+
+
+class Across(Front):
+    """A front whose caches are another region's gateways.
+
+    Departure: a copy of its own is shown to the decisions only while that region was heard lately, since a
+    purge there may not have come through.
+    """
+
+    def __init__(self, *parts: object, links: Links, heard: int) -> None:
+        super().__init__(*parts)
+        self.links, self.heard = links, heard
+        links.front = self
+
+    def hold(self, ask: Ask, retrieval: Retrieval) -> None:
+        if self.links.hearing.lately(clock.now(), self.heard):
+            super().hold(ask, retrieval)
+            if ask.oldest and retrieval.held and clock.now() - retrieval.held.issued > ask.oldest:
+                retrieval.held = None       # older than who asks will take
+
+
+@dataclass(slots=True, eq=False)
+class Journey:
+    """A retrieval on its way through a gateway, whichever front has it at the moment."""
+
+    until: int
+    legs: list[str]             # the regions still to be asked
+    region: str = ""
+    front: Front | None = None
+    ask: Ask | None = None
+    retrieval: Retrieval | None = None
+    over: bool = False
+
+
+class Crossing:
+    """To the doors this is what a front is. `across` holds one front for each other region."""
+
+    def __init__(self, home: Front, name: str, across: dict[str, Across], routes: Routes) -> None:
+        self.home, self.routes, self.guard, self.counters = home, routes, home.guard, home.counters
+        self.fronts: dict[str, Front] = {name: home, **across}
+        self.across, self.profiles, self.resolution = across, home.profiles, home.resolution
+
+    def __len__(self) -> int:
+        """How many retrievals are open."""
+        return sum(len(one.facade.open) for one in self.fronts.values())
+
+    def refuse(self) -> bool:
+        """True while what is kept in memory is at its bound."""
+        return any([one.refuse() for one in self.fronts.values()])
+
+    def take(self, ask: Ask) -> Journey:
+        """A retrieval as it came by a door, a carry as well."""
+        now = clock.now()
+        legs = self.routes.legs(int(ask.thing, 16), ask.group, ask.passed, now)
+        journey = Journey(now + ask.patience, legs)
+        if journey.legs:
+            self._next(ask, journey)
+        return journey
+
+    def _next(self, ask: Ask, journey: Journey) -> None:
+        """Hands it to the front of the next region."""
+        journey.region = journey.legs.pop(0)
+        journey.front = front = self.fronts[journey.region]
+        profile: Profile = front.profiles[ask.profile_name]
+        journey.ask = replace(ask, profile=profile, oldest=self._oldest(ask, front))
+        journey.retrieval = front.take(journey.ask)
+        journey.retrieval.until = min(journey.retrieval.until, journey.until)
+
+    def _oldest(self, ask: Ask, front: Front) -> int:
+        """Where the group is not told, any group's purge may be meant."""
+        at = front.purges.any_group() if ask.group == UNKNOWN else 0
+        since = max(1_000_000, clock.now() - at) if at else ask.oldest
+        return min(since, ask.oldest or since)
+
+    def answer_now(self, ask: Ask, journey: Journey) -> Reply | None:
+        """Its reply if the first decision is the last word, else `serve` goes on."""
+        if journey.front is None:
+            self.counters.add("retrieval.in_a_circle")
+            return Reply(End.PUSHED_BACK, lacking=True)
+        return journey.front.answer_now(journey.ask, journey.retrieval)
+
+    def serve(self, ask: Ask, journey: Journey, answer: Callable[[Reply], None]) -> None:
+        """Runs it to its end, through one region after the other where the first has no such object."""
+        thing = int(ask.thing, 16)
+
+        def said(reply: Reply) -> None:
+            nonlocal last
+            if reply.end is End.SETTLED:
+                self.routes.learn(thing, journey.region, clock.now())
+            elif reply.lacking:
+                self.routes.lacks(thing, journey.region)
+                if journey.legs and clock.now() < journey.until and not reply.ran:
+                    last = reply
+                    return
+            answer(reply)
+
+        while True:
+            last: Reply | None = None
+            journey.front.serve(journey.ask, journey.retrieval, said)
+            if last is None or journey.over:
+                return
+            self.counters.add("retrieval.onward")
+            self._next(ask, journey)
+            if reply := journey.front.answer_now(journey.ask, journey.retrieval):
+                said(reply)
+                if last is None:
+                    return
+
+    def leave(self, journey: Journey) -> None:
+        """The client waits no more."""
+        journey.over = True
+        if journey.front:
+            journey.front.leave(journey.retrieval)
--- /dev/null
+++ b/marbleglade/gateway/frames.py
@@ -0,0 +1,126 @@
+"""The link's frames, without I/O: protobuf messages behind their length, each checked against its bounds."""
+
+from __future__ import annotations
+
+import re
+import struct
+from collections.abc import Callable
+
+from google.protobuf.message import DecodeError, Message
+
+from ..wire.resp import LONGEST_OBJECT
+from .link_pb2 import Frame
+from .routes import UNKNOWN
+from .windows import CHUNK
+
+VERSION = 1
+LENGTH = struct.Struct("!I")
+LONGEST = CHUNK + 4096          # bytes of one frame
+MOST_PASSED = 16                # regions on one way
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")
+TRACE = re.compile(r"[!-+\--~]{1,64}")
+TAG = re.compile(r"[0-9a-fA-F]{16}")
+LONGEST_TIME = 3_600_000        # ms
+LATEST = 1 << 46                # ms, far beyond any clock's Unix time
+
+
+class BadFrame(Exception):
+    """What can't be read, or says what nobody says; the connection can't be followed any more."""
+
+
+def encode(**kind: Message) -> bytes:
+    """A frame of the one kind that is named."""
+    data = Frame(**kind).SerializeToString()
+    return LENGTH.pack(len(data)) + data
+
+
+def _hello(one: Message) -> bool:
+    return (bool(NAME.fullmatch(one.region)) and bool(NAME.fullmatch(one.gateway))
+            and bool(NAME.fullmatch(one.to_region)) and 0 < one.start_ms < LATEST and one.turn > 0
+            and one.known_start_ms < LATEST and 0 < one.opening <= LONGEST_OBJECT
+            and CHUNK <= one.window <= 1 << 26)
+
+
+def _had(one: Message) -> bool:
+    return bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST and 0 < one.bytes <= LONGEST_OBJECT
+
+
+def _carry(one: Message) -> bool:
+    return (one.number > 0 and bool(TRACE.fullmatch(one.trace)) and bool(NAME.fullmatch(one.profile))
+            and one.part < 1 << 31 and one.group <= UNKNOWN and 0 < one.within_ms <= LONGEST_TIME
+            and (not one.copy or bool(TAG.fullmatch(one.copy))) and 0 < len(one.passed) <= MOST_PASSED
+            and all(map(NAME.fullmatch, one.passed)) and one.body <= LONGEST_OBJECT
+            and (not one.HasField("had") or _had(one.had)))
+
+
+def _head(one: Message) -> bool:
+    if not one.number or one.word not in one.Word.values() or one.word == one.NONE:
+        return False
+    if one.word == one.SETTLED:
+        return (bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST
+                and one.at <= one.size <= LONGEST_OBJECT)
+    if one.size or one.at:
+        return False
+    return one.word != one.SAME or (bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST)
+
+
+CHECKS: dict[str, Callable[[Message], bool]] = {
+    "hello": _hello,
+    "carry": _carry,
+    "chunk": lambda one: one.number > 0 and 0 < len(one.data) <= CHUNK and one.at < LONGEST_OBJECT,
+    "credit": lambda one: 0 < one.bytes <= 1 << 26,
+    "head": _head,
+    "undo": lambda one: one.number > 0,
+    "query": lambda one: one.number > 0 and (not one.HasField("had") or _had(one.had)),
+    "fate": lambda one: one.number > 0 and one.state in one.State.values() and one.state != one.NONE,
+    "purge": lambda one: one.index > 0 and one.group < UNKNOWN and 0 < one.at_ms < LATEST,
+    "caught": lambda one: one.since_ms < LATEST,
+    "beat": lambda one: one.sent_ns > 0,
+    "leaving": lambda one: True,
+    "refused": lambda one: len(one.why) <= 200,
+}
+
+
+class Frames:
+    """Cuts a stream of bytes into checked messages; the first of each connection is a hello or a refusal."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.begun = False
+
+    @property
+    def amid(self) -> bool:
+        return bool(self.buffer)
+
+    def feed(self, data: bytes | memoryview) -> list[tuple[str, Message]]:
+        """The messages that are whole by now, each with its kind. Raises `BadFrame`."""
+        self.buffer += data
+        found, at, end = [], 0, len(self.buffer)
+        while end - at >= LENGTH.size:
+            size, = LENGTH.unpack_from(self.buffer, at)
+            if not 0 < size <= LONGEST:
+                raise BadFrame("a frame too short or too long")
+            if end - at < LENGTH.size + size:
+                break
+            at += LENGTH.size
+            found.append(self._read(bytes(memoryview(self.buffer)[at:at + size])))
+            at += size
+        del self.buffer[:at]
+        return found
+
+    def _read(self, data: bytes) -> tuple[str, Message]:
+        try:
+            frame = Frame.FromString(data)
+        except DecodeError as trouble:
+            raise BadFrame("not a frame") from trouble
+        kind = frame.WhichOneof("kind")
+        if kind is None or (not self.begun and kind not in ("hello", "refused")) or (
+                self.begun and kind == "hello"):
+            raise BadFrame(f"{kind} where it does not belong")
+        message = getattr(frame, kind)
+        if kind == "hello" and message.version != VERSION:
+            raise BadFrame(f"version {message.version}")
+        if not CHECKS[kind](message):
+            raise BadFrame(f"a {kind} that can't be used")
+        self.begun = True
+        return kind, message
--- /dev/null
+++ b/marbleglade/gateway/life.py
@@ -0,0 +1,242 @@
+"""One gateway from its start to its end. This file only puts the parts together."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+
+from ..choice import Choice
+from ..deployment.ground import across, home
+from ..deployment.reading import Deployed, address
+from ..facade import Facade
+from ..front import Front
+from ..ground import Surroundings
+from ..life import clock
+from ..life.counters import Counters
+from ..life.guard import Guard
+from ..life.stop import Stop
+from ..life.structured import StructuredLog
+from ..memory.copies import Copies
+from ..memory.places import Places
+from ..memory.purges import Purges
+from ..memory.room import Room
+from ..wire.caches import Caches
+from ..wire.clients import Clients
+from ..wire.coordinator import Follower
+from ..wire.coordlines import ListChange, Purge
+from ..wire.placedoor import PlaceDoor
+from .answerer import Answerer
+from .asker import Links
+from .book import Book
+from .crossing import Across, Crossing
+from .owed import Owed
+from .parts import Parts
+from .purgelog import Telling
+from .routes import UNKNOWN, Routes, rule
+
+MS = 1_000_000
+DEAF = 2_500 * MS       # the coordinator's protocol promises a line each second
+MOST_MARKS = 1 << 14
+MOST_OBJECTS = 1 << 16  # in the directory of regions
+SLICE = 1 << 6          # part of what a region may be owed with which it begins
+
+
+class Gateway:
+    """All parts of one gateway, with no listener open yet."""
+
+    def __init__(self, deployed: Deployed, debug: bool = False, sink: int | None = None) -> None:
+        self.deployed, told = deployed, deployed.told
+        limits, link = told.limits, told.link
+        self.name, self.region = deployed.gateway.name, deployed.region.name
+        self.start_ms = clock.unix_ns() // MS
+        self.counters = Counters()
+        self.log = StructuredLog(self.name, self.counters, debug, sink)
+        self.guard = Guard(self.counters, self.log)
+        self.silent, self.beat_every = round(link.silent_ms * MS), round(link.beat_ms * MS)
+        longest = max(round(one.client_timeout_ms * MS) for one in told.profiles)
+        self.stop = Stop(longest)
+
+        # Shares of the limits, as the front's: a sixth of the memory for bodies and one for copies, half of
+        # that for what clients send; a quarter of the descriptors each for clients, places and who asks here.
+        self.room = Room(limits.memory // 6)
+        around = home(deployed, self.start_ms)
+        self.home = Front(*self._parts(around, self._caches(around), 0, 0))
+        self.links = [self._links(region) for region in deployed.others]
+        self.across = {one.region: self._across(one, region)
+                       for one, region in zip(self.links, deployed.others, strict=True)}
+        routes = Routes(self.region, [one.name for one in deployed.others], [
+            rule(one.region, one.first_group if one.HasField("first_group") else None,
+                 one.last_group if one.HasField("last_group") else None, one.prefix)
+            for one in told.routes], MOST_OBJECTS, 16 * longest)
+        self.crossing = Crossing(self.home, self.region, self.across, routes)
+        for one in self.links:
+            one.purged, one.forget = self._purged, self._forget
+        self.telling = Telling(self.start_ms, round(4 * told.rules.clear_ms), MOST_MARKS)
+        self.follower = Follower(address(deployed.region.coordinator), 0, self._told, self.guard, anew=True)
+        peers = {gateway.name: region.name for region in deployed.others for gateway in region.gateways}
+        self.answerer = Answerer(
+            self.region, self.name, self.start_ms, peers, self.silent, self.crossing,
+            Book(link.book_carries, link.book_bytes if link.book else 0), self.telling, self.deaf,
+            max(8, limits.descriptors // 8), self.guard)
+        self.clients = Clients(self.crossing, limits.descriptors // 4, limits.memory // 12, 0,
+                               lambda: not self.stop.asked_at, clock.now, self.guard)
+        self.door = PlaceDoor(self.crossing, UNKNOWN, limits.descriptors // 8, around.idle_close,
+                              lambda: not self.stop.asked_at, self.guard)
+        self.listeners: list[socket.socket] = []
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def _parts(self, around: Surroundings, carrier: Callable[[Places, Purges], object], copies: int,
+               pace: int) -> tuple:
+        ground = around.ground
+        places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
+        facade = Facade(ground, Choice, clock.now, around.most_open, self.counters,
+                        lambda text: self.log.say("note", text=text))
+        return facade, carrier(places, purges), places, purges, Copies(copies), pace, self.guard
+
+    def _caches(self, around: Surroundings) -> Callable[[Places, Purges], Caches]:
+        most = self.deployed.told.limits.descriptors // 4
+        return lambda places, purges: Caches(
+            places.by_cache, self.room, most, around.connect_timeout, around.idle_close, around.streams,
+            clock.now, self.guard,
+            lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
+
+    def _links(self, region) -> Links:
+        link, limits = self.deployed.told.link, self.deployed.told.limits
+        peers = [(one.name, address(one.reached_at or one.links)) for one in region.gateways]
+        most = max(SLICE, link.book_carries // len(self.deployed.region.gateways))
+        owed = Owed(most, most // SLICE, round(min(
+            one.agreed_ms for one in self.deployed.told.profiles) * MS))
+        return Links(self.region, self.name, self.start_ms, region.name, peers, self.silent, link.drift_ppm,
+                     link.book, self.room, Parts(limits.memory // 12), owed, self.guard)
+
+    def _across(self, links: Links, region) -> Across:
+        limits = self.deployed.told.limits
+        around = across(self.deployed, self.start_ms, region)
+        copies = limits.memory // 6 // len(self.deployed.others) if limits.pace else 0
+        parts = self._parts(around, lambda places, purges: links, copies, round(limits.pace))
+        return Across(*parts, links=links, heard=round(self.silent * self.deployed.told.rules.heard_ratio))
+
+    # What is told.
+
+    def deaf(self) -> bool:
+        """True while the coordinator is not heard: purges may be missing."""
+        return clock.now() - self.follower.heard_at > DEAF or not self.follower.heard_at
+
+    def _told(self, event: ListChange | Purge) -> None:
+        """An event of the region's coordinator."""
+        if isinstance(event, ListChange):
+            self.home.apply(event)
+            return
+        now_ms = clock.unix_ns() // MS
+        self.answerer.told(self.telling.add(event.thing, event.group, min(event.unix_ms, now_ms), now_ms))
+        self._purged(event)
+
+    def _purged(self, purge: Purge) -> None:
+        """A purge, wherever it was told: copies of all regions may stand behind any door."""
+        for front in self.crossing.fronts.values():
+            front.apply(purge)
+
+    def _forget(self, before_ms: int) -> None:
+        for front in self.across.values():
+            front.copies.older(clock.from_unix_ms(before_ms))
+
+    # From start to end.
+
+    def start(self) -> None:
+        """Opens the doors and starts all that runs."""
+        told = self.deployed.gateway
+        work = [self.follower.run]
+        for text, serve in ((told.clients, self.clients.accept), (told.places, self.door.accept),
+                            (told.links, self.answerer.accept)):
+            if text:
+                listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.bind(address(text))
+                listener.listen(1024)
+                self.listeners.append(listener)
+                work.append(lambda serve=serve, listener=listener: serve(listener))
+        for links in self.links:
+            work += [lambda links=links, one=one: links.run(one) for one in links.links]
+        work += [lambda front=front: front.probe() for front in self.crossing.fronts.values()]
+        work += [lambda front=front: self._tick(front) for front in self.crossing.fronts.values()]
+        work.append(self._sweep)
+        self.greenlets = [gevent.spawn(one) for one in work]
+
+    def _tick(self, front: Front) -> None:
+        resolution = front.facade.decisions.ground.resolution
+        while True:
+            due = self.guard.run("tick", front.facade.tick) or clock.now() + resolution
+            gevent.sleep(max(0, due - clock.now()) / 1e9)
+
+    def _sweep(self) -> None:
+        """The one timer for what is periodic here."""
+        count = 0
+        while True:
+            count += 1
+            for links in self.links:
+                self.guard.run("beat", links.beat)
+                self.guard.run("sweep", links.sweep)
+            self.guard.run("beat", self.answerer.beat)
+            if not count % 4:
+                for work in (self.answerer.sweep, self.home.caches.sweep, self.clients.sweep,
+                             self.door.sweep):
+                    self.guard.run("sweep", work)
+            gevent.sleep(self.beat_every / 1e9)
+
+    def leave(self) -> None:
+        """Takes no more, and says so to the other side."""
+        if not self.stop.asked_at:
+            self.stop.ask(clock.now())
+            self.log.say("stopping", open=len(self.crossing))
+            self.answerer.leave()
+            for links in self.links:
+                links.leave()
+
+    def last_call(self) -> None:
+        for front in self.crossing.fronts.values():
+            self.guard.run("last_call", front.facade.last_call)
+
+    def close(self) -> None:
+        """Ends all that runs; for a gateway that shares its process with others."""
+        gevent.killall(self.greenlets)
+        for listener in self.listeners:
+            listener.close()
+        for connection in list(self.answerer.connections):
+            connection.close("ended")
+        for links in self.links:
+            for one in links.links:
+                if one.connection:
+                    one.connection.close("ended")
+
+    def tell(self) -> None:
+        """Counters, links, accounts and places, on the log."""
+        self.log.say("counters", counts=self.counters.table(), open=len(self.crossing),
+                     links=[row for links in self.links for row in links.survey()],
+                     book=self.answerer.survey(), book_bytes=self.answerer.book.bytes,
+                     directory=len(self.crossing.routes.answered),
+                     places=[row | {"region": region} for region, front in self.crossing.fronts.items()
+                             for row in front.survey()])
+
+
+def run(deployed: Deployed) -> None:
+    """A gateway in a process of its own, until SIGTERM; SIGUSR1 makes it tell."""
+    gateway = Gateway(deployed, bool(os.environ.get("MARBLEGLADE_DEBUG")))
+    gevent.signal_handler(signal.SIGTERM, gateway.leave)
+    gevent.signal_handler(signal.SIGINT, gateway.leave)
+    gevent.signal_handler(signal.SIGUSR1, gateway.tell)
+    gateway.start()
+    gc.freeze()
+    gateway.log.say("ready", region=gateway.region, start_ms=gateway.start_ms,
+                    linked=[one.name for one in deployed.others])
+    while not gateway.stop.over(clock.now(), len(gateway.crossing)):
+        if gateway.stop.given_up(clock.now()):
+            gateway.last_call()
+        gevent.sleep(gateway.beat_every / 4e9)
+    gateway.answerer.end()
+    gevent.sleep(gateway.silent / 8e9)      # what was answered last is on its way
+    gateway.tell()
--- /dev/null
+++ b/marbleglade/gateway/returns.py
@@ -0,0 +1,66 @@
+"""How a carry returns after a cut: what is waited for, what goes again, and what is proved harmless."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..interface import Outcome, Profile, Repeat
+from .book import Fate
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """The carry stays open until then; once the link is back its fate is asked for."""
+
+    until: int
+
+
+def after_cut(profile: Profile, sent: int, limit: int, others: bool, account: bool) -> Outcome | Wait:
+    """What becomes of a carry whose link was cut. `limit`: when its launch ends; `others`: whether another
+    link of its region is up; `account`: whether fates can be asked for.
+
+    What does no harm twice goes on over another link at once; without one it waits for the return as long as
+    its agreed time runs. What may do harm waits as long as it can, since only its fate allows another launch.
+    """
+    if not account:
+        return Outcome.RESET
+    if profile.repeat is not Repeat.PURE:
+        return Wait(limit)
+    return Outcome.RESET if others else Wait(min(limit, sent + profile.agreed))
+
+
+def after_start(profile: Profile) -> Outcome:
+    """The far gateway died and began anew: whatever it had taken is lost, and may have run."""
+    return Outcome.RESET
+
+
+def after_fate(fate: Fate) -> Outcome | None:
+    """How the launch ended; None: it goes on, and an answer will come."""
+    return {Fate.NEVER: Outcome.UNREACHED, Fate.LOST: Outcome.RESET}.get(fate)
+
+
+class Word(Enum):
+    """What the far side says at the end of a carry."""
+
+    SETTLED = 1
+    SAME = 2
+    PUSHED_BACK = 3
+    BROKEN_OFF = 4
+    LACKING = 5
+
+
+def after_word(word: Word, ran: bool, profile: Profile) -> Outcome:
+    """The far side's last word as the outcome of a launch. Outcomes that prove that nothing ran are given
+    only where it said so, or where a second run does no harm anyway."""
+    if word in (Word.SETTLED, Word.SAME):
+        return Outcome.OK
+    if word is Word.BROKEN_OFF:
+        return Outcome.ERROR
+    proved = not ran or profile.repeat is Repeat.PURE
+    return (Outcome.MISS if word is Word.LACKING else Outcome.FULL) if proved else Outcome.ERROR
+
+
+def goes_on(had_tag: str, had_issued: int, had_bytes: int, tag: str, issued: int, size: int) -> int:
+    """Where the rest of a body begins: behind what had come, if it is the same copy's; else at 0."""
+    return had_bytes if had_tag and (had_tag, had_issued) == (tag, issued) and had_bytes <= size else 0
--- a/marbleglade/life/log.py
+++ b/marbleglade/life/log.py
@@ -20,6 +20,10 @@
     def say(self, event: str, **told: object) -> None:
         line = orjson.dumps({"at": time.time_ns() // 1_000_000, "front": self.name, "event": event} | told,
                             default=str, option=orjson.OPT_APPEND_NEWLINE)
+        self.write(line)
+
+    def write(self, line: bytes) -> None:
+        """Passes a line on where that needs no waiting; else it is counted as dropped."""
         try:
             # A pipe that is ready takes a short line whole, so this never waits for its reader.
             if select.select([], [self.sink], [], 0)[1] and os.write(self.sink, line) == len(line):
--- a/marbleglade/memory/copies.py
+++ b/marbleglade/memory/copies.py
@@ -45,6 +45,11 @@
                     and (key[0] == thing or (not thing and copy.group == group))]:
             self._drop(key)
 
+    def older(self, at: int) -> None:
+        """Drops all that was given out by then."""
+        for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR]:
+            self._drop(key)
+
     def _drop(self, key: tuple[int, int]) -> None:
         copy = self.kept.pop(key, None)
         self.used -= len(copy.body) if copy else 0
--- a/marbleglade/memory/purges.py
+++ b/marbleglade/memory/purges.py
@@ -24,3 +24,7 @@
 
     def _both(self, thing: int, group: int) -> list[tuple[int, int]]:
         return [self.told[place] for place in (("object", thing), ("group", group)) if place in self.told]
+
+    def any_group(self) -> int:
+        """When any group was last purged; 0: not lately."""
+        return max((at for (kind, _), (_, at) in self.told.items() if kind == "group"), default=0)
--- /dev/null
+++ b/marbleglade/standins/places.py
@@ -0,0 +1,264 @@
+"""A stand-in cache, hub or store on the caches' protocol: slow, silent, cold, drained or spoilt at will."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, OrderedDict, deque
+from contextlib import suppress
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+from gevent.lock import Semaphore
+
+from ..wire.cachelines import Answers, BadLine, Errand
+from ..wire.errands import Errands, Look, Odd, Undo, encode
+from .world import MS, Library, body_of, group_of, tag_of
+
+KEPT = 4096     # objects that a hub keeps
+
+
+def listening(address: tuple[str, int] = ("127.0.0.1", 0)) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(512)
+    return sock
+
+
+class Place:
+    """One place. A store has a `library`; any other fills its misses from the `sources` that errands name.
+
+    Faults are plain attributes: `slow` seconds before each answer, `silent`, `reset`, `spoilt` (answers that
+    are not what they say), `shed` (turns all away). `cold` = (share, seconds, factor, fall seconds, errands a
+    second when warm) makes it fall over when it is sent too much while it warms up.
+    """
+
+    def __init__(self, id: str, library: Library | None = None, clock=None, cold=None,
+                 effects: Counter | None = None) -> None:
+        self.id, self.library, self.clock = id, library, clock or library.clock
+        self.sources: dict[str, Place | tuple[str, int]] = {}
+        self.slow, self.silent, self.reset, self.spoilt, self.shed = 0.0, False, False, False, False
+        self.drained = False
+        self.after_drain = 0        # errands that came while it was drained for over its grace
+        self.drained_at = 0.0
+        self.cold, self.fallen = cold, False
+        self.began = gevent.get_hub().loop.now()
+        self.arrived: deque[float] = deque()
+        self.effects = effects if effects is not None else Counter()
+        self.effectful: set[str] = set()
+        self.asked, self.hits, self.bytes_out = 0, 0, 0
+        self.kept: OrderedDict[tuple[int, int], tuple[str, int, bytes]] = OrderedDict()
+        self.filling: dict[tuple[int, int], AsyncResult] = {}
+        self.socks: set[socket.socket] = set()
+        self.visits: dict[tuple[str, int], Visit] = {}
+        self.listener = listening()
+        self.address = self.listener.getsockname()
+        self.loop = gevent.spawn(self._accept)
+
+    def started_ms(self) -> int:
+        return self.clock() // MS
+
+    def again(self) -> None:
+        """It dies and comes back from nothing, at its address."""
+        self.break_off()
+        self.kept.clear()
+        self.fallen, self.drained = False, False
+        self.began = gevent.get_hub().loop.now()
+        self.arrived.clear()
+
+    def break_off(self) -> None:
+        for sock in list(self.socks):
+            sock.close()
+        self.socks.clear()
+
+    def close(self) -> None:
+        self.loop.kill()
+        self.listener.close()
+        self.break_off()
+        for one in self.visits.values():
+            one.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            if self.reset or self.fallen:
+                sock.close()
+                continue
+            self.socks.add(sock)
+            gevent.spawn(self._read, sock)
+
+    def _read(self, sock: socket.socket) -> None:
+        errands, turn, open_ = Errands(), Semaphore(), {}
+        with suppress(OSError, BadLine):
+            while data := sock.recv(65536):
+                for asked in errands.feed(data):
+                    if isinstance(asked, Undo):
+                        if work := open_.pop(asked.id, None):
+                            work.kill(block=False)
+                    elif not self.silent:
+                        open_[asked.id] = gevent.spawn(self._answer, sock, turn, asked, open_)
+        self.socks.discard(sock)
+        sock.close()
+
+    def _answer(self, sock: socket.socket, turn: Semaphore, asked, open_: dict) -> None:
+        try:
+            with suppress(OSError):
+                data = self._said(asked)
+                if data is None or self.silent:
+                    return
+                with turn:
+                    sock.sendall(data)
+                    self.bytes_out += len(data)
+        finally:
+            open_.pop(asked.id, None)
+
+    def _overrun(self) -> bool:
+        """Rule 4, as the place feels it."""
+        if not self.cold:
+            return False
+        share, warm_in, factor, fall, rate = self.cold
+        now = gevent.get_hub().loop.now()
+        self.arrived.append(now)
+        while self.arrived[0] < now - fall:
+            self.arrived.popleft()
+        age = now - self.began
+        if age >= warm_in:
+            return False
+        bears = factor * rate * fall * (share + (1 - share) * age / warm_in)
+        return len(self.arrived) > max(bears, 4)
+
+    def _said(self, asked) -> bytes | None:
+        if isinstance(asked, Look):
+            told = {"report": f"inflight:{len(self.filling)}"} if asked.report else {}
+            return encode(asked.id, "PONG", told)
+        if isinstance(asked, Odd):
+            return encode(asked.id, "FAULT", {})
+        self.asked += 1
+        if self._overrun():
+            self.fallen = True
+            gevent.spawn(self.break_off)
+            return None
+        if self.drained and gevent.get_hub().loop.now() - self.drained_at > 0.3:
+            self.after_drain += 1
+        if self.shed:
+            return encode(asked.id, "SHED", {})
+        if self.slow:
+            gevent.sleep(self.slow)
+        if asked.profile in self.effectful:
+            self.effects[bytes(asked.body)] += 1
+            return encode(asked.id, "HIT", {"entity": tag_of(0, 0, 1), "issued": str(self.clock() // MS)},
+                          b"done " + asked.body)
+        found = self.fetch(asked)
+        if found is None:
+            return encode(asked.id, "NONE", {})
+        tag, issued, body = found
+        if self.spoilt:
+            body = body[:-1] + b"?"
+        fields = {"entity": tag, "issued": str(issued)}
+        if asked.copy == tag:
+            return encode(asked.id, "VALID", fields)
+        return encode(asked.id, "HIT", fields, body)
+
+    def fetch(self, asked: Errand) -> tuple[str, int, bytes] | None:
+        """A copy that is young enough: held, or filled from the source that was named."""
+        thing, part = int(asked.thing, 16), asked.part
+        if self.library:
+            if not self.library.holds(thing):
+                return None
+            version = self.library.version(thing, group_of(thing))
+            return tag_of(thing, part, version), self.clock() // MS, body_of(thing, part, version)
+        copy = self.kept.get((thing, part))
+        if copy and (not asked.age or self.clock() - copy[1] * MS <= asked.age * MS):
+            self.hits += 1
+            return copy
+        if asked.held_only or asked.source not in self.sources:
+            return None
+        if asked.join and (under_way := self.filling.get((thing, part))):
+            found = under_way.get()
+            if found and (not asked.age or self.clock() - found[1] * MS <= asked.age * MS):
+                return found
+        result = self.filling[thing, part] = AsyncResult()
+        found = None
+        try:
+            found = self._fill(asked, self.sources[asked.source])
+        finally:
+            result.set(found)
+            if self.filling.get((thing, part)) is result:
+                del self.filling[thing, part]
+        if found:
+            known = self.kept.get((thing, part))
+            if not known or known[1] <= found[1]:
+                self.kept[thing, part] = found
+            if len(self.kept) > KEPT:
+                self.kept.popitem(last=False)
+        return found
+
+    def _fill(self, asked: Errand, source: Place | tuple[str, int]) -> tuple[str, int, bytes] | None:
+        if isinstance(source, Place):
+            if source.silent:
+                gevent.sleep(asked.within / 1000)
+                return None
+            if source.slow:
+                gevent.sleep(source.slow)
+            source.asked += 1
+            return source.fetch(Errand(asked.id, asked.profile, asked.thing, asked.part, asked.within,
+                                       age=asked.age, held_only=not source.library))
+        visit = self.visits.get(source)
+        if visit is None or visit.closed:
+            visit = self.visits[source] = Visit(source)
+        answer = visit.ask(asked.profile, asked.thing, asked.part, asked.within, asked.age)
+        if answer is None or answer.word != "HIT":
+            return None
+        return answer.fields["entity"], int(answer.fields["issued"]), answer.body
+
+
+class Visit:
+    """A connection that asks a place, as a hub does for a fill or a test at a gateway's door of a place."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.closed, self.waiting, self.turn = False, {}, Semaphore()
+        self.answers = Answers()
+        try:
+            self.sock = socket.create_connection(address, 2)
+            self.sock.settimeout(None)
+            gevent.spawn(self._read)
+        except OSError:
+            self.closed = True
+
+    def _read(self) -> None:
+        with suppress(OSError, BadLine):
+            while data := self.sock.recv(65536):
+                for answer in self.answers.feed(data):
+                    if result := self.waiting.pop(answer.id, None):
+                        result.set(answer)
+        self.close()
+
+    def ask(self, profile: str, thing: str, part: int, within: int, age: int = 0, **more):
+        """The answer, or None where none came in time."""
+        errand = Errand(f"v{next(self.ids)}", profile, thing, part, within, age=age, **more)
+        return self.say(errand.id, errand.encode(), within)
+
+    def say(self, id: str, data: bytes, within: int = 2000):
+        if self.closed:
+            return None
+        result = self.waiting[id] = AsyncResult()
+        try:
+            with self.turn:
+                self.sock.sendall(data)
+            with gevent.Timeout(within / 1000, False):
+                return result.get()
+        except OSError:
+            self.close()
+        finally:
+            self.waiting.pop(id, None)
+        return None
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.sock.close()
+            for result in self.waiting.values():
+                result.set(None)
--- /dev/null
+++ b/marbleglade/standins/relay.py
@@ -0,0 +1,99 @@
+"""A relay between two parties that cuts, silences, thins and delays what passes, as a script says."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from .places import listening
+
+CHUNK = 16_384
+
+
+class Relay:
+    """Passes on to `target`. `up` is from who connects, `down` is towards it.
+
+    `mode`: "pass"; "reset" (ends all, takes none); "silent" (holds all, passes nothing); "up" or "down" (only
+    that way passes); "half" (ends the way up, once). `rate`: bytes a second each way, 0: unbounded. `delay`:
+    seconds that each read is held. `spoil`: one byte of each so many is changed, 0: none.
+    """
+
+    def __init__(self, target: tuple[str, int], address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        self.target, self.mode, self.rate, self.delay, self.spoil = target, "pass", 0, 0.0, 0
+        self.cut_after = 0      # bytes down until it resets by itself; 0: it does not
+        self.passed = {"up": 0, "down": 0}
+        self.socks: set[socket.socket] = set()
+        self.changed = Event()
+        self.listener = listening(address)
+        self.address = self.listener.getsockname()
+        self.loop = gevent.spawn(self._accept)
+
+    def set(self, mode: str = "pass", rate: int = 0, delay: float = 0.0, spoil: int = 0) -> None:
+        """What happens from now on, also to what is open."""
+        self.mode, self.rate, self.delay, self.spoil = mode, rate, delay, spoil
+        if mode == "reset":
+            self.reset()
+        elif mode == "half":
+            for sock in list(self.socks):
+                with suppress(OSError):
+                    sock.shutdown(socket.SHUT_WR)
+        self.changed.set()
+        self.changed = Event()
+
+    def reset(self) -> None:
+        for sock in list(self.socks):
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            sock.close()
+        self.socks.clear()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            if self.mode == "reset":
+                sock.close()
+                continue
+            gevent.spawn(self._serve, sock)
+
+    def _serve(self, near: socket.socket) -> None:
+        try:
+            far = socket.create_connection(self.target, 1)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        pair = {near, far}
+        self.socks |= pair
+        ways = [gevent.spawn(self._pass, near, far, "up"), gevent.spawn(self._pass, far, near, "down")]
+        gevent.joinall(ways)
+        self.socks -= pair
+        for sock in pair:
+            sock.close()
+
+    def _pass(self, source: socket.socket, sink: socket.socket, way: str) -> None:
+        with suppress(OSError):
+            while data := source.recv(CHUNK if not self.rate else max(256, self.rate // 32)):
+                while self.mode in ("silent", {"up": "down", "down": "up"}[way]):
+                    self.changed.wait()
+                if self.delay:
+                    gevent.sleep(self.delay)
+                if self.rate:
+                    gevent.sleep(len(data) / self.rate)
+                if self.spoil and self.passed[way] % self.spoil < len(data):
+                    data = data[:-1] + bytes([data[-1] ^ 0x55])
+                sink.sendall(data)
+                self.passed[way] += len(data)
+                if self.cut_after and way == "down" and self.passed[way] >= self.cut_after:
+                    self.cut_after = 0
+                    self.reset()
+                    return
+        with suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        self.loop.kill()
+        self.listener.close()
+        self.reset()
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -46,6 +46,12 @@
         return self.outcome is Outcome.OK and not self.bare
 
 
+def oldest(ask: Ask, go: Go) -> int:
+    """The oldest copy that will do, in milliseconds: what decisions and asker allow; 0: as usual."""
+    age = min(go.age or ask.oldest, ask.oldest or go.age)
+    return max(1, age // 1_000_000) if age else 0
+
+
 @dataclass(slots=True, eq=False)
 class Flight:
     """What is out on a connection: an errand's id, and where its end is put."""
@@ -194,7 +200,7 @@
         errand = Errand(
             ask.trace, ask.profile_name, ask.thing, ask.part, max(1, left // 1_000_000),
             source="" if source is cache else place.id, rank=launch.rank,
-            age=max(1, go.age // 1_000_000) if go.age else 0, join=go.join, held_only=go.held_only,
+            age=oldest(ask, go), join=go.join, held_only=go.held_only,
             renew=go.renew, copy=ask.copy, body=ask.body)
         return self._send(line, flight, errand.encode())
 
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -47,7 +47,7 @@
         self.most_buffered, self.buffered = most_buffered, 0    # parts of frames, bodies, answers that wait
         self.front, self.most, self.slack = front, most, slack
         self.ready, self.clock, self.guard, self.counters = ready, clock, guard, guard.counters
-        self.profiles = front.places.around.profiles
+        self.profiles = front.profiles
         self.traces = Traces(max(one.client_timeout for one in self.profiles.values()))
         self.clients: dict[Client, None] = {}
 
@@ -59,7 +59,7 @@
                 sock, _ = listener.accept()
             except OSError:
                 self.counters.add("client.accept_failed")
-                gevent.sleep(self.front.facade.decisions.ground.resolution / 1e9)
+                gevent.sleep(self.front.resolution / 1e9)
                 continue
             self.guard.run("accept", self._accepted, sock)
 
@@ -152,7 +152,7 @@
         elif isinstance(message, Nevermind):
             if (retrieval := client.open.pop(message.tag, None)) is not None:
                 self.counters.add("retrieval.nevermind")
-                self.guard.run("leave", self.front.facade.leave, retrieval)
+                self.guard.run("leave", self.front.leave, retrieval)
         elif isinstance(message, Status):
             self._at_door(client, message.tag, b"yes" if self.ready() else b"no")
         else:
@@ -243,4 +243,4 @@
         self.counters.add("client.closed")
         for tag in list(client.open):
             self.counters.add("retrieval.connection_lost")
-            self.guard.run("leave", self.front.facade.leave, client.open.pop(tag))
+            self.guard.run("leave", self.front.leave, client.open.pop(tag))
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -18,11 +18,14 @@
 
 class Follower:
     def __init__(self, address: tuple[str, int], last: int, apply: Callable[[ListChange | Purge], None],
-                 guard: Guard, silent: float = SILENT, pause: float = BEAT / 4) -> None:
+                 guard: Guard, silent: float = SILENT, pause: float = BEAT / 4,
+                 anew: bool = False) -> None:
         self.address, self.last, self.apply, self.guard = address, last, apply, guard
         self.counters, self.silent, self.pause = guard.counters, silent, pause
         self.sock: socket.socket | None = None
         self.moved = Signal()
+        self.anew = anew    # a coordinator may begin anew, and count from 1 again
+        self.heard_at = 0   # when it last said something; 0: never
         self.gap = -1       # the last number after which one was found to be missing
 
     def run(self) -> None:
@@ -63,7 +66,7 @@
                     return
                 for event in events.feed(data):
                     self._heard(event)
-                    heard = clock.now()
+                    heard = self.heard_at = clock.now()
         finally:
             self.sock = None
             sock.close()
@@ -71,6 +74,10 @@
     def _heard(self, event: Event) -> None:
         """Each number once and in turn. A gap is asked for anew, but only once: it may be all there is."""
         beat = isinstance(event, Beat)
+        if beat and self.anew and event.index < self.last:
+            self.counters.add("coordinator.anew")
+            self.last, self.gap = 0, -1
+            raise BadLine("its numbers began anew")
         if event.index > (self.last if beat else self.last + 1) and self.gap != self.last:
             self.gap = self.last
             raise BadLine("an event is missing")
--- /dev/null
+++ b/marbleglade/wire/placedoor.py
@@ -0,0 +1,156 @@
+"""The door of a place: a front or a hub asks here as it would ask a cache, a parent or the origin."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.lock import Semaphore
+
+from ..facade import End
+from ..front import Reply
+from ..interface import Repeat
+from ..life import clock
+from ..life.guard import Guard
+from .cachelines import BadLine, Errand
+from .errands import Asked, Errands, Look, Odd, Undo, encode
+from .resp import Ask
+from .sockets import SCRATCH
+
+MOST_OPEN = 256     # errands of one connection
+MS = 1_000_000
+
+
+class Visitor:
+    """One connection: its open errands by their ids, and its turn to write."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.errands = sock, Errands()
+        self.open: dict[str, Any] = {}
+        self.turn = Semaphore()
+        self.last, self.began, self.closed = clock.now(), 0, False
+
+
+class PlaceDoor:
+    """`crossing` is what a front is to the clients' door; `unknown` is the group of what names none."""
+
+    def __init__(self, crossing: Any, unknown: int, most: int, idle: int, ready: Callable[[], bool],
+                 guard: Guard) -> None:
+        self.crossing, self.unknown, self.most, self.idle = crossing, unknown, most, idle
+        self.ready, self.guard, self.counters = ready, guard, guard.counters
+        self.visitors: set[Visitor] = set()
+
+    def accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                self.counters.add("place.accept_failed")
+                gevent.sleep(self.crossing.resolution / 1e9)
+                continue
+            if len(self.visitors) >= self.most:
+                self.counters.add("place.over_share")
+                sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            visitor = Visitor(sock)
+            self.visitors.add(visitor)
+            gevent.spawn(self._read, visitor)
+
+    def sweep(self) -> None:
+        """Closes what is idle, and who does not finish what it began."""
+        now = clock.now()
+        for one in [one for one in self.visitors if not one.open]:
+            if now - one.last > self.idle or (one.began and now - one.began > self.idle // 8):
+                self._close(one)
+
+    def _read(self, visitor: Visitor) -> None:
+        try:
+            while size := visitor.sock.recv_into(SCRATCH):
+                visitor.last = clock.now()
+                for asked in visitor.errands.feed(SCRATCH[:size]):
+                    if visitor.closed:
+                        return
+                    self._heard(visitor, asked)
+                visitor.began = (visitor.began or visitor.last) if visitor.errands.amid else 0
+        except BadLine:
+            self.counters.add("place.bad_line")
+        except OSError:
+            self.counters.add("place.reset")
+        except Exception as trouble:
+            self.guard.note("place", trouble)
+        finally:
+            self._close(visitor)
+
+    def _heard(self, visitor: Visitor, asked: Asked) -> None:
+        if isinstance(asked, Errand):
+            self._errand(visitor, asked)
+        elif isinstance(asked, Undo):
+            if (journey := visitor.open.pop(asked.id, None)) is not None:
+                self.guard.run("leave", self.crossing.leave, journey)
+        elif isinstance(asked, Look):
+            fields = {"report": f"inflight:{len(self.crossing)}"} if asked.report else {}
+            self._say(visitor, encode(asked.id, "PONG" if self.ready() else "SICK", fields))
+        elif isinstance(asked, Odd):
+            self.counters.add("place.unusable")
+            self._say(visitor, encode(asked.id, "FAULT", {}))
+
+    def _errand(self, visitor: Visitor, errand: Errand) -> None:
+        if errand.id in visitor.open:
+            raise BadLine("an id that is open already")
+        profile = self.crossing.profiles.get(errand.profile)
+        if profile is None or errand.within * MS > 2 * profile.client_timeout:
+            self.counters.add("place.unusable")
+            self._say(visitor, encode(errand.id, "FAULT", {}))
+        elif errand.held_only:      # a gateway is no cache: it holds nothing that only it could give
+            self._say(visitor, encode(errand.id, "NONE", {}))
+        elif len(visitor.open) >= MOST_OPEN or self.crossing.refuse() or not self.ready():
+            self.counters.add("place.refused")
+            self._say(visitor, encode(errand.id, "SHED", {}))
+        else:
+            self.counters.add("place.errands")
+            ask = Ask(0, profile, errand.profile, errand.id, errand.within * MS, False, errand.thing,
+                      errand.part, self.unknown, errand.copy, errand.body, errand.age * MS)
+            harmless = profile.repeat is Repeat.PURE
+            journey = visitor.open[errand.id] = self.crossing.take(ask)
+            if reply := self.crossing.answer_now(ask, journey):
+                self._answer(visitor, errand.id, journey, reply, harmless)
+            else:
+                gevent.spawn(self.guard.run, "place", self.crossing.serve, ask, journey,
+                             lambda reply: self._answer(visitor, errand.id, journey, reply, harmless))
+
+    def _answer(self, visitor: Visitor, id: str, journey: Any, reply: Reply, harmless: bool) -> None:
+        if visitor.open.get(id) is not journey:
+            return
+        del visitor.open[id]
+        self._say(visitor, _encode(id, reply, harmless), max(0, journey.until - clock.now()))
+
+    def _say(self, visitor: Visitor, data: bytes, left: int = 2_000_000_000) -> None:
+        """Writes an answer; who does not take it in time is closed, and so can tell."""
+        try:
+            with gevent.Timeout(max(left, MS) / 1e9, TimeoutError("not taken")), visitor.turn:
+                if not visitor.closed:
+                    visitor.sock.sendall(data)
+        except OSError:
+            self._close(visitor)
+
+    def _close(self, visitor: Visitor) -> None:
+        if visitor.closed:
+            return
+        visitor.closed = True
+        self.visitors.discard(visitor)
+        visitor.sock.close()
+        for id in list(visitor.open):
+            self.guard.run("leave", self.crossing.leave, visitor.open.pop(id))
+
+
+def _encode(id: str, reply: Reply, harmless: bool) -> bytes:
+    """A reply as a place says it: a word that proves that nothing ran only where that is so."""
+    if reply.end is End.SETTLED:
+        fields = {"entity": reply.tag, "issued": str(reply.issued)}
+        return encode(id, "VALID" if reply.same else "HIT", fields, b"" if reply.same else reply.body)
+    if reply.end is End.PUSHED_BACK and (harmless or not reply.ran):
+        return encode(id, "NONE" if reply.lacking else "SHED", {})
+    return encode(id, "FAULT", {})
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -37,6 +37,8 @@
     group: int
     copy: str
     body: bytes
+    oldest: int = 0     # the oldest copy that will do, nanoseconds; 0: the decisions say
+    passed: tuple[str, ...] = ()    # regions that it came through
 
 
 @dataclass(slots=True)
