--- a/marbleglade/standins/clients.py
+++ b/marbleglade/standins/clients.py
@@ -46,8 +46,8 @@
         tag = next(self.tags)
         trace = self.seed << 40 & 0xFFFF_FFFF_FFFF_FFFF | next(self.traces)
         fields = f"trace={trace:016x},patience={patience},entity={thing:016x},block={part},family={group}"
-        return self.say(tag, b"ASK", profile.encode(), (fields + (f",cached={copy}" if copy else "")).encode(),
-                        body, wait=patience * 1.5 / 1000)
+        fields += f",cached={copy}" if copy else ""
+        return self.say(tag, b"ASK", profile.encode(), fields.encode(), body, wait=patience * 1.5 / 1000)
 
     def status(self) -> Said | None:
         return self.say(next(self.tags), b"STATUS", b"", wait=2)
