--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -47,6 +47,7 @@
         self.arrived: deque[float] = deque()
         self.effects = effects if effects is not None else Counter()
         self.effectful: set[str] = set()
+        self.fresh: dict[str, int] = {}     # ms, by profile; absent: until purged
         self.asked, self.hits, self.bytes_out = 0, 0, 0
         self.kept: OrderedDict[tuple[int, int], tuple[str, int, bytes]] = OrderedDict()
         self.filling: dict[tuple[int, int], AsyncResult] = {}
@@ -168,15 +169,15 @@
                 return None
             version = self.library.version(thing, group_of(thing))
             return tag_of(thing, part, version), self.clock() // MS, body_of(thing, part, version)
-        copy = self.kept.get((thing, part))
-        if copy and (not asked.age or self.clock() - copy[1] * MS <= asked.age * MS):
+        copy, age = self.kept.get((thing, part)), asked.age or self.fresh.get(asked.profile, 0)
+        if copy and (not age or self.clock() - copy[1] * MS <= age * MS):
             self.hits += 1
             return copy
         if asked.held_only or asked.source not in self.sources:
             return None
         if asked.join and (under_way := self.filling.get((thing, part))):
             found = under_way.get()
-            if found and (not asked.age or self.clock() - found[1] * MS <= asked.age * MS):
+            if found and (not age or self.clock() - found[1] * MS <= age * MS):
                 return found
         result = self.filling[thing, part] = AsyncResult()
         found = None
@@ -202,6 +203,9 @@
             if source.slow:
                 gevent.sleep(source.slow)
             source.asked += 1
+            if source._overrun():
+                source.fallen = True
+                source.break_off()
             return source.fetch(Errand(asked.id, asked.profile, asked.thing, asked.part, asked.within,
                                        age=asked.age, held_only=not source.library))
         visit = self.visits.get(source)
--- a/marbleglade/standins/regions.py
+++ b/marbleglade/standins/regions.py
@@ -39,6 +39,21 @@
             return port
 
 
+class Doors:
+    """The gateways of one region by name, the ports of their doors, and a relay before each link door."""
+
+    def __init__(self, prefix: str, count: int) -> None:
+        self.gateways = [f"{prefix}-{n + 1}" for n in range(count)]
+        self.ports = {one: [free_port() for _ in range(3)] for one in self.gateways}
+        self.relays = {one: Relay(("127.0.0.1", self.ports[one][2])) for one in self.gateways}
+
+    def text(self) -> str:
+        return "".join(
+            f' gateways {{ name: "{one}" clients: "127.0.0.1:{ports[0]}" places: "127.0.0.1:{ports[1]}" '
+            f'links: "127.0.0.1:{ports[2]}" reached_at: "127.0.0.1:{self.relays[one].address[1]}" }}\n'
+            for one, ports in self.ports.items())
+
+
 class StandInRegion:
     """One region. Objects whose top bit is `bit` are its own; the effects are counted in `effects`."""
 
@@ -50,21 +65,16 @@
         self.hubs = [Place(f"{name}-hub{n}", clock=clock, cold=cold, effects=effects) for n in range(hubs)]
         for hub in self.hubs:
             hub.sources = {one.id: one for one in (self.store, *self.hubs) if one is not hub}
-            hub.effectful = {"orders", "votes"}
+            hub.effectful, hub.fresh = {"orders", "votes"}, {"menu-pages": 5000}
         self.coordinator = Coordinator()
         self.announce()
-        self.gateways = [f"{name}-{n + 1}" for n in range(gateways)]
-        self.ports = {one: [free_port() for _ in range(3)] for one in self.gateways}
-        self.relays = {one: Relay(("127.0.0.1", self.ports[one][2])) for one in self.gateways}
+        self.doors = Doors(name, gateways)
+        self.gateways, self.ports, self.relays = self.doors.gateways, self.doors.ports, self.doors.relays
 
-    def text(self) -> str:
-        """Its part of a deployment."""
-        lines = "".join(
-            f' gateways {{ name: "{one}" clients: "127.0.0.1:{ports[0]}" places: "127.0.0.1:{ports[1]}" '
-            f'links: "127.0.0.1:{ports[2]}" reached_at: "127.0.0.1:{self.relays[one].address[1]}" }}\n'
-            for one, ports in self.ports.items())
+    def text(self, doors: Doors | None = None) -> str:
+        """Its part of a deployment, with its own gateways or with others of the same region."""
         return (f'regions {{ name: "{self.name}" coordinator: "127.0.0.1:{self.coordinator.address[1]}" '
-                f'zone: "hubs" hub_kind: "hub" store_kind: "store"\n{lines}}}\n')
+                f'zone: "hubs" hub_kind: "hub" store_kind: "store"\n{(doors or self.doors).text()}}}\n')
 
     def announce(self) -> None:
         """The coordinator tells the whole list."""
