--- /dev/null
+++ b/benchmarks/skewed.py
@@ -0,0 +1,15 @@
+"""A gateway or a front whose region's clock is off: OFFSET_MS DRIFT_PPM BEGAN_NS, then its own words."""
+
+import sys
+
+from marbleglade.life import clock
+from marbleglade.standins.world import RegionClock
+
+if __name__ == "__main__":
+    offset, drift, began, *words = sys.argv[1:]
+    region = RegionClock(float(offset), float(drift))
+    region.start = int(began)       # one clock for all processes of the region
+    clock.unix_ns = region
+    sys.argv = ["marbleglade", *words]
+    from marbleglade.__main__ import main
+    sys.exit(main())
