--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
+from functools import partial
 
 import gevent
+import xxhash
 from gevent import socket
 from google.protobuf.message import Message
 
@@ -14,7 +15,7 @@
 from ..life import clock
 from ..life.guard import Guard
 from ..wire.resp import Ask
-from . import returns
+from . import frames, returns
 from .book import Account, Book, Entry, Fate
 from .connection import OPENING, WINDOW, Connection
 from .crossing import Crossing, Journey
@@ -75,8 +76,11 @@
 
     def _serve(self, sock: socket.socket) -> None:
         peer = Peer()
-        connection = peer.connection = Connection(
-            sock, self.silent, self.guard, lambda kind, message: self._heard(peer, kind, message))
+        hears = {"hello": self._hear_hello, "carry": self._hear_carry, "chunk": self._hear_chunk,
+                 "undo": self._hear_undo, "query": self._hear_query, "beat": self._hear_beat,
+                 "leaving": self._hear_leaving}
+        connection = peer.connection = Connection(sock, self.silent, self.guard, {
+            kind: partial(hear, peer) for kind, hear in hears.items()})
         self.connections.add(connection)
         try:
             connection.run()
@@ -98,6 +102,7 @@
         for connection in list(self.connections):
             if connection.frames.begun:
                 connection.beat(self.deaf())
+            connection.check()
 
     def leave(self) -> None:
         """Takes no more; says so."""
@@ -121,14 +126,6 @@
 
     # What is heard.
 
-    def _heard(self, peer: Peer, kind: str, message: Message) -> None:
-        if kind != "hello" and peer.account is None:
-            raise BadFrame(f"a {kind} before the hello")
-        hear = getattr(self, f"_hear_{kind}", None)
-        if hear is None:
-            raise BadFrame(f"a {kind} from who asks")
-        hear(peer, message)
-
     def _hear_hello(self, peer: Peer, message: Message) -> None:
         why = ""
         if message.to_region != self.home:
@@ -146,6 +143,7 @@
         if why:
             self.counters.add("link.refused")
             peer.connection.say(refused=Refused(why=why))
+            peer.connection.hear = dict.fromkeys(frames.CHECKS, lambda message: None)   # whatever follows
             peer.connection.finish()
             return
         if known:
@@ -173,9 +171,6 @@
         if not message.echo_ns:         # its first: answered at once, so that the link is up sooner
             peer.connection.beat(self.deaf())
 
-    def _hear_credit(self, peer: Peer, message: Message) -> None:
-        """Taken by the connection itself."""
-
     def _hear_leaving(self, peer: Peer, message: Message) -> None:
         peer.leaving = True
 
@@ -205,7 +200,7 @@
             self._begin(peer.account, entry, message, b"")
 
     def _hear_chunk(self, peer: Peer, message: Message) -> None:
-        peer.connection.credited(len(message.data))
+        peer.connection.credited(len(message.data), True)
         if message.number not in peer.bodies:
             if message.number > peer.account.last:
                 raise BadFrame("a chunk of no carry")
@@ -215,7 +210,7 @@
         if inflow.whole:
             del peer.bodies[message.number]
             if entry := peer.account.entries.get(message.number):
-                self._begin(peer.account, entry, carry, bytes(inflow.data))
+                self._begin(peer.account, entry, carry, inflow.data())
 
     def _hear_undo(self, peer: Peer, message: Message) -> None:
         peer.connection.outbox.drop(message.number)
@@ -279,7 +274,7 @@
                                  len(reply.body)) if had else 0
             peer.connection.say(head=Head(
                 number=entry.number, word=Head.SETTLED, tag=reply.tag, issued_ms=reply.issued,
-                size=len(reply.body), at=at, check=zlib.crc32(reply.body)))
+                size=len(reply.body), at=at, check=xxhash.xxh3_64_intdigest(reply.body)))
             peer.connection.give(entry.number, reply.body, at)
 
     def survey(self) -> list[dict[str, object]]:
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -10,8 +10,10 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import gevent
+import xxhash
 from gevent import socket
 from google.protobuf.message import Message
 
@@ -61,6 +63,11 @@
     def retrieval(self) -> Retrieval:
         return self.go.launch.retrieval
 
+    @property
+    def key(self) -> tuple[int, int]:
+        """The object's part."""
+        return self.retrieval.object, self.ask.part
+
 
 @dataclass(slots=True, eq=False)
 class Link:
@@ -101,7 +108,9 @@
         # Tell the rest of this gateway: of a purge, and that what was given out before counts as purged.
         self.purged: Callable[[Purge], None] = lambda purge: None
         self.forget: Callable[[int], None] = lambda before_ms: None
-        self.leaving = False
+        self.hears = {"hello": self._hear_hello, "refused": self._hear_refused, "purge": self._hear_purge,
+                      "caught": self._hear_caught, "beat": self._hear_beat, "leaving": self._hear_leaving,
+                      "fate": self._hear_fate, "head": self._hear_head, "chunk": self._hear_chunk}
 
     # What the life of a retrieval asks of it; see `wire.caches.Caches`.
 
@@ -159,7 +168,7 @@
 
     def _send(self, link: Link, ask: Ask, go: Go, left: int) -> Carry:
         self.number += 1    # one count for all links, rising on each
-        part = self.parts.get(go.launch.retrieval) if self.account else None
+        part = self.parts.get((go.launch.retrieval.object, ask.part)) if self.account else None
         carry = Carry(self.number, ask, go, clock.now() + left, part)
         link.open[carry.number] = carry
         frame = CarryFrame(
@@ -192,13 +201,14 @@
         for link in self.links:
             if link.open.pop(carry.number, None) is not None and link.connection:
                 link.connection.outbox.drop(carry.number)
-                link.connection.say(undo=Undo(number=carry.number, had=had))
+                say = link.connection.later if had else link.connection.say
+                say(undo=Undo(number=carry.number, had=had))
             link.adrift.pop(carry.number, None)
         if not had:
             self._keep_part(carry)
             self.room.give(carry.held)
         else:
-            self.parts.drop(carry.retrieval)
+            self.parts.drop(carry.key)
         carry.held, carry.inflow = 0, None
         outcome = ending.outcome if ending else Outcome.TIMEOUT
         if outcome is Outcome.OK:
@@ -207,9 +217,10 @@
             self.owed.ended(outcome in (Outcome.FULL, Outcome.TIMEOUT), clock.now())
 
     def _keep_part(self, carry: Carry) -> None:
-        if self.account and carry.inflow and carry.inflow.data and carry.head:
-            self.parts.put(carry.retrieval, Part(carry.head.tag, carry.head.issued_ms,
-                                                 bytes(carry.inflow.data), carry.retrieval.until))
+        if self.account and carry.inflow and carry.inflow.came and carry.head:
+            # Whoever asks for the object next goes on from there: most often the same client again.
+            until = clock.now() + carry.retrieval.profile.client_timeout
+            self.parts.put(carry.key, Part(carry.head.tag, carry.head.issued_ms, carry.inflow.data(), until))
 
     def _end(self, carry: Carry, ending: Ending) -> None:
         if carry.go.ended.ready():
@@ -243,9 +254,8 @@
             self.counters.add("link.unreached")
             return
         link.turn, link.caught = link.turn + 1, None
-        connection = Connection(sock, self.silent, self.guard,
-                                lambda kind, message: self._heard(link, connection, kind, message))
-        link.connection = connection
+        link.connection = connection = Connection(sock, self.silent, self.guard, {
+            kind: partial(hear, link) for kind, hear in self.hears.items()})
         connection.say(hello=Hello(
             version=VERSION, region=self.home, gateway=self.gateway, start_ms=self.start_ms,
             to_region=self.region, turn=link.turn, known_start_ms=link.start_ms, known_index=link.index,
@@ -268,7 +278,7 @@
                                         self.account)
             self.counters.add("carry.cut")
             if carry.inflow:
-                self.counters.add("carry.cut_bytes", len(carry.inflow.data))
+                self.counters.add("carry.cut_bytes", carry.inflow.came)
             if isinstance(verdict, Wait):
                 carry.wait_until = verdict.until
                 link.adrift[carry.number] = carry
@@ -280,6 +290,7 @@
         for link in self.links:
             if link.connection:
                 link.connection.beat()
+                link.connection.check()
 
     def leave(self) -> None:
         """This gateway stops: the other side is told."""
@@ -289,14 +300,6 @@
 
     # What is heard.
 
-    def _heard(self, link: Link, connection: Connection, kind: str, message: Message) -> None:
-        if link.connection is not connection:
-            return
-        hear = getattr(self, f"_hear_{kind}", None)
-        if hear is None:
-            raise BadFrame(f"a {kind} from who answers")
-        hear(link, message)
-
     def _hear_refused(self, link: Link, message: Message) -> None:
         self.counters.add("link.refused")
         self.log.say("link.refused", link=link.name, why=message.why)
@@ -372,9 +375,9 @@
         self._move_on()
         for carry in list(link.adrift.values()):
             query = Query(number=carry.number)
-            if carry.inflow and carry.inflow.data:
+            if carry.inflow and carry.inflow.came:
                 query.had.CopyFrom(Had(tag=carry.head.tag, issued_ms=carry.head.issued_ms,
-                                       bytes=len(carry.inflow.data)))
+                                       bytes=carry.inflow.came))
             elif carry.had:
                 query.had.CopyFrom(Had(tag=carry.had.tag, issued_ms=carry.had.issued_ms,
                                        bytes=len(carry.had.data)))
@@ -413,9 +416,6 @@
         else:
             self._end(carry, Ending(outcome))
 
-    def _hear_credit(self, link: Link, message: Message) -> None:
-        """Taken by the connection itself."""
-
     def _hear_head(self, link: Link, message: Message) -> None:
         carry = link.open.get(message.number)
         if carry is None:
@@ -426,7 +426,7 @@
         self.counters.add(f"carry.{word.name.lower()}")
         if outcome is not Outcome.OK:
             if outcome not in NEVER_RAN and carry.had:
-                self.parts.drop(carry.retrieval)
+                self.parts.drop(carry.key)
             self._end(carry, Ending(outcome))
         elif word is Word.SAME:
             if not carry.ask.copy or message.tag != carry.ask.copy:
@@ -446,7 +446,7 @@
         old, data = carry.head, b""
         if head.at:
             if carry.inflow and old and (old.tag, old.issued_ms) == (head.tag, head.issued_ms):
-                data = bytes(carry.inflow.data)
+                data = carry.inflow.data()
             elif carry.had and (carry.had.tag, carry.had.issued_ms) == (head.tag, head.issued_ms):
                 data = carry.had.data
             if len(data) < head.at:
@@ -454,15 +454,15 @@
             self.counters.add("carry.resumed")
             self.counters.add("carry.resumed_bytes", head.at)
         else:
-            again = carry.inflow.data if carry.inflow else carry.had.data if carry.had else b""
-            self.counters.add("carry.again_bytes", min(len(again), head.size))
+            again = carry.inflow.came if carry.inflow else len(carry.had.data) if carry.had else 0
+            self.counters.add("carry.again_bytes", min(again, head.size))
         self.room.give(carry.held)
         carry.head, carry.held = head, 0
         carry.inflow = Inflow(head.size, head.at, OPENING, data)
         if carry.inflow.whole:
             self.room.overdraw(head.size)
             carry.held = head.size
-            self._whole(link, carry, head, bytes(carry.inflow.data))
+            self._whole(link, carry, head, carry.inflow.data())
         elif head.size - head.at <= OPENING:
             self.room.overdraw(head.size)
             carry.held = head.size
@@ -489,8 +489,10 @@
                 self.room.give(inflow.size)
 
     def _hear_chunk(self, link: Link, message: Message) -> None:
-        link.connection.credited(len(message.data))
         carry = link.open.get(message.number)
+        more = carry is not None and carry.inflow is not None and (
+            message.at + len(message.data) < carry.inflow.size)
+        link.connection.credited(len(message.data), more)
         if carry is None:
             self._unwanted(link, message.number)
             return
@@ -499,11 +501,11 @@
         carry.inflow.put(message.at, message.data)
         self.counters.add("carry.bytes", len(message.data))
         if carry.inflow.whole:
-            self._whole(link, carry, carry.head, bytes(carry.inflow.data))
+            self._whole(link, carry, carry.head, carry.inflow.data())
 
     def _whole(self, link: Link, carry: Carry, head: Message, body: bytes) -> None:
         """An answer is here. It is passed on only if it is one copy, and younger than every purge known."""
-        if head.word == head.SETTLED and zlib.crc32(body) != head.check:
+        if head.word == head.SETTLED and xxhash.xxh3_64_intdigest(body) != head.check:
             self.counters.add("carry.spoilt")
             carry.inflow = None
             raise BadFrame("a body that is not its copy")
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -6,14 +6,13 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
 from google.protobuf.message import Message
 
 from ..life import clock
 from ..life.guard import Guard
-from ..wire.sockets import SCRATCH
-from .frames import BadFrame, Frames, encode
-from .link_pb2 import Beat, Chunk, Credit
+from ..wire.sockets import SCRATCH, send_now
+from .frames import BadFrame, Frames, encode, encode_chunk
+from .link_pb2 import Beat, Credit
 from .windows import CHUNK, Outbox, Overrun
 
 UNSENT = 4 * CHUNK      # bytes that the machine may hold unsent, so that what is urgent is not behind them
@@ -22,78 +21,107 @@
 
 
 class Connection:
-    """`hear` is called with each message; what it raises ends the connection.
+    """`hear` holds what is called with a message, by its kind; what one raises ends the connection.
 
-    `silent` is in nanoseconds: without a byte for so long it is over, as it is where nothing can be written.
+    `silent` is in nanoseconds: without a byte for so long it is over, as it is where nothing can be written;
+    `check` finds that out and is to be called a few times in it.
     """
 
     def __init__(self, sock: socket.socket, silent: int, guard: Guard,
-                 hear: Callable[[str, Message], None]) -> None:
+                 hear: dict[str, Callable[[Message], None]]) -> None:
         self.sock, self.silent, self.guard, self.hear = sock, silent, guard, hear
         self.counters = guard.counters
         self.frames, self.outbox = Frames(), Outbox(WINDOW, OPENING, silent // 4)
-        self.heard = clock.now()
-        self.wake, self.closed = Event(), False
+        self.heard = self.moved = clock.now()   # `moved`: when something was written, or nothing waited
+        self.closed, self.flushing, self.stuck = False, False, b""
         self.why = ""
         self.unacked = 0        # bytes of bodies that came and were not credited yet
         self.echo = (0, 0)      # the other side's last beat: when it was sent, when it came
+        self.loop = gevent.get_hub().loop
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
-        self.writer = gevent.spawn(self._write)
 
     # What is said.
 
     def say(self, **kind: Message) -> None:
         """Queues a frame; a connection that is over takes nothing."""
+        self.later(**kind)
+        self._wake()
+
+    def later(self, **kind: Message) -> None:
+        """Queues a frame that may wait for the next one, or for the next beat."""
         if self.closed:
             return
         try:
             self.outbox.say(encode(**kind))
         except Overrun:
             self.close("overrun")
-        self.wake.set()
 
     def give(self, number: int, body: bytes, at: int = 0) -> None:
         self.outbox.give(number, body, at)
-        self.wake.set()
+        self._wake()
 
     def beat(self, deaf: bool = False) -> None:
         sent, came = self.echo
         self.say(beat=Beat(sent_ns=clock.unix_ns(), echo_ns=sent, came_ns=came, deaf=deaf))
 
-    def credited(self, size: int) -> None:
-        """Bytes of a body were taken in."""
+    def credited(self, size: int, more: bool) -> None:
+        """Bytes of a body were taken in; `more` of it is to come, so that its sender may wait for this."""
         self.unacked += size
-        if self.unacked >= CHUNK // 4:
+        if self.unacked >= (CHUNK // 4 if more else 4 * CHUNK):
             self.say(credit=Credit(number=0, bytes=self.unacked))
             self.unacked = 0
+        elif not more and self.unacked >= CHUNK // 4:
+            self.later(credit=Credit(number=0, bytes=self.unacked))
+            self.unacked = 0
+
+    def _wake(self) -> None:
+        """Writes once whoever runs now has said all it has to say."""
+        if not self.flushing and not self.closed:
+            self.flushing = True
+            self.loop.run_callback(self._flush)
 
-    def _write(self) -> None:
+    def _flush(self) -> None:
+        """Writes what the machine takes at once; what is left goes when it takes more."""
         try:
             while not self.closed:
-                data = self._gather()
-                if not data:
-                    self.wake.clear()
-                    self.wake.wait()
-                    continue
-                with gevent.Timeout(self.silent / 1e9, TimeoutError("nothing can be written")):
-                    self.sock.sendall(data)
-        except OSError as trouble:
-            self.close("write" if not isinstance(trouble, TimeoutError) else "stuck")
+                if not (data := self._gather()):
+                    break
+                sent = send_now(self.sock, data)
+                if sent < len(data):
+                    self.stuck = data[sent:]
+                    gevent.spawn(self._push)
+                    return      # still flushing
+        except OSError:
+            self.close("write")
         except Exception as trouble:
             self.guard.note("link", trouble)
             self.close("trouble")
+        self.flushing = False
+        self.moved = clock.now()
+
+    def _push(self) -> None:
+        """Waits for the machine to take what is left."""
+        try:
+            self.sock.sendall(self.stuck)
+            self.stuck = b""
+        except OSError:
+            self.close("write")
+        else:
+            self._flush()
 
     def _gather(self) -> bytes:
         """What goes out in one write."""
         parts, size = [], 0
         while size < UNSENT and (one := self.outbox.next(clock.now())):
             if isinstance(one, tuple):
-                number, at, data = one
-                one = encode(chunk=Chunk(number=number, at=at, data=bytes(data)))
+                head, data = encode_chunk(*one)
+                parts += head, data
+                size += len(head) + len(data)
                 self.counters.add("link.chunks")
-            parts.append(one)
-            size += len(one)
+            else:
+                parts.append(one)
+                size += len(one)
         return b"".join(parts)
 
     # What is heard.
@@ -101,8 +129,8 @@
     def run(self) -> None:
         """Reads until the end; says in `why` what that was."""
         try:
+            self.sock.settimeout(None)
             while not self.closed:
-                self.sock.settimeout(self.silent / 1e9)
                 size = self.sock.recv_into(SCRATCH)
                 if not size:
                     self.close("closed")
@@ -111,24 +139,32 @@
                 for kind, message in self.frames.feed(SCRATCH[:size]):
                     if kind == "credit":
                         self.outbox.credit(message.number, message.bytes, self.heard)
-                        self.wake.set()
-                    elif kind == "beat":
+                        self._wake()
+                        continue
+                    if kind == "beat":
                         self.echo = message.sent_ns, clock.unix_ns()
-                        self.hear(kind, message)
-                    else:
-                        self.hear(kind, message)
+                    hear = self.hear.get(kind)
+                    if hear is None:
+                        raise BadFrame(f"a {kind} from the wrong side")
+                    hear(message)
                     if self.closed:
                         return
         except (BadFrame, Overrun) as trouble:
             self.close(f"bad: {trouble}")
-        except TimeoutError:
-            self.close("silent")
         except OSError:
             self.close("reset")
         except Exception as trouble:
             self.guard.note("link", trouble)
             self.close("trouble")
 
+    def check(self) -> None:
+        """Ends the connection where it fell silent, or nothing can be written."""
+        now = clock.now()
+        if now - self.heard > self.silent:
+            self.close("silent")
+        elif self.stuck and now - self.moved > 2 * self.silent:
+            self.close("stuck")
+
     def close(self, why: str) -> None:
         """Ends the connection, once."""
         if self.closed:
@@ -136,14 +172,12 @@
         self.closed, self.why = True, why
         self.counters.add(f"link.{why.partition(':')[0]}")
         self.sock.close()
-        self.wake.set()
 
     def finish(self) -> None:
         """Ends it once what waits was written, or can't be within the time of a silence."""
         def last() -> None:
             with gevent.Timeout(self.silent / 1e9, False):
-                while not self.closed and (self.outbox.first or self.outbox.bodies):
+                while not self.closed and (self.outbox.first or self.outbox.bodies or self.flushing):
                     gevent.sleep(self.silent / 1e9 / 32)
-                gevent.sleep(self.silent / 1e9 / 32)    # the writer may hold what it took out last
             self.close("ended")
         gevent.spawn(last)
--- a/marbleglade/gateway/crossing.py
+++ b/marbleglade/gateway/crossing.py
@@ -7,7 +7,7 @@
 
 from ..facade import End
 from ..front import Front, Reply
-from ..interface import Profile, Retrieval
+from ..interface import Retrieval
 from ..life import clock
 from ..wire.resp import Ask
 from .asker import Links
@@ -26,6 +26,11 @@
         self.links, self.heard = links, heard
         links.front = self
 
+    def take(self, ask: Ask) -> Retrieval:
+        retrieval = super().take(ask)
+        retrieval.profile = self.profiles[ask.profile_name]     # what is learned of it here stays here
+        return retrieval
+
     def hold(self, ask: Ask, retrieval: Retrieval) -> None:
         if self.links.hearing.lately(clock.now(), self.heard):
             super().hold(ask, retrieval)
@@ -75,14 +80,14 @@
         """Hands it to the front of the next region."""
         journey.region = journey.legs.pop(0)
         journey.front = front = self.fronts[journey.region]
-        profile: Profile = front.profiles[ask.profile_name]
-        journey.ask = replace(ask, profile=profile, oldest=self._oldest(ask, front))
+        oldest = self._oldest(ask, front) if ask.group == UNKNOWN else ask.oldest
+        journey.ask = ask if oldest == ask.oldest else replace(ask, oldest=oldest)
         journey.retrieval = front.take(journey.ask)
         journey.retrieval.until = min(journey.retrieval.until, journey.until)
 
     def _oldest(self, ask: Ask, front: Front) -> int:
         """Where the group is not told, any group's purge may be meant."""
-        at = front.purges.any_group() if ask.group == UNKNOWN else 0
+        at = front.purges.any_group()
         since = max(1_000_000, clock.now() - at) if at else ask.oldest
         return min(since, ask.oldest or since)
 
--- a/marbleglade/gateway/frames.py
+++ b/marbleglade/gateway/frames.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import DecodeError, Message
 
 from ..wire.resp import LONGEST_OBJECT
-from .link_pb2 import Frame
+from .link_pb2 import Chunk, Frame
 from .routes import UNKNOWN
 from .windows import CHUNK
 
@@ -34,6 +34,22 @@
     return LENGTH.pack(len(data)) + data
 
 
+def _varint(value: int) -> bytes:
+    out = bytearray()
+    while value > 0x7F:
+        out.append(value & 0x7F | 0x80)
+        value >>= 7
+    out.append(value)
+    return bytes(out)
+
+
+def encode_chunk(number: int, at: int, data: memoryview) -> tuple[bytes, memoryview]:
+    """A frame with a chunk, whose bytes are not copied: what comes before them, and they."""
+    head = Chunk(number=number, at=at).SerializeToString() + b"\x1a" + _varint(len(data))
+    head = b"\x1a" + _varint(len(head) + len(data)) + head
+    return LENGTH.pack(len(head) + len(data)) + head, data
+
+
 def _hello(one: Message) -> bool:
     return (bool(NAME.fullmatch(one.region)) and bool(NAME.fullmatch(one.gateway))
             and bool(NAME.fullmatch(one.to_region)) and 0 < one.start_ms < LATEST and one.turn > 0
@@ -54,7 +70,7 @@
 
 
 def _head(one: Message) -> bool:
-    if not one.number or one.word not in one.Word.values() or one.word == one.NONE:
+    if not one.number or not one.SETTLED <= one.word <= one.LACKING:
         return False
     if one.word == one.SETTLED:
         return (bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST
@@ -72,7 +88,7 @@
     "head": _head,
     "undo": lambda one: one.number > 0,
     "query": lambda one: one.number > 0 and (not one.HasField("had") or _had(one.had)),
-    "fate": lambda one: one.number > 0 and one.state in one.State.values() and one.state != one.NONE,
+    "fate": lambda one: one.number > 0 and one.NEVER <= one.state <= one.LOST,
     "purge": lambda one: one.index > 0 and one.group < UNKNOWN and 0 < one.at_ms < LATEST,
     "caught": lambda one: one.since_ms < LATEST,
     "beat": lambda one: one.sent_ns > 0,
--- a/marbleglade/gateway/windows.py
+++ b/marbleglade/gateway/windows.py
@@ -127,15 +127,16 @@
     """A body on its way in. `granted` counts what was allowed so far, the opening credit included."""
 
     def __init__(self, size: int, at: int, opening: int, data: bytes = b"") -> None:
-        self.size, self.granted = size, at + opening
-        self.data = bytearray(data[:at])
+        self.size, self.granted, self.came = size, at + opening, at
+        self.parts = [data[:at]] if at else []
 
     def put(self, at: int, data: bytes) -> None:
         """Adds a chunk. Raises `Overrun` where it does not follow on, goes past the end or is not allowed."""
         end = at + len(data)
-        if at != len(self.data) or not data or end > self.size or end > self.granted:
+        if at != self.came or not data or end > self.size or end > self.granted:
             raise Overrun("a chunk that does not belong")
-        self.data += data
+        self.parts.append(data)
+        self.came = end
 
     def grant(self) -> int:
         """All that is left may come: how much credit that is."""
@@ -143,6 +144,11 @@
         self.granted += more
         return more
 
+    def data(self) -> bytes:
+        """What came so far."""
+        self.parts = [b"".join(self.parts)]
+        return self.parts[0]
+
     @property
     def whole(self) -> bool:
-        return len(self.data) == self.size
+        return self.came == self.size
--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -47,6 +47,7 @@
         self.arrived: deque[float] = deque()
         self.effects = effects if effects is not None else Counter()
         self.effectful: set[str] = set()
+        self.effect_time = 0.0      # seconds that one takes before it has happened
         self.fresh: dict[str, int] = {}     # ms, by profile; absent: until purged
         self.asked, self.hits, self.bytes_out = 0, 0, 0
         self.kept: OrderedDict[tuple[int, int], tuple[str, int, bytes]] = OrderedDict()
@@ -147,6 +148,7 @@
         if self.slow:
             gevent.sleep(self.slow)
         if asked.profile in self.effectful:
+            gevent.sleep(self.effect_time)
             self.effects[bytes(asked.body)] += 1
             return encode(asked.id, "HIT", {"entity": tag_of(0, 0, 1), "issued": str(self.clock() // MS)},
                           b"done " + asked.body)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -297,6 +297,14 @@
         frames.Frames().feed(data)
 
 
+@pytest.mark.parametrize("number, at, size", [
+    (1, 0, 1), (1 << 40, 199_999, 127), (7, 5, 128), (300, 0, CHUNK)])
+def test_a_chunk_is_written_as_protobuf_would(number, at, size):
+    data = bytes(range(256)) * 64
+    assert b"".join(frames.encode_chunk(number, at, memoryview(data)[:size])) == frames.encode(
+        chunk=Chunk(number=number, at=at, data=data[:size]))
+
+
 def test_frames_come_through_however_they_are_cut():
     said = frames.encode(hello=HELLO) + b"".join(
         frames.encode(chunk=Chunk(number=n, at=n, data=bytes(n * 1000))) for n in range(1, 9))
