A carry that goes on from a cut gets the very copy that the far side still keeps

Cause: the client's next try met another hub's copy, with another time of issue, and had to begin anew.

--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -23,6 +23,7 @@
 from .link_pb2 import Carry, Caught, Credit, Head, Hello, Leaving, Purge, Refused
 from .link_pb2 import Fate as FateFrame
 from .purgelog import Marked, Telling
+from .routes import UNKNOWN
 from .windows import Inflow
 
 MS = 1_000_000
@@ -43,8 +44,8 @@
 class Work:
     """What runs for an entry of the book, and what its asker has of the answer."""
 
-    def __init__(self, journey: Journey | None, had: Message | None) -> None:
-        self.journey, self.had = journey, had
+    def __init__(self, journey: Journey | None, had: Message | None, copy: tuple[int, int]) -> None:
+        self.journey, self.had, self.copy = journey, had, copy      # `copy`: the object's part
 
 
 class Answerer:
@@ -190,7 +191,8 @@
         entry = self.book.take(peer.account, message.number, clock.now() + 2 * message.within_ms * MS)
         if entry is None:
             raise BadFrame("a carry that was there before")
-        entry.work = Work(None, message.had if message.HasField("had") else None)
+        entry.work = Work(None, message.had if message.HasField("had") else None,
+                          (message.thing, message.part))
         if message.body:
             inflow = Inflow(message.body, 0, OPENING)
             peer.bodies[message.number] = message, inflow
@@ -237,6 +239,10 @@
                   min(message.within_ms * MS, profile.client_timeout), message.again, f"{message.thing:016x}",
                   message.part, message.group, message.copy, body, message.oldest_ms * MS,
                   tuple(message.passed))
+        if message.HasField("had") and (reply := self._kept(message, ask)):
+            self.counters.add("carried.from_book")
+            self._answered(account, entry, reply)
+            return
         journey = self.crossing.take(ask)
         entry.work.journey = journey
         if reply := self.crossing.answer_now(ask, journey):
@@ -245,6 +251,18 @@
             gevent.spawn(self.guard.run, "carried", self.crossing.serve, ask, journey,
                          lambda reply: self._answered(account, entry, reply))
 
+    def _kept(self, message: Carry, ask: Ask) -> Reply | None:
+        """The very copy that a cut carry had begun to bring, if an answer with it is still kept."""
+        reply, had = self.book.kept((message.thing, message.part)), message.had
+        if reply is None or (reply.tag, reply.issued) != (had.tag, had.issued_ms):
+            return None
+        purges = self.crossing.home.purges
+        at = max(purges.latest(message.thing, message.group),
+                 purges.any_group() if message.group == UNKNOWN else 0)
+        good = returns.still_good(reply.issued, clock.unix_ns() // MS, clock.to_unix_ms(at) if at else 0,
+                                  message.oldest_ms, ask.profile)
+        return reply if good else None
+
     def _stop(self, entry: Entry) -> None:
         """Its asker wants it no more."""
         if isinstance(entry.work, Work) and entry.work.journey:
@@ -254,7 +272,7 @@
         if account.entries.get(entry.number) is not entry:
             return
         had, body = entry.work.had, reply.body
-        self.book.answered(account, entry, reply, len(body))
+        self.book.answered(account, entry, reply, len(body), entry.work.copy if body else None)
         peer = self.peers.get(account.gateway)
         if peer and peer.account is account and not peer.connection.closed:
             self._say(peer, entry, had, reply)
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -168,7 +168,7 @@
 
     def _send(self, link: Link, ask: Ask, go: Go, left: int) -> Carry:
         self.number += 1    # one count for all links, rising on each
-        part = self.parts.get((go.launch.retrieval.object, ask.part)) if self.account else None
+        part = self.parts.get((go.launch.retrieval.object, ask.part))
         carry = Carry(self.number, ask, go, clock.now() + left, part)
         link.open[carry.number] = carry
         frame = CarryFrame(
@@ -176,7 +176,7 @@
             part=ask.part, group=ask.group, within_ms=max(1, left // MS),
             oldest_ms=self._oldest(link, ask, go), copy=ask.copy, again=ask.again,
             passed=[*ask.passed, self.home], body=len(ask.body))
-        if part:
+        if part and self.account:
             frame.had.CopyFrom(Had(tag=part.tag, issued_ms=part.issued_ms, bytes=len(part.data)))
         self.counters.add("carry.sent")
         link.connection.say(carry=frame)
@@ -217,7 +217,7 @@
             self.owed.ended(outcome in (Outcome.FULL, Outcome.TIMEOUT), clock.now())
 
     def _keep_part(self, carry: Carry) -> None:
-        if self.account and carry.inflow and carry.inflow.came and carry.head:
+        if carry.inflow and carry.inflow.came and carry.head:
             # Whoever asks for the object next goes on from there: most often the same client again.
             until = clock.now() + carry.retrieval.profile.client_timeout
             self.parts.put(carry.key, Part(carry.head.tag, carry.head.issued_ms, carry.inflow.data(), until))
@@ -444,6 +444,9 @@
     def _body(self, link: Link, carry: Carry, head: Message) -> None:
         """A body begins, where what came before a cut ended or anew."""
         old, data = carry.head, b""
+        had, copy = (carry.inflow.came, (old.tag, old.issued_ms)) if carry.inflow else (
+            (len(carry.had.data), (carry.had.tag, carry.had.issued_ms)) if carry.had else (0, None))
+        self.counters.add("carry.had_bytes", had)
         if head.at:
             if carry.inflow and old and (old.tag, old.issued_ms) == (head.tag, head.issued_ms):
                 data = carry.inflow.data()
@@ -454,8 +457,9 @@
             self.counters.add("carry.resumed")
             self.counters.add("carry.resumed_bytes", head.at)
         else:
-            again = carry.inflow.came if carry.inflow else len(carry.had.data) if carry.had else 0
-            self.counters.add("carry.again_bytes", min(again, head.size))
+            # What is sent twice, and what could not be gone on from since the copy is another one.
+            same = copy == (head.tag, head.issued_ms)
+            self.counters.add("carry.again_bytes" if same else "carry.anew_bytes", had)
         self.room.give(carry.held)
         carry.head, carry.held = head, 0
         carry.inflow = Inflow(head.size, head.at, OPENING, data)
--- a/marbleglade/gateway/book.py
+++ b/marbleglade/gateway/book.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -27,6 +28,7 @@
     work: Any = None        # what runs for it
     answer: Any = None
     size: int = 0           # bytes of the answer
+    copy: Hashable = None   # what the answer is a copy of; none: it is no copy
     lost: bool = False      # its answer was let go for want of room
 
 
@@ -46,6 +48,7 @@
     def __init__(self, most: int, most_bytes: int, most_accounts: int = 256) -> None:
         self.most, self.most_bytes, self.most_accounts = most, most_bytes, most_accounts
         self.accounts: OrderedDict[str, Account] = OrderedDict()
+        self.copies: dict[Hashable, Entry] = {}     # the latest answer that is kept of each object's part
         self.count = self.bytes = 0
 
     def meet(self, gateway: str, start: int, turn: int, alive: bool) -> tuple[Account | None, list[Entry]]:
@@ -93,11 +96,13 @@
         account.last = number
         return True
 
-    def answered(self, account: Account, entry: Entry, answer: Any, size: int) -> None:
+    def answered(self, account: Account, entry: Entry, answer: Any, size: int, copy: Hashable = None) -> None:
         """Keeps an answer until it is had. Over the bound the oldest answers go, and count as lost."""
         if account.entries.get(entry.number) is not entry:
             return
-        entry.work, entry.answer, entry.size = None, answer, size
+        entry.work, entry.answer, entry.size, entry.copy = None, answer, size, copy
+        if copy is not None:
+            self.copies[copy] = entry
         self.bytes += size
         if self.bytes > self.most_bytes:
             self._make_room()
@@ -110,6 +115,16 @@
                 if entry.answer is not None:
                     self.bytes -= entry.size
                     entry.answer, entry.size, entry.lost = None, 0, True
+                    self._no_copy(entry)
+
+    def _no_copy(self, entry: Entry) -> None:
+        if entry.copy is not None and self.copies.get(entry.copy) is entry:
+            del self.copies[entry.copy]
+
+    def kept(self, copy: Hashable) -> Any:
+        """The answer that is still kept of an object's part, or None."""
+        entry = self.copies.get(copy)
+        return entry.answer if entry else None
 
     def fate(self, account: Account, number: int) -> tuple[Fate, Entry | None]:
         """What became of a carry; from here on a number that never came is void."""
@@ -129,6 +144,7 @@
         if entry:
             self.count -= 1
             self.bytes -= entry.size
+            self._no_copy(entry)
         return entry
 
     def expire(self, now: int) -> list[Entry]:
--- a/marbleglade/gateway/returns.py
+++ b/marbleglade/gateway/returns.py
@@ -71,3 +71,11 @@
 def goes_on(had_tag: str, had_issued: int, had_bytes: int, tag: str, issued: int, size: int) -> int:
     """Where the rest of a body begins: behind what had come, if it is the same copy's; else at 0."""
     return had_bytes if had_tag and (had_tag, had_issued) == (tag, issued) and had_bytes <= size else 0
+
+
+def still_good(issued_ms: int, now_ms: int, purged_ms: int, oldest_ms: int, profile: Profile) -> bool:
+    """Whether an answer that is kept for one carry may be given to another that goes on from it: a copy that
+    does no harm twice, younger than every purge, and than what is asked for. All on one clock; 0: none."""
+    limit = oldest_ms or profile.fresh // 1_000_000
+    return (profile.repeat is Repeat.PURE and issued_ms > purged_ms
+            and (not limit or now_ms - issued_ms <= limit))
