A model of the book, cuts by the thousand on simulated time, and checkers that find seeded faults

Need: what decides after a cut has to hold in any order of events. The book runs against a model (hypothesis), asker and answerer run a thousand cut-ridden courses; two seeded faults (a number that comes after it was said never to have come, an entry that is forgotten without a trace) are found. The benchmark's own checker is fed doubled, spoilt, stale and missing answers.

--- /dev/null
+++ b/benchmarks/logs.py
@@ -0,0 +1,46 @@
+"""What a log line costs: the front's writer, and structlog onto orjson with the same sink."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+
+from marbleglade.life.counters import Counters
+from marbleglade.life.log import Log
+from marbleglade.life.structured import StructuredLog
+
+
+def cost(log: Log, count: int) -> float:
+    """Microseconds of processor time of a line such as each launch brings in debug."""
+    start = time.process_time_ns()
+    for number in range(count):
+        log.say("launch", trace="9b1f03aa5c7e2d41", profile="menu-pages", cache="s-00c41f7a", source="s-1",
+                outcome="OK", took_us=number, rank=1, bytes=8000)
+    return (time.process_time_ns() - start) / count / 1000
+
+
+def main() -> int:
+    words = argparse.ArgumentParser(prog="python -m benchmarks.logs", description=__doc__)
+    words.add_argument("--seed", type=int, default=1, help="taken, and of no effect here")
+    words.add_argument("--quick", action="store_true")
+    told = words.parse_args()
+    count = 20_000 if told.quick else 100_000
+    sink = os.open(os.devnull, os.O_WRONLY)
+    figures = {"seed": told.seed}
+    for name, kind in (("front", Log), ("structlog", StructuredLog)):
+        log = kind("n1", Counters(), True, sink)
+        cost(log, count // 10)
+        figures[f"{name}_us"] = round(min(cost(log, count) for _ in range(3)), 3)
+    figures["ratio"] = round(figures["structlog_us"] / figures["front_us"], 3)
+    print(f"{'writer':12}{'us a line':>12}")
+    for name in ("front", "structlog"):
+        print(f"{name:12}{figures[f'{name}_us']:12.2f}")
+    print(json.dumps(figures))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -248,8 +248,8 @@
         if reply := self.crossing.answer_now(ask, journey):
             self._answered(account, entry, reply)
         else:
-            gevent.spawn(self.guard.run, "carried", self.crossing.serve, ask, journey,
-                         lambda reply: self._answered(account, entry, reply))
+            gevent.spawn_raw(self.guard.run, "carried", self.crossing.serve, ask, journey,
+                             partial(self._answered, account, entry))
 
     def _kept(self, message: Carry, ask: Ask) -> Reply | None:
         """The very copy that a cut carry had begun to bring, if an answer with it is still kept."""
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -118,8 +118,8 @@
             if reply := self.crossing.answer_now(ask, journey):
                 self._answer(visitor, errand.id, journey, reply, harmless)
             else:
-                gevent.spawn(self.guard.run, "place", self.crossing.serve, ask, journey,
-                             lambda reply: self._answer(visitor, errand.id, journey, reply, harmless))
+                gevent.spawn_raw(self.guard.run, "place", self.crossing.serve, ask, journey,
+                                 lambda reply: self._answer(visitor, errand.id, journey, reply, harmless))
 
     def _answer(self, visitor: Visitor, id: str, journey: Any, reply: Reply, harmless: bool) -> None:
         if visitor.open.get(id) is not journey:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -31,6 +31,18 @@
     assert version(ask(two.client(door), thing), thing) == 1
 
 
+def test_a_purge_of_a_group_holds_where_the_group_is_not_told(two):
+    """The caches' protocol names no group: any group's purge may be meant."""
+    visit, thing = Visit(("127.0.0.1", two.east.ports["east-1"][1])), WEST | BIG | VIDEO
+    answer = visit.ask("dish-media", f"{thing:016x}", 0, 1500)
+    assert version_of(answer.body, thing, 0) == 1
+    two.west.purge(0, group_of(thing))
+    gevent.sleep(0.1)
+    answer = visit.ask("dish-media", f"{thing:016x}", 0, 1500)
+    assert version_of(answer.body, thing, 0) == 2
+    visit.close()
+
+
 def test_the_place_door_gives_the_same(two):
     visit = Visit(("127.0.0.1", two.east.ports["east-1"][1]))
     thing = WEST | BIG | VIDEO
--- /dev/null
+++ b/tests/test_gateway_models.py
@@ -0,0 +1,301 @@
+"""The book against a model, cuts and returns on simulated time by the thousand, and the checkers of the
+benchmarks, which must be seen to find what they look for."""
+
+import zlib
+from collections import Counter, deque
+
+import gevent
+import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from benchmarks.rig import Book as Purges
+from benchmarks.rig import Door, Stream, Tally
+from marbleglade.gateway import returns
+from marbleglade.gateway.book import Book, Fate
+from marbleglade.gateway.returns import Wait
+from marbleglade.interface import NEVER_RAN, Outcome, Profile, Repeat
+from marbleglade.standins.places import listening
+from marbleglade.standins.world import body_of, group_of
+
+MS = 1_000_000
+
+
+class BookMachine(RuleBasedStateMachine):
+    """Whatever order things come in, the book says no more and no less than what became of each number."""
+
+    def __init__(self):
+        super().__init__()
+        self.book, self.now, self.turn = Book(6, 100), 0, 1
+        self.account, _ = self.book.meet("g", 1, 1, False)
+        self.state, self.void = {}, set()
+
+    numbers = strategies.integers(1, 20)
+
+    @rule(number=numbers, within=strategies.integers(1, 50))
+    def take(self, number, within):
+        entry = self.book.take(self.account, number, self.now + within)
+        allowed = number not in self.void and number > max(self.state, default=0) and number > max(
+            self.void, default=0)
+        assert (entry is not None) == allowed
+        if entry:
+            self.state[number] = "running"
+
+    @rule(number=numbers, size=strategies.integers(0, 60))
+    def answer(self, number, size):
+        entry = self.account.entries.get(number)
+        if entry and self.state[number] == "running":
+            self.book.answered(self.account, entry, ("answer", number), size, number % 3)
+            self.state[number] = "answered"
+            for other, kept in self.account.entries.items():
+                if kept.lost:
+                    self.state[other] = "lost"
+
+    @rule(number=numbers)
+    def drop(self, number):
+        if self.book.drop(self.account, number):
+            self.state[number] = "had"
+
+    @rule(number=numbers)
+    def ask(self, number):
+        fate, entry = self.book.fate(self.account, number)
+        known = self.state.get(number)
+        if known in ("running", "answered"):
+            assert fate is (Fate.RUNNING if known == "running" else Fate.ANSWERED) and entry.number == number
+        elif known in ("lost", "expired"):
+            assert fate is Fate.LOST
+        elif known is None:         # never taken here: either said so for good, or more is not known
+            assert fate is Fate.NEVER or (fate is Fate.LOST and number <= self.account.floor)
+            if fate is Fate.NEVER:
+                self.void.add(number)
+
+    @rule(step=strategies.integers(1, 60))
+    def wait(self, step):
+        self.now += step
+        for entry in self.book.expire(self.now):
+            self.state[entry.number] = "expired"
+
+    @rule()
+    def connect_again(self):
+        self.turn += 1
+        account, ended = self.book.meet("g", 1, self.turn, True)
+        assert account is self.account and not ended
+
+    @invariant()
+    def bounds(self):
+        entries = self.account.entries.values()
+        assert self.book.count == len(entries)
+        assert self.book.bytes == sum(one.size for one in entries) <= 100
+        assert all(self.account.entries.get(one.number) is one for one in self.book.copies.values())
+        assert all(one.answer is not None for one in self.book.copies.values())
+
+
+TestBook = BookMachine.TestCase
+TestBook.settings = settings(max_examples=150, stateful_step_count=40, derandomize=True, deadline=None)
+
+
+class Careless(Book):
+    """A seeded fault: a number that was said never to have come may come after all."""
+
+    def fate(self, account, number):
+        last = account.last
+        told = super().fate(account, number)
+        account.last = last
+        return told
+
+
+class Forgetful(Book):
+    """A seeded fault: what is no more in the book is said never to have come."""
+
+    def expire(self, now):
+        floor = {name: one.floor for name, one in self.accounts.items()}
+        gone = super().expire(now)
+        for name, one in self.accounts.items():
+            one.floor = floor[name]
+        return gone
+
+
+class Simulation:
+    """One asker, one answerer, a link that is cut at any moment; effects are counted. Time is a number.
+
+    The shells' steps are as in `asker` and `answerer`, with messages in two queues. A cut loses what is under
+    way, or the answerer reads it late, when the next connection is up already (`late`). Entries of the book
+    expire soon, some while they are still asked after.
+    """
+
+    def __init__(self, seed, book):
+        self.seed, self.count, self.now = seed, 0, 0
+        self.book, self.turn, self.number = book, 0, 0
+        self.profile = Profile(300 * MS, 2, 2000 * MS, Repeat.EFFECTFUL)
+        self.effects, self.outcomes, self.launches = Counter(), {}, {}
+        self.open, self.adrift, self.running = {}, {}, {}
+        self.up = False
+        self.there, self.back, self.late = deque(), deque(), deque()
+        self.connect()
+
+    def chance(self):
+        self.count += 1
+        return zlib.crc32(b"%d %d" % (self.seed, self.count)) / 2**32
+
+    def connect(self):
+        self.turn += 1
+        self.there, self.back = deque(), deque()
+        self.account, _ = self.book.meet("g", 1, self.turn, False)
+        self.up = True
+        for number in self.adrift:
+            self.there.append(("query", number))
+
+    def cut(self):
+        self.up = False
+        self.late = self.there
+        self.back.clear()
+        for number, (order, sent) in self.open.items():
+            verdict = returns.after_cut(self.profile, sent, self.now, sent + 2000 * MS, True)
+            assert isinstance(verdict, Wait)
+            self.adrift[number] = order, sent, verdict.until
+        self.open.clear()
+
+    def launch(self, order):
+        self.number += 1
+        self.launches.setdefault(order, []).append(self.number)
+        self.open[self.number] = order, self.now
+        self.there.append(("carry", self.number, order))
+
+    def end(self, order, outcome):
+        """As the decisions do: again only where nothing ran."""
+        if outcome in NEVER_RAN and self.up and len(self.launches[order]) < 6:
+            self.launch(order)
+        else:
+            self.outcomes[order] = outcome
+
+    def hear(self, kind, number, order=None):
+        if kind == "carry":
+            entry = self.book.take(self.account, number, self.now + 200 * MS)
+            if entry:
+                self.running[number] = entry, order, self.now + int(self.chance() * 100 * MS)
+        elif kind == "query":
+            fate, entry = self.book.fate(self.account, number)
+            self.back.append(("fate", number, fate))
+            if fate is Fate.ANSWERED:
+                self.back.append(("head", number, None))
+        elif kind == "had":
+            self.book.drop(self.account, number)
+
+    def step(self):
+        self.now += int(self.chance() * 20 * MS)
+        roll = self.chance()
+        if roll < 0.08:
+            if self.up:
+                self.cut()
+            else:
+                self.connect()
+        elif roll < 0.3 and self.up:
+            order = len(self.launches)
+            self.launch(order)
+        if self.late and self.chance() < 0.3:
+            self.hear(*self.late.popleft())
+        if self.up and self.there and self.chance() < 0.7:
+            self.hear(*self.there.popleft())
+        for number, (entry, order, due) in list(self.running.items()):
+            if due <= self.now:
+                del self.running[number]
+                self.effects[order] += 1
+                self.book.answered(self.account, entry, "done", 10)
+                if self.up and self.account.entries.get(number) is entry:
+                    self.back.append(("head", number, None))
+        if self.up and self.back and self.chance() < 0.7:
+            kind, number, fate = self.back.popleft()
+            if kind == "head" and number in self.open:
+                order, _ = self.open.pop(number)
+                self.outcomes[order] = Outcome.OK
+                self.there.append(("had", number))
+            elif kind == "fate" and number in self.adrift:
+                order, sent, _ = self.adrift.pop(number)
+                outcome = returns.after_fate(fate)
+                if outcome is None:
+                    self.open[number] = order, sent
+                else:
+                    self.end(order, outcome)
+        for number, (order, _, until) in list(self.adrift.items()):
+            if until < self.now:
+                del self.adrift[number]
+                self.end(order, Outcome.RESET)
+        self.book.expire(self.now)
+
+
+def simulate(kind, seeds, most=10_000):
+    """How often an effect happened twice, or an outcome said what was not so."""
+    wrong = Counter()
+    for seed in seeds:
+        one = Simulation(seed, kind(most, 10_000))
+        for _ in range(250):
+            one.step()
+        wrong["twice"] += any(n > 1 for n in one.effects.values())
+        wrong["false"] += any(outcome is Outcome.OK and not one.effects[order]
+                              for order, outcome in one.outcomes.items())
+        wrong["settled"] += sum(outcome is Outcome.OK for outcome in one.outcomes.values())
+    return wrong
+
+
+def test_no_effect_twice_in_a_thousand_runs():
+    wrong = simulate(Book, range(1000))
+    assert not wrong["twice"] and not wrong["false"] and wrong["settled"] > 10_000
+
+
+@pytest.mark.parametrize("fault", [Careless, Forgetful])
+def test_the_simulation_finds_a_seeded_fault(fault):
+    assert simulate(fault, range(300))["twice"]
+
+
+# The checkers of the benchmarks.
+
+class FalseFront:
+    """Answers each ask by a script of words and bodies."""
+
+    def __init__(self, answer):
+        self.listener, self.answer = listening(), answer
+        self.loop = gevent.spawn(self.run)
+
+    def run(self):
+        while True:
+            sock, _ = self.listener.accept()
+            gevent.spawn(self.serve, sock)
+
+    def serve(self, sock):
+        while data := sock.recv(4096):
+            tag = data.split(b"\r\n")[4]
+            for word, body in self.answer():
+                sock.sendall(b"*4\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$0\r\n\r\n$%d\r\n%b\r\n"
+                             % (len(tag), tag, len(word), word, len(body), body))
+
+
+THING = 0xF << 60 | 5 << 16 << 24
+GOOD = body_of(THING, 0, 1)
+
+
+@pytest.mark.parametrize("answers, found", [
+    ([(b"ok", GOOD)], {}), ([(b"ok", GOOD)] * 2, {"doubled": 1}),
+    ([(b"ok", GOOD[:-1] + b"?")], {"spoilt": 1}),
+    ([(b"ok", GOOD[:-1])], {"spoilt": 1}), ([(b"ok", body_of(THING + 1, 0, 1))], {"spoilt": 1}),
+    ([(b"odd", b"")], {"doubled": 1}), ([], {"lost": 1}),
+    ([(b"ok", body_of(THING, 0, 2))], {}),
+])
+@pytest.mark.parametrize("purged", [False, True])
+def test_the_checker_of_answers(answers, found, purged):
+    front = FalseFront(lambda: answers)
+    door = Door("d", "east", front.listener.getsockname(), 1, lambda start, end: True)
+    tally, purges = Tally(), Purges()
+    if purged:
+        purges.add(0, group_of(THING), True, -9.0, {"d": -5.0})
+        purges.add(0, group_of(THING), True, -9.0, {"d": float("inf")})     # not bound here
+    stream = Stream(door, tally, 1, 1.0, None)
+    stream.going = False
+    asked = stream.one(THING, False)
+    gevent.sleep(0.02)
+    purges.judge(tally)
+    stale = purged and asked.settled and answers[0][1] == GOOD
+    assert {"lost": tally.lost, "doubled": door.broken(), "spoilt": tally.spoilt, "stale": tally.stale} == {
+        "lost": 0, "doubled": 0, "spoilt": 0, "stale": int(stale)} | found
+    door.close()
+    front.loop.kill()
+    front.listener.close()
