--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -231,7 +231,8 @@
         region = self.world.both[thing >> 63] if thing else region
         told = now()
         region.purge(thing, group)
-        self.front_coordinator.purge(thing, group, self.world.east.clock() // 1_000_000)    # in the front's time
+        in_its_time = self.world.east.clock() // 1_000_000
+        self.front_coordinator.purge(thing, group, in_its_time)
         self.pending.append((len(self.book.purges), region.name))
         holds = {name: told + GRACE for name, door in self.doors.items()
                  if door.region == region.name or name == "front"}
