Disk tier: commands to look at and mend it; worth by the root of bytes, as traces ask

Need: on traces the shelf was behind LRU where popularity shifts and where large objects are among the small. Worth goes by the root of bytes and falls with the square of idleness now, and the part's number is kept beside its size.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -20,7 +20,7 @@
 
 from marbleglade.standins.coordinator import Coordinator
 from marbleglade.standins.places import Place
-from marbleglade.standins.regions import PROFILES, Doors, StandInRegions, free_port
+from marbleglade.standins.regions import CLEAR, PROFILES, Doors, StandInRegions, free_port
 from marbleglade.standins.relay import Relay
 from marbleglade.standins.world import RegionClock, chance
 
@@ -233,6 +233,8 @@
         region.purge(thing, group)
         in_its_time = self.world.east.clock() // 1_000_000
         self.front_coordinator.purge(thing, group, in_its_time)
+        for edge in self.edges:
+            gevent.spawn_later(CLEAR, edge.clear, thing, group, in_its_time)
         self.pending.append((len(self.book.purges), region.name))
         holds = {name: told + GRACE for name, door in self.doors.items()
                  if door.region == region.name or name == "front"}
--- a/benchmarks/traces.py
+++ b/benchmarks/traces.py
@@ -1,5 +1,5 @@
-"""What earns a place on disk, on drawn traces: bytes spared by the shelf, by LRU, by admitting all first in first
-out, and by the best that knew the future (Belady by size). No disk is touched."""
+"""What earns a place on disk, on drawn traces: bytes spared by the shelf, by LRU, by admitting all (first in,
+first out), and by the best that knew the future (Belady by size). No disk is touched."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 
 
 def trace(kind: str, seed: int, count: int) -> list[tuple[int, int, int]]:
-    """Uses as key, size and part: Zipf popularity; once-only objects between; objects of 5 to 29 times the usual
-    size among them; a popularity that shifts."""
+    """Uses as key, size and part: Zipf popularity; once-only objects between; objects of 5 to 29 times the
+    usual size among them; a popularity that shifts."""
     draw = random.Random(f"{seed} {kind}")
     things = max(200, count // 30)
     weights = [1 / (rank + 1) ** 0.9 for rank in range(things)]
@@ -40,7 +40,7 @@
 
 
 def by_shelf(uses: list, room: int, seed: int) -> int:
-    shelf, spared = Shelf(room, seed, 1 << 14), 0
+    shelf, spared = Shelf(room, seed, max(64, room // 8000)), 0
     for key, size, part in uses:
         shelf.use(key)
         if shelf.get(key):
@@ -50,7 +50,7 @@
         if gone is not None:
             for other in gone:
                 shelf.drop(other)
-            shelf.put(key, 1, 0, size)
+            shelf.put(key, 1, 0, size, part)
     return spared
 
 
--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -26,7 +26,23 @@
 DEPLOYMENT = click.Path(dir_okay=False)
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Lazy(click.Group):
+    """A group whose larger sub-commands are imported when they are named."""
+
+    LATER = ("disk",)
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.LATER])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in self.LATER:
+            return super().get_command(ctx, name)
+        from .disk import disk
+
+        return disk
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 def line() -> None:
     """A front for caches of large objects behind thin links, and gateways between regions.
 
--- a/marbleglade/disk/records.py
+++ b/marbleglade/disk/records.py
@@ -15,7 +15,7 @@
 HEAD = struct.Struct("<4sBBHQIIQQQQQ")
 MAGIC, FORM, PART = b"mgdt", 1, 1
 ALIGN = 8
-LONGEST = 1 << 24       # bytes of a body
+LONGEST = (1 << 24) - 1     # bytes of a body
 
 
 @dataclass(frozen=True, slots=True)
--- a/marbleglade/disk/shelf.py
+++ b/marbleglade/disk/shelf.py
@@ -11,10 +11,13 @@
 from .sketch import Sketch
 from .table import Table
 
-SAMPLE = 24             # entries among which the least worth is displaced
+SIZES = (1 << 24) - 1   # of a part; its number stands above
+SAMPLE = 48             # entries among which the least worth is displaced
 HABIT = 0.5             # by how much the first of the parts is worth more than a late one
 PARTS = 20              # the most that an object usually has
-LINGER = 4              # uses of the whole shelf, by its entries, after which worth has halved
+LINGER = 0.5            # uses of the whole shelf, by its entries, after which worth is down to a quarter
+FEW = 512               # a shelf with less counts as having so many
+CHANCE = 0.2            # of being asked for, of what was not lately, in uses
 
 
 class Shelf:
@@ -38,15 +41,16 @@
         self.table.touch(key, self.now)
         return self.sketch.use(key)
 
-    def worth(self, key: int, size: int, used: int, part: int = PARTS) -> float:
-        """By byte: uses lately, less for what was not used for long."""
-        idle = (self.now - used & 0xFFFFFFFF) / (LINGER * max(64, len(self.table)))
+    def worth(self, key: int, size: int, used: int, part: int) -> float:
+        """Uses lately, less for what was not used for long, by the root of its bytes: by the bytes themselves
+        large objects never came in, though each of their uses spares as much more."""
+        idle = (self.now - used & 0xFFFFFFFF) / (LINGER * max(FEW, len(self.table)))
         first = 1 + HABIT * max(0, PARTS - part) / PARTS
-        return self.sketch.seen(key) * first / (max(1, size) * (1 + idle))
+        return (self.sketch.seen(key) + CHANCE) * first / (max(1, size) ** 0.5 * (1 + idle) ** 2)
 
     def displaced(self, key: int, size: int, part: int) -> list[int] | None:
-        """What has to go for this part; None if it does not earn a place. Once-only parts never do."""
-        if size > self.size or self.sketch.seen(key) < 2:
+        """What has to go for this part; None if it does not earn a place."""
+        if size > self.size:
             return None
         need, gone, mine = self.live + size - self.size, [], self.worth(key, size, self.now, part)
         lost = 0.0      # what goes must be worth less, all together, than what comes
@@ -55,9 +59,11 @@
                       if one[0] not in gone and one[0] != key]
             if not sample:
                 return None
-            other, _, its_size, used = min(sample, key=lambda one: self.worth(one[0], one[2], one[3]))
-            lost += self.worth(other, its_size, used) * its_size
-            if lost > mine * size:
+            worth, other, its_size = min(
+                (self.worth(its, packed & SIZES, used, packed >> 24), its, packed & SIZES)
+                for its, _, packed, used in sample)
+            lost += worth * its_size ** 0.5
+            if lost > mine * size ** 0.5:
                 return None
             gone.append(other)
             need -= its_size
@@ -65,9 +71,9 @@
 
     # What is here.
 
-    def put(self, key: int, segment: int, place: int, size: int) -> None:
+    def put(self, key: int, segment: int, place: int, size: int, part: int) -> None:
         self.drop(key)
-        self.table.put(key, segment << 32 | place, size, self.now)
+        self.table.put(key, segment << 32 | place, size | min(part, 255) << 24, self.now)
         self.live += size
         self.segments[segment] = self.segments.get(segment, 0) + size
 
@@ -75,7 +81,7 @@
         known = self.table.get(key)
         if known is None:
             return False
-        where, size, _ = known
+        where, size = known[0], known[1] & SIZES
         self.table.drop(key)
         self.live -= size
         self.segments[where >> 32] -= size
@@ -84,7 +90,7 @@
     def get(self, key: int) -> tuple[int, int, int] | None:
         """Segment, place and size."""
         known = self.table.get(key)
-        return (known[0] >> 32, known[0] & 0xFFFFFFFF, known[1]) if known else None
+        return (known[0] >> 32, known[0] & 0xFFFFFFFF, known[1] & SIZES) if known else None
 
 
 class Budget:
--- a/marbleglade/disk/tier.py
+++ b/marbleglade/disk/tier.py
@@ -108,7 +108,7 @@
         count = 0
         for thing, part, entry in self.index.all(after=self.loading):
             if self.shelf.get(key_of(thing, part)) is None and (thing, part) not in self.dropped_since:
-                self.shelf.put(key_of(thing, part), entry[0], entry[1], entry[2])
+                self.shelf.put(key_of(thing, part), *entry[:3], part)
             self.loading, count = (thing, part), count + 1
             if count >= most:
                 return True
@@ -181,6 +181,12 @@
         for part in parts:
             self._forget(thing, part)
 
+    def forget(self, thing: int, parts: list[int]) -> None:
+        """Drops parts, and makes that last."""
+        for part in parts:
+            self._forget(thing, part)
+        self.checkpoint()
+
     def purge(self, thing: int, group: int, at_ms: int, number: int = 0) -> None:
         """Holds from when this returns, whatever happens then. `number`: of the coordinator's event."""
         marks, which, kind = (self.objects, thing, "object") if thing else (self.groups, group, "group")
@@ -237,7 +243,7 @@
     def _enter(self, thing: int, part: int, entry: tuple, known: tuple | None) -> None:
         self.dropped_since.pop((thing, part), None)
         self.put_since[thing, part] = entry
-        self.shelf.put(key_of(thing, part), entry[0], entry[1], entry[2])
+        self.shelf.put(key_of(thing, part), *entry[:3], part)
 
     def _forget(self, thing: int, part: int) -> None:
         self.put_since.pop((thing, part), None)
--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -71,6 +71,12 @@
         self.began = gevent.get_hub().loop.now()
         self.arrived.clear()
 
+    def clear(self, thing: int, group: int, at_ms: int) -> None:
+        """Drops copies that were purged; caches do so some time after a purge was told."""
+        for key in [key for key, copy in self.kept.items() if copy[1] <= at_ms
+                    and (key[0] == thing or (not thing and group_of(key[0]) == group))]:
+            del self.kept[key]
+
     def break_off(self) -> None:
         for sock in list(self.socks):
             sock.close()
--- a/marbleglade/standins/regions.py
+++ b/marbleglade/standins/regions.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+import gevent
 from gevent import socket
 
 from .coordinator import Coordinator
@@ -39,6 +40,9 @@
             return port
 
 
+CLEAR = 4.0     # seconds after a purge within which caches drop older copies; below the rules' `clear_ms`
+
+
 class Doors:
     """The gateways of one region by name, the ports of their doors, and a relay before each link door."""
 
@@ -81,8 +85,11 @@
         self.coordinator.list([*((one, "hub") for one in self.hubs), (self.store, "store")], whole=True)
 
     def purge(self, thing: int, group: int = 0) -> None:
-        """The store gives out the new version from here on, and the coordinator tells."""
-        self.coordinator.purge(thing, group, self.library.purge(thing, group))
+        """The store gives out the new version from here on, and the coordinator tells; hubs clear later."""
+        at_ms = self.library.purge(thing, group)
+        self.coordinator.purge(thing, group, at_ms)
+        for hub in self.hubs:
+            gevent.spawn_later(CLEAR, hub.clear, thing, group, at_ms)
 
     def restart_hub(self, hub: Place) -> None:
         hub.again()
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,5 +1,6 @@
 """The disk tier: what earns a place, what a record proves, and what holds after a crash at any point."""
 
+import json
 import os
 import subprocess
 import sys
@@ -77,7 +78,7 @@
         for _ in range(4):
             shelf.use(key_of(n, 0))
         assert shelf.displaced(key_of(n, 0), 2000, 0) == []
-        shelf.put(key_of(n, 0), 1, n * 2000, 2000)
+        shelf.put(key_of(n, 0), 1, n * 2000, 2000, 0)
     scan = key_of(999, 0)
     shelf.use(scan)
     assert shelf.displaced(scan, 2000, 0) is None           # asked for once
@@ -436,3 +437,31 @@
                     assert found.issued_ms > marks.get(thing, 0)
         assert not tier.counts["wrong"]
         tier.close()
+
+
+def disk(*told):
+    return subprocess.run([sys.executable, "-m", "marbleglade", "disk", *told], capture_output=True,
+                          text=True, timeout=20)
+
+
+def test_the_commands_look_at_a_tier_and_mend_it(tmp_path):
+    tier = tier_of(Files(str(tmp_path)), Index(str(tmp_path)))
+    for thing in range(1, 6):
+        for part in range(2):
+            assert put(tier, thing, part, 1, 100)
+    assert disk("check", str(tmp_path)).returncode == 2         # it is open
+    tier.checkpoint()
+    at = tier._entry(3, 1)
+    tier.close()
+    assert json.loads(disk("stats", str(tmp_path), "--json").stdout)["parts"] == 10
+    assert len(disk("list", str(tmp_path), "--object", f"{2:016x}").stdout.splitlines()) == 2
+    assert disk("drop", str(tmp_path), f"{2:016x}").stdout == "2 parts dropped\n"
+    done = disk("check", str(tmp_path))
+    assert done.returncode == 0 and done.stdout.startswith("8 parts whole, 0 wrong")
+    segment = tmp_path / "segments" / f"{at[0]:010d}.seg"
+    data = bytearray(segment.read_bytes())
+    data[at[1] + records.HEAD.size + 5] ^= 4
+    segment.write_bytes(data)
+    done = disk("check", str(tmp_path))
+    assert done.returncode == 1 and done.stdout.startswith("7 parts whole, 1 wrong")
+    assert disk("check", str(tmp_path)).stdout.startswith("7 parts whole, 0 wrong")
