--- a/marbleglade/disk/files.py
+++ b/marbleglade/disk/files.py
@@ -61,9 +61,6 @@
             at, size = at + len(data), size - len(data)
         return b"".join(parts)
 
-    def cut(self, number: int, length: int) -> None:
-        os.ftruncate(self._fd(number), length)
-
     def remove(self, number: int) -> None:
         if (fd := self.open.pop(number, None)) is not None:
             os.close(fd)
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -57,7 +57,6 @@
     inflow: Inflow | None = None
     held: int = 0                   # room taken for its body
     wait_until: int = 0             # while its link is cut
-    counted: bool = True            # among what the region owes
 
     @property
     def retrieval(self) -> Retrieval:
--- a/marbleglade/gateway/owed.py
+++ b/marbleglade/gateway/owed.py
@@ -25,10 +25,6 @@
         self.open += 1
         return True
 
-    def join(self) -> None:
-        """Opens a carry that is there already, whatever is owed."""
-        self.open += 1
-
     def settled(self) -> None:
         """An answer came in time: one more, so that the bound doubles in the time of one carry at first."""
         self.open -= 1
--- a/marbleglade/life/structured.py
+++ b/marbleglade/life/structured.py
@@ -10,8 +10,6 @@
 from .counters import Counters
 from .log import Log
 
-LEVELS = ("debug", "info", "warning", "error")
-
 
 def _stamp(_logger: object, _method: str, event: dict) -> dict:
     return {"at": time.time_ns() // 1_000_000, **event}
--- a/marbleglade/standins/faultydisk.py
+++ b/marbleglade/standins/faultydisk.py
@@ -49,9 +49,6 @@
         self._ok()
         return bytes(self.seen.get(number, b"")[at:at + size])
 
-    def cut(self, number: int, length: int) -> None:
-        del self.seen[number][length:]
-
     def remove(self, number: int) -> None:
         self._ok()
         self.seen.pop(number, None)
