A group that was not told is met by the purges themselves; what stood twice stands once

Cause, found in reading: two callers treated an unknown group as any group, while a copy kept under one outlived a group's purge, and an answer under way was not held against it.

--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -23,6 +23,17 @@
         sys.exit(UNFIT)
 
 
+def _loaded(path: str):
+    """A deployment and its faults; none of the first where it can't be read."""
+    from ..deployment.reading import Unfit, faults, load
+
+    try:
+        told = load(path)
+    except Unfit as trouble:
+        return None, trouble.faults
+    return told, faults(told)
+
+
 DEPLOYMENT = click.Path(dir_okay=False)
 
 
@@ -90,13 +101,9 @@
 
     All faults are named with their fields, a line each on standard error; the exit code is 1 then.
     """
-    from ..deployment.reading import Unfit, faults, load, shown
+    from ..deployment.reading import shown
 
-    try:
-        told = load(deployment)
-        wrong = faults(told)
-    except Unfit as trouble:
-        told, wrong = None, trouble.faults
+    told, wrong = _loaded(deployment)
     for fault in wrong:
         click.echo(fault, err=True)
     if wrong:
@@ -113,14 +120,9 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object.")
 def route(deployment: str, thing: str, group: int | None, home: str, as_json: bool) -> None:
     """Say which regions are asked for OBJECT (16 hex digits), in their order, by DEPLOYMENT's routes."""
-    from ..deployment.reading import Unfit, faults, load
-    from ..gateway.routes import UNKNOWN, Routes, rule
+    from ..gateway.routes import UNKNOWN, Routes, rules
 
-    try:
-        told = load(deployment)
-        wrong = faults(told)
-    except Unfit as trouble:
-        told, wrong = None, trouble.faults
+    told, wrong = _loaded(deployment)
     if wrong:
         for fault in wrong:
             click.echo(f"marbleglade: {fault}", err=True)
@@ -136,9 +138,7 @@
                          for one in region.gateways if one.name == told.self), names[0])
     if home not in names:
         raise click.BadParameter(f"no region is named {home}", param_hint="--from")
-    rules = [rule(one.region, one.first_group if one.HasField("first_group") else None,
-                  one.last_group if one.HasField("last_group") else None, one.prefix) for one in told.routes]
-    routes = Routes(home, [one for one in names if one != home], rules, 1, 1)
+    routes = Routes(home, [one for one in names if one != home], rules(told.routes), 1, 1)
     of = UNKNOWN if group is None else group
     legs, why = routes.legs(number, of, (), 0), routes.why(number, of, 0)
     if as_json:
--- a/marbleglade/deployment/ground.py
+++ b/marbleglade/deployment/ground.py
@@ -6,6 +6,7 @@
 
 from google.protobuf.message import Message
 
+from ..gateway.routes import AWAY
 from ..ground import Surroundings
 from ..interface import Ground, Profile, Repeat
 from .reading import Deployed
@@ -13,7 +14,6 @@
 MS = 1_000_000
 STREAMS = 100       # errands that a connection to a place may carry at once
 REPEATS = (Repeat.PURE, Repeat.RECEIPTED, Repeat.EFFECTFUL)
-AWAY = "away"       # the zone and the kind under which far gateways are listed here
 
 
 def _ns(ms: float) -> int:
--- a/marbleglade/deployment/reading.py
+++ b/marbleglade/deployment/reading.py
@@ -5,15 +5,15 @@
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass
-from ipaddress import IPv4Address
 from pathlib import Path
 
 from google.protobuf import text_format
 from google.protobuf.message import Message
 
+from ..gateway.routes import NAME
+from ..wire import coordlines
 from .deployment_pb2 import Deployment
 
-NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")
 PREFIX = re.compile(r"[0-9a-f]{0,16}")
 LONGEST = 1 << 20       # bytes of a file
 # What an absent field means; the schema's comments say the same.
@@ -63,10 +63,10 @@
 
 def address(text: str) -> tuple[str, int]:
     """"host:port" as a pair; ValueError where it is none."""
-    host, _, port = text.rpartition(":")
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 1 << 16:
+    port = text.rpartition(":")[2]
+    if not port.isascii() or not port.isdigit():
         raise ValueError(f"{text!r} has no port")
-    return str(IPv4Address(host)), int(port)
+    return coordlines.address(text)
 
 
 def load(path: str) -> Message:
--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -15,6 +15,7 @@
 from ..life import clock
 from ..life.guard import Guard
 from ..wire.resp import Ask
+from ..wire.sockets import accepted
 from . import frames, returns
 from .book import Account, Book, Entry, Fate
 from .connection import OPENING, WINDOW, Connection
@@ -23,7 +24,6 @@
 from .link_pb2 import Carry, Caught, Credit, Head, Hello, Leaving, Purge, Refused
 from .link_pb2 import Fate as FateFrame
 from .purgelog import Marked, Telling
-from .routes import UNKNOWN
 from .windows import Inflow
 
 MS = 1_000_000
@@ -37,7 +37,6 @@
         self.account: Account | None = None
         self.connection: Connection | None = None
         self.region = ""
-        self.leaving = False
         self.bodies: dict[int, tuple[Message, Inflow]] = {}     # carries whose own body is still coming
 
 
@@ -62,13 +61,7 @@
         self.leaving = False
 
     def accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                self.counters.add("link.accept_failed")
-                gevent.sleep(self.silent / 1e9 / 8)
-                continue
+        for sock in accepted(listener, self.silent / 8e9, partial(self.counters.add, "link.accept_failed")):
             if len(self.connections) >= self.most:
                 self.counters.add("link.too_many")
                 sock.close()
@@ -152,8 +145,7 @@
             self._incomplete(known)
         peer.account, peer.region = account, message.region
         self.peers[message.gateway] = peer
-        outbox = peer.connection.outbox
-        outbox.opening, outbox.pace.window = min(message.opening, OPENING), min(message.window, WINDOW)
+        peer.connection.agree(message)
         peer.connection.say(hello=Hello(
             version=VERSION, region=self.home, gateway=self.gateway, start_ms=self.start_ms,
             to_region=message.region, turn=message.turn, opening=OPENING, window=WINDOW))
@@ -173,7 +165,7 @@
             peer.connection.beat(self.deaf())
 
     def _hear_leaving(self, peer: Peer, message: Message) -> None:
-        peer.leaving = True
+        self.counters.add("link.leaving")
 
     def _hear_carry(self, peer: Peer, message: Message) -> None:
         self.counters.add("carried.taken")
@@ -257,8 +249,7 @@
         if reply is None or (reply.tag, reply.issued) != (had.tag, had.issued_ms):
             return None
         purges = self.crossing.home.purges
-        at = max(purges.latest(message.thing, message.group),
-                 purges.any_group() if message.group == UNKNOWN else 0)
+        at = purges.latest(message.thing, message.group)
         good = returns.still_good(reply.issued, clock.unix_ns() // MS, clock.to_unix_ms(at) if at else 0,
                                   message.oldest_ms, ask.profile)
         return reply if good else None
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -36,11 +36,11 @@
 from .parts import Part, Parts
 from .purgelog import Hearing, Marked
 from .returns import Wait, Word
+from .routes import AWAY
 from .timebase import Offset
 from .windows import Inflow
 
 MS = 1_000_000
-AWAY = "away"       # as the deployment's ground lists far gateways
 MOST_MARKS = 1 << 14
 
 
@@ -85,7 +85,6 @@
     open: dict[int, Carry] = field(default_factory=dict)
     adrift: dict[int, Carry] = field(default_factory=dict)      # their fate is not known
     offset: Offset = field(default_factory=lambda: Offset(0))
-    heard_at: int = 0
     tries: int = 0
 
 
@@ -307,8 +306,7 @@
     def _hear_hello(self, link: Link, message: Message) -> None:
         if message.region != self.region or message.gateway != link.name or message.to_region != self.home:
             raise BadFrame("not whom the deployment names")
-        link.connection.outbox.opening = min(message.opening, OPENING)
-        link.connection.outbox.pace.window = min(message.window, WINDOW)
+        link.connection.agree(message)
         if message.start_ms != link.start_ms:
             # Another start knows nothing of what the one before took.
             for carry in list(link.adrift.values()):
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -41,6 +41,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
 
+    def agree(self, hello: Message) -> None:
+        """Keeps to the windows that the other side told."""
+        self.outbox.opening = min(hello.opening, OPENING)
+        self.outbox.pace.window = min(hello.window, WINDOW)
+
     # What is said.
 
     def say(self, **kind: Message) -> None:
--- a/marbleglade/gateway/frames.py
+++ b/marbleglade/gateway/frames.py
@@ -10,14 +10,13 @@
 
 from ..wire.resp import LONGEST_OBJECT
 from .link_pb2 import Chunk, Frame
-from .routes import UNKNOWN
+from .routes import NAME, UNKNOWN
 from .windows import CHUNK
 
 VERSION = 1
 LENGTH = struct.Struct("!I")
 LONGEST = CHUNK + 4096          # bytes of one frame
 MOST_PASSED = 16                # regions on one way
-NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")
 TRACE = re.compile(r"[!-+\--~]{1,64}")
 TAG = re.compile(r"[0-9a-fA-F]{16}")
 LONGEST_TIME = 3_600_000        # ms
--- a/marbleglade/gateway/life.py
+++ b/marbleglade/gateway/life.py
@@ -37,7 +37,7 @@
 from .owed import Owed
 from .parts import Parts
 from .purgelog import Telling
-from .routes import UNKNOWN, Routes, rule
+from .routes import UNKNOWN, Routes, rules
 
 MS = 1_000_000
 DEAF = 2_500 * MS       # the coordinator's protocol promises a line each second
@@ -69,10 +69,8 @@
         self.links = [self._links(region) for region in deployed.others]
         self.across = {one.region: self._across(one, region)
                        for one, region in zip(self.links, deployed.others, strict=True)}
-        routes = Routes(self.region, [one.name for one in deployed.others], [
-            rule(one.region, one.first_group if one.HasField("first_group") else None,
-                 one.last_group if one.HasField("last_group") else None, one.prefix)
-            for one in told.routes], MOST_OBJECTS, 16 * longest)
+        routes = Routes(self.region, [one.name for one in deployed.others], rules(told.routes),
+                        MOST_OBJECTS, 16 * longest)
         self.crossing = Crossing(self.home, self.region, self.across, routes)
         for one in self.links:
             one.purged, one.forget = self._purged, self._forget
--- a/marbleglade/gateway/routes.py
+++ b/marbleglade/gateway/routes.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-UNKNOWN = 256       # a group that was not told
+from google.protobuf.message import Message
+
+from ..memory.purges import UNKNOWN
+
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")   # of a region or a gateway
+AWAY = "away"       # the zone and the kind under which far gateways are listed
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +36,12 @@
     return Rule(region, first or 0, UNKNOWN if last is None else last, low, low + (1 << 4 * digits) - 1)
 
 
+def rules(told: Iterable[Message]) -> list[Rule]:
+    """The routes of a deployment, in their order."""
+    return [rule(one.region, one.first_group if one.HasField("first_group") else None,
+                 one.last_group if one.HasField("last_group") else None, one.prefix) for one in told]
+
+
 class Routes:
     """`lasting`: how long an answer says where an object is. `most`: objects remembered at once."""
 
--- a/marbleglade/memory/copies.py
+++ b/marbleglade/memory/copies.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from .purges import UNKNOWN
+
 NEAR = 1_000_000    # ns: a copy given out in the millisecond of a purge counts as older
 
 
@@ -42,7 +44,7 @@
     def purge(self, thing: int, group: int, at: int) -> None:
         """Drops what is older than a purge of an object or, where that is 0, of a group."""
         for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR
-                    and (key[0] == thing or (not thing and copy.group == group))]:
+                    and (key[0] == thing or (not thing and copy.group in (group, UNKNOWN)))]:
             self._drop(key)
 
     def older(self, at: int) -> None:
--- a/marbleglade/memory/purges.py
+++ b/marbleglade/memory/purges.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+UNKNOWN = 256       # a group that was not told: any group's purge may be meant
+
 
 class Purges:
     def __init__(self, lasting: int) -> None:
@@ -23,8 +25,10 @@
         return max((at for _, at in self._both(thing, group)), default=0)
 
     def _both(self, thing: int, group: int) -> list[tuple[int, int]]:
+        if group == UNKNOWN:
+            return [mark for (kind, which), mark in self.told.items() if kind == "group" or which == thing]
         return [self.told[place] for place in (("object", thing), ("group", group)) if place in self.told]
 
     def any_group(self) -> int:
         """When any group was last purged; 0: not lately."""
-        return max((at for (kind, _), (_, at) in self.told.items() if kind == "group"), default=0)
+        return self.latest(0, UNKNOWN)
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import gevent
@@ -17,7 +18,7 @@
 from .cachelines import BadLine, Errand
 from .errands import Asked, Errands, Look, Odd, Undo, encode
 from .resp import Ask
-from .sockets import SCRATCH
+from .sockets import SCRATCH, accepted
 
 MOST_OPEN = 256     # errands of one connection
 MS = 1_000_000
@@ -43,13 +44,8 @@
         self.visitors: set[Visitor] = set()
 
     def accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                self.counters.add("place.accept_failed")
-                gevent.sleep(self.crossing.resolution / 1e9)
-                continue
+        failed = partial(self.counters.add, "place.accept_failed")
+        for sock in accepted(listener, self.crossing.resolution / 1e9, failed):
             if len(self.visitors) >= self.most:
                 self.counters.add("place.over_share")
                 sock.close()
--- a/marbleglade/wire/sockets.py
+++ b/marbleglade/wire/sockets.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+
+import gevent
 from gevent import socket
 
 SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
 
 
+def accepted(listener: socket.socket, pause: float, failed: Callable[[], None]) -> Iterator[socket.socket]:
+    """Connections as they come; after a trouble, which is told, it goes on in `pause` seconds."""
+    while True:
+        try:
+            yield listener.accept()[0]
+        except OSError:
+            failed()
+            gevent.sleep(pause)
+
+
 def send_now(sock: socket.socket, data: bytes) -> int:
     """Writes what the machine takes at once and never waits; gives how much that was."""
     try:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -16,6 +16,8 @@
 from marbleglade.gateway.timebase import Offset
 from marbleglade.gateway.windows import CHUNK, Inflow, Outbox, Overrun
 from marbleglade.interface import Outcome, Profile, Repeat
+from marbleglade.memory.copies import Copies, Copy
+from marbleglade.memory.purges import Purges
 
 MS = 1_000_000
 
@@ -39,6 +41,19 @@
     assert Routes("east", ["west", "south"], RULES, 4, 100).legs(thing, group, passed, 0) == legs
 
 
+def test_a_group_that_was_not_told_is_any_group():
+    purges, copies = Purges(1000), Copies(100)
+    purges.add(0, 7, 50 * MS, 1)
+    purges.add(9, 0, 60 * MS, 1)
+    latest = [purges.latest(3, UNKNOWN), purges.latest(9, UNKNOWN), purges.latest(3, 8)]
+    assert latest == [50 * MS, 60 * MS, 0]
+    assert purges.since(3, UNKNOWN, 0) and not purges.since(3, 8, 0) and purges.any_group() == 50 * MS
+    for thing, group in ((1, UNKNOWN), (2, 7), (3, 8)):
+        copies.put(thing, 0, Copy(b"a", "t", 40 * MS, group), 0)
+    copies.purge(0, 7, 50 * MS)
+    assert list(copies.kept) == [(3, 0)]
+
+
 def test_the_directory_learns_ages_and_is_bounded():
     routes = Routes("east", ["west"], [], 4, 100)
     for thing in range(1, 7):
