The deploy file and what its line run starts are held by tests from outside

Change: a test reads deploy/balancer.toml and compares node and policy with the modules that the front's interpreter loads; another starts the line run as it stands by /bin/sh -c, puts a retrieval through it and looks from outside at its command line, children, memory maps and sockets.

--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,131 @@
+"""The deploy file as the standing test asks for it, and what the line `run` starts, seen from outside."""
+
+import json
+import os
+import shlex
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from gevent import socket
+
+from .conftest import LINE, OPTIONS, Server, listening, until, words
+from .test_life import ask, told
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+# Of /proc/net: local address and port in hex, state (0A: listening) and inode stand in these columns.
+LOCAL, STATE, INODE = 1, 3, 9
+
+
+def loaded(code: str) -> list[str]:
+    """The modules that the front's interpreter holds after `code`, in a process of its own."""
+    text = f"{code}\nimport sys\nprint(*sys.modules)"
+    return subprocess.run([sys.executable, "-O", "-c", text], cwd=ROOT, capture_output=True, text=True,
+                          check=True).stdout.split()
+
+
+def test_run_is_one_program_by_exec():
+    line = shlex.shlex(DEPLOY["run"], posix=True, punctuation_chars=True)
+    line.whitespace_split = True
+    assert list(line) == ["exec", ".venv/bin/python", "-O", "-m", "marbleglade"]
+    assert DEPLOY["packages"] == []
+
+
+def test_node_and_policy_name_every_file_that_the_front_loads():
+    # `command` is what `python -m marbleglade WORD` imports; `run` has no word.
+    modules = {one for one in loaded("import marbleglade.__main__, marbleglade.life.service")
+               if one.startswith("marbleglade.")}
+    named = [ROOT / one for one in DEPLOY["node"] + DEPLOY["policy"]]
+    assert all(one.exists() for one in named) and len(modules) > 20
+    for module in modules:
+        path = ROOT / (module.replace(".", "/"))
+        assert any(one in (path, path.with_suffix(".py"), *path.parents) for one in named), module
+
+
+def test_the_front_loads_nothing_that_starts_processes_or_needs_the_extras():
+    modules = loaded("import marbleglade.__main__, marbleglade.life.service")
+    refused = {"multiprocessing", "concurrent.futures", "pty", "click", "google.protobuf", "structlog",
+               "lmdb"}
+    assert not refused & set(modules)
+
+
+@pytest.fixture
+def started(tmp_path):
+    """The line `run` as it stands, by /bin/sh -c from the root; yields its process id and its doors."""
+    cache, coordinator = Server(), Server()
+    with listening() as one, listening(socket.SOCK_DGRAM) as other:
+        door, peer = one.getsockname(), other.getsockname()
+    known = told()["known"]
+    for server in known["updates"][0]["endpoints"]["servers"]:
+        server["addr"] = f"127.0.0.1:{cache.address[1]}"
+    (tmp_path / "c.json").write_text(json.dumps(told(
+        listen=f"127.0.0.1:{door[1]}", coordinator=f"127.0.0.1:{coordinator.address[1]}", known=known,
+        peer_listen=f"127.0.0.1:{peer[1]}", peers=[f"127.0.0.1:{peer[1]}"],
+        peers_all=f"127.0.0.1:{peer[1]}", settings=OPTIONS)))
+    # The environment that `run` names is the checkout's; where the tests run in another, that one stands in.
+    run = DEPLOY["run"] if (ROOT / ".venv/bin/python").exists() else DEPLOY["run"].replace(
+        ".venv/bin/python", sys.executable)
+    environ = os.environ | {"GW_CONFIG": str(tmp_path / "c.json"), "TMPDIR": str(tmp_path)}
+    process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.DEVNULL, env=environ)
+    coordinator.heard(1)
+    yield process, door, peer, cache, coordinator
+    process.kill()
+    process.wait()
+    cache.close()
+    coordinator.close()
+
+
+def sockets(pid: int) -> dict[str, list[tuple[str, str]]]:
+    """The process's sockets by kind: local address and state of each."""
+    owned = set()
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            owned.add(os.readlink(link).removeprefix("socket:[").removesuffix("]"))
+        except FileNotFoundError:
+            continue
+    found: dict[str, list[tuple[str, str]]] = {}
+    for kind in ("tcp", "udp", "tcp6", "udp6", "raw", "packet", "unix"):
+        table = Path(f"/proc/{pid}/net/{kind}")
+        for row in table.read_text().splitlines()[1:] if table.exists() else ():
+            columns = row.split()
+            inode = columns[6 if kind == "unix" else 8 if kind == "packet" else INODE]
+            if inode in owned:
+                found.setdefault(kind, []).append((columns[LOCAL], columns[STATE]))
+    return found
+
+
+def hexed(address: tuple[str, int]) -> str:
+    return f"{int.from_bytes(socket.inet_aton(address[0]), 'little'):08X}:{address[1]:04X}"
+
+
+def test_run_starts_one_process_with_no_child_and_only_the_doors_it_was_told(started):
+    process, door, peer, cache, coordinator = started
+    coordinator.socks[0].sendall(LINE % (3, 9) + b"3\n")
+    sock = socket.create_connection(door)
+    sock.sendall(words(b"STATUS", b"1", b"") + ask(2, 2))
+    assert sock.recv(4096) == words(b"1", b"yes", b"", b"")
+    cache.heard(1)      # it is at work: a retrieval is out at a place
+    pid = process.pid
+    # By exec: what the shell was is the front itself, and it has started nothing.
+    assert Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0")[1:4] == [b"-O", b"-m", b"marbleglade"]
+    tasks = list(Path(f"/proc/{pid}/task").iterdir())
+    children = [one for task in tasks for one in (task / "children").read_text().split()]
+    parents = {one.name: one.joinpath("stat").read_text().rsplit(")", 1)[1].split()[1]
+               for one in Path("/proc").iterdir() if one.name.isdigit() and one.joinpath("stat").exists()}
+    assert children == [] and str(pid) not in parents.values()
+    # Linked dynamically, so that what is preloaded takes hold.
+    maps = Path(f"/proc/{pid}/maps").read_text()
+    assert "/ld-linux" in maps and "libc.so" in maps
+    found = sockets(pid)
+    assert set(found) == {"tcp", "udp"}
+    assert [local for local, state in found["tcp"] if state == "0A"] == [hexed(door)]
+    assert [local for local, _ in found["udp"]] == [hexed(peer)]
+    # Its own to the coordinator and to one place, and the client's.
+    assert len([one for one in found["tcp"] if one[1] == "01"]) == 3
+    sock.close()
+    process.terminate()
+    until(lambda: process.poll() is not None)
+    assert process.returncode == 0
