What the coordinator takes away is asked for by who has reason to lack it, told by none

Front.pass_on had each front tell all others of every place that leaves and every purge: 200 times 200 datagrams an event. All hear these anyhow, but for fronts that their coordinator left in silence, and those know that they are. Change: fleet/hearsay.py, free of I/O, clocks and chance. A front without a whole line for over a beat asks a peer for what was told since it knows all, more of them while nobody answers, in peace after many rounds; one that hears well asks once in 2.5 beats, in case it is told less. Answers say up to when they are whole, so spans shrink; numbers are each front's own, so ages travel. A place that is listed again is no longer passed on.

--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -48,7 +48,9 @@
         self.facade, self.caches, self.places, self.purges = facade, caches, places, purges
         self.copies, self.pace = copies, pace       # bytes a second of one transfer; 0: no copies are kept
         self.guard, self.counters, self.log = guard, guard.counters, guard.log
-        self.tell: Callable[[Hint], None] | None = None     # passes a hint to the other fronts, where allowed
+        # Where fronts may send one another datagrams: files what others may ask for, and what holds no more.
+        self.told: Callable[[Hint], None] = lambda fact: None
+        self.unsaid: Callable[[str], None] = lambda id: None
 
     def take(self, ask: Ask) -> Retrieval:
         """A client's ask as the decisions know it."""
@@ -185,15 +187,17 @@
         else:
             self._purge(event)
 
-    def pass_on(self, event: ListChange | Purge) -> None:
-        """Applies what the coordinator just told, then tells the other fronts what it takes away."""
+    def follow(self, event: ListChange | Purge) -> None:
+        """Applies what the coordinator just told, and files what it takes away."""
         self.apply(event)
-        if self.tell and isinstance(event, Purge):
-            self.tell(event)
-        elif self.tell and isinstance(event, ListChange) and not event.whole:
-            for member in event.members:
-                if STATES[member.state] is not State.ACTIVE:
-                    self.tell(PlaceLeaves(event.index, member.id, member.started_ms))
+        if isinstance(event, Purge):
+            self.told(event)
+            return
+        for member in event.members:
+            if STATES[member.state] is State.ACTIVE:
+                self.unsaid(member.id)
+            elif not event.whole:
+                self.told(PlaceLeaves(event.index, member.id, member.started_ms))
 
     def heed(self, hint: Hint) -> None:
         """What another front was told. It guards against a coordinator that only this front can't hear."""
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -11,6 +11,7 @@
 
 from ..choice import Choice
 from ..facade import Facade
+from ..fleet.hearsay import Hearsay
 from ..front import Front
 from ..memory.copies import Copies
 from ..memory.places import Places
@@ -18,7 +19,7 @@
 from ..memory.room import Room
 from ..wire.caches import Caches
 from ..wire.clients import Clients
-from ..wire.coordinator import Follower
+from ..wire.coordinator import BEAT, Follower
 from ..wire.peers import Peers
 from . import assignment, clock
 from .counters import Counters
@@ -52,12 +53,14 @@
                       lambda: not stop.asked_at, clock.now, guard)
     for event in told.known:
         guard.run("known", front.apply, event)
-    follower = Follower(told.coordinator, told.last, front.pass_on, guard)
+    follower = Follower(told.coordinator, told.last, front.follow, guard)
     peers = None
     work = [follower.run, front.probe, lambda: clients.accept(listener)]
-    if around.peer_messages and told.peer_listen and told.peers_all:
-        peers = Peers(told.peer_listen, told.peers, told.peers_all, front.heed, guard)
-        front.tell = peers.tell
+    if around.peer_messages and told.peer_listen and told.peers:
+        hearsay = Hearsay(int(BEAT * SECOND), ground.purge_time * 2, clock.now())
+        peers = Peers(told.peer_listen, told.peers, ground.seed, hearsay, front.heed,
+                      lambda: follower.heard_at, guard)
+        front.told, front.unsaid = peers.told, hearsay.unsaid
         work.append(peers.run)
 
     def tell() -> None:
@@ -88,6 +91,8 @@
             swept = clock.now()
             guard.run("sweep", caches.sweep)
             guard.run("sweep", clients.sweep)
+            if peers:
+                guard.run("sweep", peers.turn)
         if stop.given_up(clock.now()):
             guard.run("last_call", facade.last_call)
         gevent.sleep(max(0, due - clock.now()) / 1e9)
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -2,34 +2,56 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 
 from gevent import socket
 
+from ..fleet.hearsay import Hearsay
+from ..life import clock
 from ..life.guard import Guard
-from .datagrams import LONGEST, Hint, decode, encode
+from .datagrams import LONGEST, Answer, Ask, Hint, Message, decode, encode
 
 
 class Peers:
-    def __init__(self, listen: tuple[str, int], peers: list[tuple[str, int]], everyone: tuple[str, int],
-                 heed: Callable[[Hint], None], guard: Guard) -> None:
-        self.peers, self.everyone, self.heed = set(peers), everyone, heed
+    """The socket, and what goes over it. `heed` is handed each fact that is news; `heard_at` says when the
+    coordinator spoke last, 0 for never."""
+
+    def __init__(self, listen: tuple[str, int], peers: list[tuple[str, int]], seed: int, hearsay: Hearsay,
+                 heed: Callable[[Hint], None], heard_at: Callable[[], int], guard: Guard) -> None:
+        self.listen, self.seed, self.count, self.hearsay = listen, seed, 0, hearsay
+        self.heed, self.heard_at = heed, heard_at
         self.guard, self.counters = guard, guard.counters
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(listen)
+        self.renew(peers)
+
+    def renew(self, peers: list[tuple[str, int]]) -> None:
+        self.peers = set(peers)
+        self.others = [one for one in peers if one != self.listen]
+
+    def told(self, fact: Hint) -> None:
+        """Files what the coordinator took away, for peers that ask."""
+        self.hearsay.told(fact, clock.now())
 
-    def renew(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
-        self.peers, self.everyone = set(peers), everyone or self.everyone
+    def turn(self) -> None:
+        """Asks peers where there is reason to."""
+        self._line()
+        for ask in self.hearsay.asks(clock.now()) if self.others else ():
+            self.count += 1
+            place = zlib.crc32(b"%d %d" % (self.seed, self.count)) % len(self.others)
+            self.counters.add("peer.asked")
+            self.send(ask, self.others[place])
 
-    def tell(self, hint: Hint) -> None:
-        """To every front of the tier; what can't go at once does not go."""
-        data = encode(hint)
+    def send(self, message: Message, to: tuple[str, int]) -> None:
+        """What can't go at once does not go."""
+        data = encode(message)
         if data is None:
             self.counters.add("peer.too_long")
             return
         self.sock.settimeout(0.0)
         try:
-            self.sock.sendto(data, self.everyone)
+            self.sock.sendto(data, to)
             self.counters.add("peer.sent")
         except OSError:
             self.counters.add("peer.not_sent")
@@ -43,7 +65,23 @@
             except OSError:     # a peer that is gone may answer so
                 self.counters.add("peer.trouble")
                 continue
-            hint = decode(data) if sender in self.peers else None
-            self.counters.add("peer.heard" if hint else "peer.dropped")
-            if hint:
-                self.guard.run("peer", self.heed, hint)
+            message = decode(data) if sender in self.peers else None
+            self.counters.add("peer.heard" if message else "peer.dropped")
+            if message:
+                self.guard.run("peer", self._take, message, sender)
+
+    def _take(self, message: Message, sender: tuple[str, int]) -> None:
+        now = clock.now()
+        if isinstance(message, Ask):
+            self._line()
+            for answer in self.hearsay.answer(message, now):
+                self.send(answer, sender)
+        elif isinstance(message, Answer):
+            for fact in self.hearsay.heard(message, now):
+                self.heed(fact)
+        elif self.hearsay.told(message, now):
+            self.heed(message)
+
+    def _line(self) -> None:
+        if at := self.heard_at():
+            self.hearsay.line(at)
