--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -226,10 +226,11 @@
         if not fresh:
             return self.straight(retrieval, left)
         pick = fresh[0]
-        # Departure: a cache too crowded to answer in time passes the retrieval on to the least crowded.
+        # Departure: a cache too crowded to answer in time passes the retrieval on, in the hash's order, so
+        # that an object gets a second home and not many; where none is in time, to the least crowded.
         if (time := choice.predicted(retrieval, pick)) > left:
-            pick = min(fresh, key=lambda cache: choice.predicted(retrieval, cache))
-            time = choice.predicted(retrieval, pick)
+            times = [(choice.predicted(retrieval, cache), cache) for cache in fresh]
+            time, pick = next((one for one in times if one[0] <= left), min(times, key=lambda one: one[0]))
         if retrieval.profile.repeat is not Repeat.PURE or (time <= left and not (
                 plan.new and choice.origin_full(now))):
             return self.next.to(retrieval, pick)
@@ -462,11 +463,12 @@
             if key[0] == thing or (not thing and of == group):
                 entries.clear()
 
-    def seen(self) -> Seen:
+    def saw(self) -> Seen:
         links = {0: self.fetches, 1: self.fills, 2 + self.ground.zone: self.edges}
         now, places = self.actions.now(), [(name_of(one.mark), one.memory) for one in self.known]
         return Seen(self.launched, self.firsts, self.furthers, self.pushed,
                     {key: tuple(link.seen) for key, link in links.items()},
+                    {name_of(one.mark): tuple(one.memory.link.seen) for one in self.near},
                     [name for name, standing in places if standing.shut],
                     [name for name, standing in places if now - standing.answered < self.agreed * 4])
 
@@ -486,8 +488,14 @@
             by = fleet.doubted.get(name, 0)
             theirs = by and name not in fleet.mine and name not in fleet.answered
             standing.left_to = fleet.until if theirs else 0
-            doubted = cache.role is Role.CACHE and by > max(1, self.ground.crew * DOUBTED)
-            standing.doubted = fleet.until if doubted and name not in fleet.answered else 0
+            if standing.shut and name in fleet.answered:    # so much is allowed: a trial of its own, now
+                standing.shut = min(standing.shut, now)
+            elif standing.shut and by and not theirs:       # one for all need not wait ever longer
+                standing.shut = min(standing.shut, now + standing.least)
+            doubted = theirs and cache.role is Role.CACHE and by > max(1, self.ground.crew * DOUBTED)
+            standing.doubted = fleet.until if doubted else 0
+            if name in fleet.caches:        # one front alone meets a cache too seldom to see a crowd there
+                standing.link.told, standing.link.until = fleet.caches[name], fleet.until
 
     # What the stages share.
 
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -156,7 +156,7 @@
 
     def seen(self) -> Seen:
         """What the decisions saw so far."""
-        return self.decisions.seen()
+        return self.decisions.saw()
 
     def settled(self, fleet: Fleet) -> None:
         self._call(self.decisions.settled, fleet)
--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -315,7 +315,11 @@
 
     def answer_for_self(self, update: Update) -> None:
         """Says that it lives, where it is held not to."""
-        if self.leaving or update.rank <= self.me.rank:
+        if self.leaving or update.status is Status.ALIVE:
+            return
+        if update.rank <= self.me.rank:
+            if self.own not in self.news:       # an old word: who has it has not heard the later one
+                self.told(self.say_self())
             return
         self.me.start, self.me.round = update.start, update.round + 1
         self.health = min(self.health + 1, WORST)
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -13,7 +13,7 @@
 from .duties import Duty, holder
 from .members import Ack, Members, Out, Ping, PingFor
 from .shares import lent, part
-from .views import OLD_MS, SPAN, YOUNG, Crowd, Gatherer, Report, Sums, View
+from .views import CACHES, OLD_MS, SPAN, YOUNG, Crowd, Crowded, Gatherer, Paces, Report, Sums, View
 
 VIEWS = b"views"
 ALLOWED = 0.2       # further launches for each first one, over all fronts
@@ -32,6 +32,8 @@
         self.view: View | None = None
         self.view_at = 0
         self.own_load = 0
+        self.slow: dict[int, float] = {}    # caches of the location, as last told
+        self.slow_at = now
         self.fleet: Fleet | None = None
 
     def turn(self, now: int, seen: Callable[[], Seen], crowd: Callable[[], Crowd | None]) -> list[Out]:
@@ -40,16 +42,21 @@
         if now < self.due:
             return out
         self.due = max(self.due + self.period, now + self.period // 2)
-        report = self.report(seen(), crowd())
+        mine = self.reports(seen(), crowd())
         # A duty need not wait until a suspicion has run out: who holds it goes on as long as it is heard.
         first = holder(VIEWS, self.members.sound()) == self.own
         if self.duty.turn(first and not self.members.leaving, now):
-            self.gatherer.take(self.own, report, now)
+            for one in mine:
+                self.gatherer.take(self.own, one, now)
             view = self.gatherer.view(self.duty.term, now)
+            for crowded, crew in self.gatherer.crowded(self.duty.term, now):
+                if self.own in crew:
+                    self.slow, self.slow_at = crowded.caches, now
+                out += [Out(number, crowded) for number in crew if number != self.own]
             self.hold(view, now)
             out.append(Out(EVERYONE, view))
         elif (to := self.to_whom(now)) is not None:
-            out.append(Out(to, report))
+            out += [Out(to, one) for one in mine]
         return out
 
     def to_whom(self, now: int) -> int | None:
@@ -58,8 +65,10 @@
         to = self.duty.by if speaks else holder(VIEWS, self.members.sound())
         return None if to == self.own else to
 
-    def report(self, seen: Seen, crowd: Crowd | None) -> Report:
-        self.sums.period({"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
+    def reports(self, seen: Seen, crowd: Crowd | None) -> list[Report | Paces]:
+        caches = {("cache", cache, place): figure for cache, pair in seen.caches.items()
+                  for place, figure in enumerate(pair)}
+        self.sums.period(caches | {"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
                           "pushed": seen.pushed} | {(key, place): figure for key, pair in seen.links.items()
                                                     for place, figure in enumerate(pair)})
         load, *counts = (self.sums.sum(name) for name in ("asked", "firsts", "furthers", "pushed"))
@@ -67,16 +76,23 @@
         self.seq += 1
         links = {key: (self.sums.sum((key, 0)) // 1_000_000, self.sums.sum((key, 1)) // 1_000_000)
                  for key in seen.links}
-        return Report(self.seq, self.ground.zone, self.own_load, *counts,
-                      {key: pair for key, pair in links.items() if pair[0]},
-                      {self.ground.zone: crowd} if crowd else {}, seen.shut[:8], seen.answered[:6])
+        paces = {cache: tuple(self.sums.sum(("cache", cache, place)) // 1_000_000 for place in (0, 1))
+                 for cache in seen.caches}
+        most = sorted((cache for cache, pair in paces.items() if pair[0]), key=lambda one: -paces[one][0])
+        report = Report(self.seq, self.ground.zone, self.own_load, *counts,
+                        {key: pair for key, pair in links.items() if pair[0]},
+                        {self.ground.zone: crowd} if crowd else {}, seen.shut[:8], seen.answered[:6])
+        return [report, Paces(self.seq, self.ground.zone, {cache: paces[cache] for cache in most[:CACHES]})]
 
     def take(self, sender: int, message: Fleetgram, now: int) -> list[Out]:
         """A datagram from a listed front. A new view stands in `fleet` from then on."""
         if isinstance(message, Ping | Ack | PingFor):
             return self.members.take(sender, message, now)
-        if isinstance(message, Report):
+        if isinstance(message, Report | Paces):
             self.gatherer.take(sender, message, now)
+        elif isinstance(message, Crowded):
+            if message.zone == self.ground.zone and self.duty.said(message.term, sender, now):
+                self.slow, self.slow_at = message.caches, now
         elif self.duty.said(message.term, sender, now):
             known = self.view
             if not known or (message.term, message.seq) > (known.term, known.seq):
@@ -92,7 +108,8 @@
             {key: (max(1.0, slow), evidence) for key, (slow, evidence) in paces.items()},
             {place: one.by for place, one in view.shut.items()},
             frozenset(place for place, one in view.shut.items() if one.trier == self.own),
-            frozenset(view.answered), bool(crowd and crowd.prober == self.own))
+            frozenset(view.answered), self.slow if now - self.slow_at < YOUNG * self.period else {},
+            bool(crowd and crowd.prober == self.own))
 
     def crowd(self) -> tuple[float, int] | None:
         """The own location's load as the fleet knows it, and when it was reported."""
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -197,6 +197,7 @@
     furthers: int
     pushed: int
     links: dict[int, tuple[int, int]]
+    caches: dict[int, tuple[int, int]]      # the same for each cache of the location
     shut: list[int]
     answered: list[int]
 
@@ -216,6 +217,7 @@
     doubted: dict[int, int]                     # places, by how many fronts they are left alone
     mine: frozenset[int]                        # those of them that this front has the duty to try
     answered: frozenset[int]                    # those whose trial came back somewhere
+    caches: dict[int, float]                    # of the location, those that are slow, and how slow
     probing: bool                               # this front has the duty to probe at its location
 
 
@@ -273,4 +275,4 @@
 
     def settled(self, fleet: Fleet) -> None: ...
 
-    def seen(self) -> Seen: ...
+    def saw(self) -> Seen: ...
--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -27,6 +27,34 @@
     return sock
 
 
+class Room:
+    """What a place carries at once. Above it all get slower together; asked for `falls` times as much for
+    `within` seconds it stops for `stops` seconds."""
+
+    def __init__(self, size: int, falls: float = 0.0, within: float = 1.0, stops: float = 2.0) -> None:
+        self.size, self.falls, self.within, self.stops = size, falls, within, stops
+        self.busy, self.over_since, self.stopped_until, self.stopped = 0, 0.0, 0.0, 0
+        self.most = 0
+
+    def carry(self, seconds: float) -> None:
+        now = time.monotonic()
+        if now < self.stopped_until:
+            gevent.sleep(self.stopped_until - now)
+        self.busy += 1
+        self.most = max(self.most, self.busy)
+        try:
+            if self.falls and self.busy > self.falls * self.size:
+                self.over_since = self.over_since or now
+                if now - self.over_since > self.within:
+                    self.stopped_until, self.over_since = now + self.stops, 0.0
+                    self.stopped += 1
+            else:
+                self.over_since = 0.0
+            gevent.sleep(seconds * max(1.0, self.busy / self.size))
+        finally:
+            self.busy -= 1
+
+
 class Place:
     """One place. A store has a `library`; any other fills its misses from the `sources` that errands name.
 
@@ -53,6 +81,11 @@
         self.effect_time = 0.0      # seconds that one takes before it has happened
         self.fresh: dict[str, int] = {}     # ms, by profile; absent: until purged
         self.asked, self.hits, self.bytes_out = 0, 0, 0
+        self.room: Room | None = None
+        self.upstream = ""          # of its sources, the one that fills what it is asked for as a source
+        self.work = 0.0             # seconds that one errand, or one fill, takes alone in that room
+        self.fails = False          # answers an error at once
+        self.came: deque[float] = deque(maxlen=1 << 14)    # when errands came
         self.kept: OrderedDict[tuple[int, int], tuple[str, int, bytes]] = OrderedDict()
         self.filling: dict[tuple[int, int], AsyncResult] = {}
         self.socks: set[socket.socket] = set()
@@ -146,10 +179,15 @@
         if isinstance(asked, Odd):
             return encode(asked.id, "FAULT", {})
         self.asked += 1
+        self.came.append(time.monotonic())
         if self._overrun():
             self.fallen = True
             gevent.spawn(self.break_off)
             return None
+        if self.fails:
+            return encode(asked.id, "FAULT", {})
+        if self.room:
+            self.room.carry(self.work)
         if self.drained and time.monotonic() - self.drained_at > 0.3:
             self.after_drain += 1
         if self.shed:
@@ -217,11 +255,14 @@
             if source.slow:
                 gevent.sleep(source.slow)
             source.asked += 1
+            if source.room:
+                source.room.carry(source.work)
             if source._overrun():
                 source.fallen = True
                 source.break_off()
-            return source.fetch(Errand(asked.id, asked.profile, asked.thing, asked.part, asked.within,
-                                       age=asked.age, held_only=not source.library))
+            return source.fetch(Errand(
+                asked.id, asked.profile, asked.thing, asked.part, asked.within, source.upstream,
+                age=asked.age, join=True, held_only=not (source.library or source.upstream)))
         visit = self.visits.get(source)
         if visit is None or visit.closed:
             visit = self.visits[source] = Visit(source)
