Further launches saved up shrink once the fleet uses more than its budget, not before

At fault: Choice.earn cut what is saved up to an eighth for every usual front, too little until the place is shut. Change: half is left to usual fronts, and all of it shrinks with what the fleet uses above its budget.

--- /dev/null
+++ b/benchmarks/simfleet.py
@@ -0,0 +1,269 @@
+"""Fronts by the thousand on simulated time: the real decisions and the fleet core over places with room."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter, defaultdict
+
+from marbleglade.choice import Choice
+from marbleglade.fleet.together import EVERYONE, Together
+from marbleglade.fleet.views import Crowd
+from marbleglade.interface import Cache, Ground, Launch, Outcome, Profile, Retrieval, Role
+from marbleglade.standins.airwaves import Airwaves
+from marbleglade.wire import gossip
+
+MS = 1_000_000
+S = 1000 * MS
+BEAT = S
+TICK = 250 * MS         # the sweep of a front's loop
+AGREED, TIMEOUT = 300 * MS, 2500 * MS
+KB_S = 2000.0           # full pace of one transfer
+BAD = 0                 # the place that goes wrong
+
+
+def ground(seed: int, crew: int) -> Ground:
+    return Ground(
+        profiles=[Profile(agreed=AGREED, stretch=2.0, client_timeout=TIMEOUT)], seed=seed, zone=1, crew=crew,
+        pace_kb_s=KB_S, resolution=2 * MS, cold_share=0.2, cold_time=4 * S, cold_factor=3.0,
+        fall_window=S // 2, parent_cold_share=0.2, parent_cold_time=4 * S, parent_factor=3.0,
+        origin_factor=2.5, purge_time=6 * S, most_launches=6, longest_retry_after=500 * MS, may_call_off=True, retry_after=True, direct=False,
+        siblings=True, join=True, tells_hits=False, must_ask=False, own_width=0.0, probing=True)
+
+
+class SimFront:
+    """One front's decisions with what they may ask for; see `interface.Actions`."""
+
+    def __init__(self, world: SimWorld, number: int) -> None:
+        self.world, self.number = world, number
+        self.places = [Cache(b"c%d" % n, zone=1, cell=n) for n in range(world.caches)]
+        parents = [Cache(b"p%d" % n, Role.PARENT) for n in range(world.parents)]
+        self.choice = Choice(ground(world.seed * 7919 + number, world.count), self)
+        self.choice.listed([*self.places, *parents, Cache(b"o", Role.ORIGIN)], True)
+        self.together = Together(number, world.count, 1_000_000 + number, self.choice.ground, BEAT, world.now,
+                                 world.seed * 104729 + number) if world.together else None
+        self.filed = None
+        self.came: Cache | None = None
+
+    def now(self) -> int:
+        return self.world.now
+
+    def launch(self, retrieval, cache, source, within, rank=0, age=0, join=False, renew=False,
+               held_only=False, keep=False) -> Launch:
+        one = Launch(retrieval, cache, source, self.world.now, within, rank)
+        retrieval.launches.append(one)
+        self.world.launched(self, one, held_only)
+        return one
+
+    def call_off(self, launch: Launch) -> None:
+        self.world.due(self.world.now, self.world.end, self, launch, Outcome.CALLED_OFF)
+
+    def settle(self, retrieval: Retrieval) -> None:
+        self.world.over(self, retrieval, True)
+
+    def push_back(self, retrieval: Retrieval, retry_after: int = 0) -> None:
+        self.world.over(self, retrieval, False, retry_after)
+
+    def break_off(self, retrieval: Retrieval) -> None:
+        self.world.over(self, retrieval, False)
+
+    def wake(self, after: int) -> None:
+        self.world.due(self.world.now + after, self.woken)
+
+    def woken(self) -> None:
+        self.choice.woken()
+
+    def watch_list(self) -> None:
+        pass
+
+    def note(self, text: str) -> None:
+        pass
+
+    def probe(self, cache: Cache) -> None:
+        self.world.probes += 1
+        cache.crowd, cache.reported = 0.3, self.world.now
+        self.came = cache
+
+    def crowd(self) -> Crowd | None:
+        return Crowd(self.came.crowd, (self.world.now - self.came.reported) // MS) if self.came else None
+
+    def turn(self) -> None:
+        self.world.send(self, self.together.turn(self.world.now, self.choice.saw, self.crowd))
+        self.file()
+
+    def take(self, sender: int, data: bytes) -> None:
+        if message := gossip.decode(data):
+            self.world.send(self, self.together.take(sender, message, self.world.now))
+            self.file()
+
+    def file(self) -> None:
+        if self.together.fleet is not self.filed:
+            self.filed = self.together.fleet
+            self.choice.settled(self.filed)
+
+
+class SimWorld:
+    """`count` fronts over places whose room grows with them. From 4 s to 8 s one place is `trouble`: slow,
+    hung or erring; from 9 s to 10 s three times as much is asked for."""
+
+    def __init__(self, count: int, seed: int, together: bool, trouble: str, seconds: int = 14,
+                 rate: float = 4.0) -> None:
+        self.count, self.seed, self.together, self.trouble = count, seed, together, trouble
+        self.caches, self.parents, self.seconds, self.rate = 8, 3, seconds, rate
+        self.now, self.order, self.events = 100 * S, itertools.count(), []
+        self.start = self.now
+        self.air = Airwaves(seed, lambda to, sender, data, now: self.fronts[to].take(sender, data))
+        self.air.lost = 0.1
+        self.busy: Counter[bytes] = Counter()
+        self.room = max(4.0, count * rate * 0.06 / self.caches * 2.5)
+        self.origin_room = max(4.0, count * rate * 0.06)
+        self.kept: dict[bytes, set[int]] = defaultdict(set)
+        self.probes = self.lost = self.doubled = self.asked = 0
+        self.firsts: Counter[tuple[int, bytes]] = Counter()
+        self.launches: Counter[tuple[int, bytes]] = Counter()
+        self.at_bad = self.at_bad_worst = 0
+        self.ends: list[tuple[int, bool, float]] = []       # when asked for, settled in time, size
+        self.fronts: list[SimFront] = []
+        self.fronts = [SimFront(self, number) for number in range(count)]
+
+    def due(self, at: int, what, *told) -> None:
+        heapq.heappush(self.events, (at, next(self.order), what, told))
+
+    def chance(self) -> float:
+        return self.air.chance()
+
+    def send(self, front: SimFront, out) -> None:
+        for one in out:
+            data = gossip.encode(one.message)
+            for to in range(self.count) if one.to == EVERYONE else (one.to,):
+                if to != front.number:
+                    self.air.send(front.number, to, data, self.now)
+
+    @property
+    def at(self) -> float:
+        return (self.now - self.start) / S
+
+    def bad(self) -> bool:
+        return 4 <= self.at < 8
+
+    def arrive(self, front: SimFront) -> None:
+        if self.at >= self.seconds:
+            return
+        boost = 3.0 if 9 <= self.at < 10 else 1.0
+        self.due(self.now + int(S / (self.rate * boost) * (0.5 + self.chance())), self.arrive, front)
+        thing = 1 + int(self.chance() ** 4 * 40 * self.caches)
+        one = Retrieval(front.choice.ground.profiles[0], thing, 0, thing % 8, 20 + thing * 37 % 200, self.now,
+                        self.now + TIMEOUT)
+        self.asked += 1
+        front.choice.take(one)
+
+    def launched(self, front: SimFront, launch: Launch, held_only: bool) -> None:
+        second, mark = int(self.at), launch.cache.mark
+        first = len(launch.retrieval.launches) == 1
+        self.firsts[second, mark] += first
+        self.launches[second, mark] += 1
+        bad = mark == b"c%d" % BAD and self.bad()
+        if bad:
+            self.at_bad += 1
+            if self.at > 6.5:
+                self.at_bad_worst = max(self.at_bad_worst, self.at_bad)
+        if bad and self.trouble == "erring":
+            return self.due(self.now + 5 * MS, self.end, front, launch, Outcome.ERROR)
+        if bad and self.trouble == "hung":
+            return self.due(self.now + launch.within, self.end, front, launch, Outcome.TIMEOUT)
+        thing, work = launch.retrieval.object, launch.retrieval.size_kb / KB_S * S
+        held = thing in self.kept[mark]
+        if not held and held_only:
+            return self.due(self.now + 4 * MS, self.end, front, launch, Outcome.MISS)
+        links = {mark: self.room} if held else {mark: self.room, b"o": self.origin_room}
+        if any(self.busy[link] >= 4 * room for link, room in links.items()):
+            return self.due(self.now + 4 * MS, self.end, front, launch, Outcome.FULL)
+        slow = max(1.0, *(self.busy[link] / room for link, room in links.items())) * (8 if bad else 1)
+        self.busy.update(links.keys())
+        took = int((20 if held else 50) * MS + work * slow)
+        done = Outcome.OK if took < launch.within else Outcome.TIMEOUT
+        self.due(self.now + min(took, launch.within), self.carried, front, launch, done, links)
+
+    def carried(self, front: SimFront, launch: Launch, outcome: Outcome, links: dict[bytes, float]) -> None:
+        self.busy.subtract(links.keys())
+        if outcome is Outcome.OK:
+            self.kept[launch.cache.mark].add(launch.retrieval.object)
+        self.end(front, launch, outcome)
+
+    def end(self, front: SimFront, launch: Launch, outcome: Outcome) -> None:
+        if launch.outcome is not None:
+            return
+        launch.outcome, launch.lag = outcome, self.now - launch.sent
+        if launch.cache.mark == b"c%d" % BAD and 4 <= (launch.sent - self.start) / S < 8:
+            self.at_bad -= 1
+        if outcome is Outcome.OK and not launch.retrieval.over:
+            self.over(front, launch.retrieval, True)
+        front.choice.ended(launch)
+
+    def over(self, front: SimFront, retrieval: Retrieval, settled: bool, pause: int = 0) -> None:
+        if retrieval.over:
+            self.doubled += 1
+            return
+        retrieval.over = True
+        work = retrieval.size_kb / KB_S * S
+        in_time = settled and self.now <= retrieval.taken + AGREED + 2 * work
+        self.ends.append((retrieval.taken, in_time, retrieval.size_kb))
+
+    def run(self) -> SimWorld:
+        for front in self.fronts:
+            self.due(self.now + int(S / self.rate * self.chance()), self.arrive, front)
+            if self.together:
+                self.due(self.now + int(TICK * self.chance()), self.turn, front)
+        self.due(self.now, self.pass_on)
+        end = self.now + self.seconds * S + TIMEOUT + S // 10
+        while self.events[0][0] < end:
+            self.now, _, what, told = heapq.heappop(self.events)
+            what(*told)
+        self.lost = self.asked - len(self.ends)
+        return self
+
+    def turn(self, front: SimFront) -> None:
+        front.turn()
+        self.due(self.now + TICK, self.turn, front)
+
+    def pass_on(self) -> None:
+        self.air.pass_on(self.now)
+        self.due(self.now + 5 * MS, self.pass_on)
+
+    # What is measured.
+
+    def served(self, begin: float = 1, end: float = 99) -> float:
+        mine = [settled for at, settled, _ in self.ends if begin <= (at - self.start) / S < end]
+        return sum(mine) / len(mine) if mine else 1.0
+
+    def amplification(self) -> float:
+        """Launches for each first one, at the worst place in the worst second in which enough came."""
+        return max((self.launches[key] / first for key, first in self.firsts.items() if first >= 20),
+                   default=1.0)
+
+    def back(self, trouble_end: float) -> float:
+        """Seconds after it until a half second is served to 95 in 100 of what was before."""
+        before = self.served(2, 4)
+        for step in range(12):
+            begin = trouble_end + step / 2
+            if self.served(begin, begin + 0.5) >= 0.95 * before:
+                return step / 2
+        return 6.0
+
+    def inverted(self) -> float:
+        """Share of what was not served in time, though larger things asked for in the same tenth of a second
+        were, most of them."""
+        slots: dict[int, list[tuple[bool, float]]] = defaultdict(list)
+        for at, settled, size in self.ends:
+            slots[at // (100 * MS)].append((settled, size))
+        wrong = shed = 0
+        for one in slots.values():
+            for settled, size in one:
+                if not settled:
+                    larger = [got for got, other in one if other > 2 * size]
+                    shed += 1
+                    wrong += len(larger) > 3 and sum(larger) > 0.9 * len(larger)
+        return wrong / shed if shed else 0.0
+
+    def bytes_a_front(self) -> float:
+        return sum(self.air.bytes_to.values()) / self.count / self.seconds
--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -501,10 +501,12 @@
 
     def earn(self) -> None:
         """A first launch pays for a part of a further one. The fleet has one budget: what others leave unused
-        is lent, and little is saved up by those that carry little."""
+        is lent; those that carry little save up less, and all do once together they use more than theirs."""
         self.firsts += 1
         told = self.fleet if self.fleet and self.actions.now() < self.fleet.until else None
-        most = FURTHER_BURST * min(1.0, max(1 / 8, told.part * told.fronts / 8)) if told else FURTHER_BURST
+        most = FURTHER_BURST
+        if told:
+            most *= min(1.0, max(1 / 2, told.part * told.fronts / 8)) * min(1.0, told.lent)
         self.budget = min(max(most, 1.0), self.budget + FURTHER_SHARE * (told.lent if told else 1.0))
 
     def mean_work(self, profile: Profile) -> int:
