Where the origin is full, least credit for its sending time waits first at all fronts

Need: all fronts are to shed in one order. Place.take shed new objects alike, whatever they were worth. Change: the limit of Choice.origin_full moves with a retrieval's credit for its sending time beside the usual one of what is new, from seven eighths to five quarters, so that none starves. Profile.credit is read from the settings.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -232,7 +232,7 @@
             times = [(choice.predicted(retrieval, cache), cache) for cache in fresh]
             time, pick = next((one for one in times if one[0] <= left), min(times, key=lambda one: one[0]))
         if retrieval.profile.repeat is not Repeat.PURE or (time <= left and not (
-                plan.new and choice.origin_full(now))):
+                plan.new and choice.origin_full(retrieval, now))):
             return self.next.to(retrieval, pick)
         # Departures: where only fills are crowded a cache, and if the location's link is said to have room a
         # parent too, give what they hold; where the caches' links are crowded, such room is a way past them.
@@ -395,6 +395,7 @@
         self.stages = [kind(self) for kind in (Door, Again, Own, Place, Source, Send)]
         for one, after in zip(self.stages, self.stages[1:], strict=False):
             one.next = after
+        self.worth = 0.0        # credit for sending time, of what was new lately
         self.launched = self.firsts = self.furthers = self.pushed = 0      # since the start
         self.fleet: Fleet | None = None
         self.asked, self.pulse = Rate(now, self.entry_age), max(self.agreed // 16, ground.resolution)
@@ -566,10 +567,13 @@
         times = [link.time(retrieval.plan.work, self.actions.now()) for link in self.links(retrieval, cache)]
         return max(times) + self.slack(retrieval)
 
-    def origin_full(self, now: int) -> bool:
-        """Fetches of what no place is likely to hold are slow beside fills and the caches' own links: the
-        origin stops for seconds when all together ask it for so many times what it carries."""
-        limit = self.ground.origin_factor * ORIGIN_PART
+    def origin_full(self, retrieval: Retrieval, now: int) -> bool:
+        """Fetches of what no place is likely to hold are slow beside fills and caches' own links: the
+        origin stops for seconds once all together ask it for so many times what it carries."""
+        # Least credit for its sending time waits first, at all fronts alike; within bounds, so none starves.
+        worth = retrieval.profile.credit / (retrieval.plan.work or 1)
+        self.worth = (self.worth * 63 + worth) / 64 if self.worth else worth
+        limit = self.ground.origin_factor * ORIGIN_PART * min(5 / 4, max(7 / 8, worth / self.worth))
         return 0 < limit < self.fetches.slow(now) / max(self.edges.slow(now), self.fills.slow(now))
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -92,7 +92,7 @@
             repeat=REPEATS[repeat], group=GROUPS[group],
             window=one.optional_time("KeyTtl"),
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
-            never_kept=bool(at(never_kept, place, False))))
+            never_kept=bool(at(never_kept, place, False)), credit=float(one.value.get("Gain") or 1.0)))
     ground = Ground(
         profiles=profiles, seed=seed, zone=zone,
         crew=max(1, at(own.value.get("CrewByZone") or [], zone, 1)),
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -101,6 +101,7 @@
     fresh: int = 0
     grace: int = 0
     never_kept: bool = False
+    credit: float = 1.0     # what settling one in time is worth
     memory: Any = None
 
     @property
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -336,6 +336,18 @@
     assert paper.sent[-1].source.role is Role.PARENT      # seen before: some place most likely keeps it
 
 
+@pytest.mark.parametrize("size, whole", [(10.0, True), (300.0, False)])
+def test_what_is_worth_least_for_its_sending_time_waits_first(front, size, whole):
+    """The origin at 1.9 times its pace, where 2.0 is the limit of what is usual and 2.5 that of the small."""
+    paper = front(crew=16, origin_factor=2.5)
+    for thing in range(100, 140):
+        paper.end(paper.ask(thing, 50.0).launches[0], after=30)
+    paper.choice.fetches.learn(2, 200_000 * MS, 1_900 * 200 * MS, paper.clock)
+    paper.choice.edges.learn(2, 200_000 * MS, 200_000 * MS, paper.clock)
+    paper.choice.fetches.held = 1       # a trial is out: nothing goes the whole way for that reason
+    assert (paper.ask(7, size).launches[0].source.role is Role.PARENT) is whole
+
+
 def test_fronts_that_hear_of_a_start_together_do_not_all_send_at_once(front):
     """With hundreds of fronts a first launch each would spend the whole budget of a cold place."""
     first, later = 0, 0
