--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(PYTHON) -O -m benchmarks.gateway
 
 bench-overload: build
-	$(PYTHON) -O -m benchmarks.overload
+	$(PYTHON) -O -m benchmarks.overload $(ARGS)
 
 # Made anew after a change of a schema, with grpcio-tools in an environment of its own.
 schema:
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -161,7 +161,7 @@
     parser.add_argument("--seed", type=int, default=11)
     parser.add_argument("--quick", action="store_true", help="ends within 45 s")
     told = parser.parse_args()
-    figures = simulate(told.seed, (10, 50) if told.quick else (10, 50, 200, 1000))
+    figures = simulate(told.seed, (10, 50, 100) if told.quick else (10, 50, 200, 1000))
     count = 4 if told.quick else 12
     plays = {way: Play(told.seed, way, count, 10.0) for way in WAYS}
     gevent.joinall([gevent.spawn(one.run) for one in plays.values()], raise_error=True)
@@ -173,7 +173,7 @@
               f"{one.served(FLOOD, FLOOD + 1):.3f} after the deaths {one.served(DEATH + 1, END):.3f} "
               f"{dict(rules)} {one.tally.notes[:2]} {one.wrong[:2]}")
     shares = {way: one.served() for way, one in plays.items()}
-    line = {"fronts": 50 if told.quick else 1000, "processes": count,
+    line = {"fronts": 100 if told.quick else 1000, "processes": count,
             "lost": broken["lost"] + figures["lost"], "doubled": broken["doubled"] + figures["doubled"],
             "double_effects": broken["double_effects"], "cold_fallen": broken["cold_fallen"],
             "stale": broken["stale"], "served_share": shares["together"],
