--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -14,7 +14,6 @@
 
 import math
 import zlib
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -324,11 +323,3 @@
         self.me.start, self.me.round = update.start, update.round + 1
         self.health = min(self.health + 1, WORST)
         self.told(self.say_self())
-
-
-def table(members: Members, names: Iterable[str] = ()) -> list[dict[str, object]]:
-    """What is believed of each, for the log: those that are not simply alive, and this front."""
-    names = list(names)
-    return [{"number": number, "name": names[number] if number < len(names) else "", "round": one.round,
-             "status": one.status.name.lower(), "start_ms": one.start}
-            for number, one in members.all.items() if one.status or number == members.own]
--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -34,14 +34,12 @@
     def __init__(self, size: int, falls: float = 0.0, within: float = 1.0, stops: float = 2.0) -> None:
         self.size, self.falls, self.within, self.stops = size, falls, within, stops
         self.busy, self.over_since, self.stopped_until, self.stopped = 0, 0.0, 0.0, 0
-        self.most = 0
 
     def carry(self, seconds: float) -> None:
         now = time.monotonic()
         if now < self.stopped_until:
             gevent.sleep(self.stopped_until - now)
         self.busy += 1
-        self.most = max(self.most, self.busy)
         try:
             if self.falls and self.busy > self.falls * self.size:
                 self.over_since = self.over_since or now
