--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -206,7 +206,7 @@
 
 
 def test_what_a_coordinator_keeps_from_one_front_it_hears_from_the_others(play):
-    """A drain and a purge while one front's own coordinator is silent: rules 3 and 5 hold there too."""
+    """A drain while one front's own coordinator is silent: rule 3 holds there too."""
     fleet, load = play(together=False)
     deaf, box = fleet.coordinators[3], fleet.boxes[0]
     deaf.silent = True
