Read again: one reader of text format, one chance, one home for figures that must agree

Seen on the last read of the change: fleet/reading.py read files as deployment/reading.py does; members and airwaves scattered sums each for itself; the allowance of further launches and the part at which a front saves up as one alone stood in choice.py and again in fleet/; Together counted pairs by hand twice; Place.take built a list for doubts with no fleet on; Choice asked twice whether the view still counts; and a new peers_all on SIGHUP was no longer taken over by who sends to all, as the socket did before. Change: textproto.parsed, draws.scattered, choice.ALONE and FURTHER_SHARE, Together.lately, Choice.told and Front._last_reported serve all; Peers keeps the address of all fronts and takes a new one over.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -39,7 +39,7 @@
         self.trouble = ("slow", "silent", "fails")[int(chance(seed, "trouble") * 3)]
         self.fleet = FrontFleet(count, self.folder, 100 + seed % 1000, together=way == "together", cold=COLD,
                                 store=Room(max(4, count), falls=2.5, within=0.5))
-        self.tally, self.orders, self.asked = Tally(), [], 0
+        self.tally, self.orders = Tally(), []
         self.down: dict[int, float] = {}
         self.streams = [Stream(
             Door(f"f{n}", "z", self.fleet.doors[n], seed % 997 + n,
--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -23,6 +23,7 @@
 LATELY = 1 / 10         # weight of one outcome in that share
 FURTHER_SHARE = 0.2     # further launches that each first one pays for
 FURTHER_BURST = 12      # further launches that may be saved up
+ALONE = 8               # times the usual part of the load at which a front saves up as much as one alone
 ORIGIN_PART = 0.8       # part of the load at which the origin stops, above which it is asked for less
 DOUBTED = 1 / 4         # part of a location's fronts that leave a place alone, from which others doubt it too
 FLEET_WEIGHS = 8        # what the fleet saw of a link weighs so many times what is held of one never seen
@@ -219,8 +220,9 @@
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
         # What others doubt goes last, as long as most are left: a front alone would have to find out itself.
-        sound = [cache for cache in options if now >= cache.memory.doubted]
-        options = sound if 2 * len(sound) > len(options) else options
+        if choice.fleet:
+            sound = [cache for cache in options if now >= cache.memory.doubted]
+            options = sound if 2 * len(sound) > len(options) else options
         fresh = [cache for cache in options if cache not in plan.lost] or options
         left = (plan.agreed - now) * (10 if retrieval.launches else 7) // 10
         if not fresh:
@@ -449,7 +451,7 @@
         now = self.actions.now()
         self.actions.wake(self.pulse)
         # A tenth of a retrieval's worth; for the whole location where the fleet gave this front that duty.
-        told = self.fleet if self.fleet and now < self.fleet.until else None
+        told = self.told(now)
         if self.ground.probing and self.near and now >= self.probe_at and (not told or told.probing):
             self.probe_at = now + int(self.agreed * (6 + 4 * self.chance()) / (4 if told else 1))
             self.actions.probe(self.near[int(self.chance() * len(self.near))])
@@ -500,14 +502,17 @@
 
     # What the stages share.
 
+    def told(self, now: int) -> Fleet | None:
+        """What the fleet settled, while it counts."""
+        return self.fleet if self.fleet and now < self.fleet.until else None
+
     def earn(self) -> None:
         """A first launch pays for a part of a further one. The fleet has one budget: what others leave unused
         is lent; those that carry little save up less, and all do once together they use more than theirs."""
         self.firsts += 1
-        told = self.fleet if self.fleet and self.actions.now() < self.fleet.until else None
-        most = FURTHER_BURST
+        told, most = self.told(self.actions.now()), FURTHER_BURST
         if told:
-            most *= min(1.0, max(1 / 2, told.part * told.fronts / 8)) * min(1.0, told.lent)
+            most *= min(1.0, max(1 / 2, told.part * told.fronts / ALONE)) * min(1.0, told.lent)
         self.budget = min(max(most, 1.0), self.budget + FURTHER_SHARE * (told.lent if told else 1.0))
 
     def mean_work(self, profile: Profile) -> int:
--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from importlib import import_module
 
 import click
 
@@ -48,13 +49,7 @@
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         if name not in self.LATER:
             return super().get_command(ctx, name)
-        if name == "fleet":
-            from .fleet import fleet
-
-            return fleet
-        from .disk import disk
-
-        return disk
+        return getattr(import_module(f".{name}", __package__), name)
 
 
 @click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
--- a/marbleglade/deployment/reading.py
+++ b/marbleglade/deployment/reading.py
@@ -5,12 +5,12 @@
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass
-from pathlib import Path
 
 from google.protobuf import text_format
 from google.protobuf.message import Message
 
 from ..gateway.routes import NAME
+from ..textproto import parsed
 from ..wire import coordlines
 from .deployment_pb2 import Deployment
 
@@ -72,12 +72,9 @@
 def load(path: str) -> Message:
     """The file at `path`, decoded and with its defaults. Raises `Unfit`."""
     try:
-        data = Path(path).read_bytes()
-        if len(data) > LONGEST:
-            raise ValueError(f"it is longer than {LONGEST} bytes")
-        told = text_format.Parse(data.decode("utf-8"), Deployment())
-    except (OSError, ValueError, text_format.ParseError) as trouble:
-        raise Unfit([f"{path}: {trouble}"]) from trouble
+        told = parsed(path, Deployment(), LONGEST)
+    except ValueError as trouble:
+        raise Unfit([str(trouble)]) from trouble
     for block, figures in DEFAULTS.items():
         part = getattr(told, block)
         for name, value in figures.items():
--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -13,10 +13,11 @@
 from __future__ import annotations
 
 import math
-import zlib
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from .draws import scattered
+
 # Ratios to the period of a probe.
 ANSWER = 1 / 3          # a direct answer is due then; then others are asked to try
 LEAST, MOST = 2, 6      # a suspicion lasts so long at least and at most, times the size in tens
@@ -123,9 +124,9 @@
         self.told(self.say_self())
 
     def chance(self) -> float:
-        """The next draw; sums of like texts are alike, and the product scatters them."""
+        """The next draw."""
         self.draws += 1
-        return zlib.crc32(b"%d %d" % (self.seed, self.draws)) * 2654435761 % 2**32 / 2**32
+        return scattered(b"%d %d" % (self.seed, self.draws))
 
     def pick(self, among: list[int], count: int) -> list[int]:
         """So many of them, drawn by chance."""
@@ -140,7 +141,7 @@
         """Those that nobody suspects; all that are alive where each is."""
         return [number for number, one in self.all.items() if one.status is Status.ALIVE] or self.alive()
 
-    def renew(self, count: int, now: int) -> None:
+    def renew(self, count: int) -> None:
         """The list of peers has another length now."""
         for number in [one for one in self.all if one >= count and one != self.own]:
             del self.all[number]
--- a/marbleglade/fleet/reading.py
+++ b/marbleglade/fleet/reading.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from pathlib import Path
-
-from google.protobuf import text_format
 
 from ..life.assignment import Unfit
+from ..textproto import parsed
 from .fleet_pb2 import FleetPart
 
 BEAT_MS = 1000
@@ -23,12 +21,9 @@
 def read(path: str) -> Told:
     """The file at `path`, with its defaults. Raises `Unfit`."""
     try:
-        data = Path(path).read_bytes()
-        if len(data) > LONGEST:
-            raise ValueError(f"it is longer than {LONGEST} bytes")
-        told = text_format.Parse(data.decode("utf-8"), FleetPart())
-    except (OSError, ValueError, text_format.ParseError) as trouble:
-        raise Unfit(f"{path}: {' '.join(str(trouble).split())}") from trouble
+        told = parsed(path, FleetPart(), LONGEST)
+    except ValueError as trouble:
+        raise Unfit(" ".join(str(trouble).split())) from trouble
     beat_ms = told.beat_ms if told.HasField("beat_ms") else BEAT_MS
     least, most = BOUNDS["beat_ms"]
     if not least <= beat_ms <= most:
--- a/marbleglade/fleet/shares.py
+++ b/marbleglade/fleet/shares.py
@@ -9,7 +9,6 @@
 
 LEND = 4            # a front may borrow so many times its part while others leave theirs unused
 FEWEST = 1 / 8      # and is left so much of it while all together use more than theirs
-ALONE = 8           # a front alone may save up as one with so many times the usual part
 AGES = 4            # periods without a view after which a share has aged all the way to its own traffic
 
 
--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/shell.py
@@ -17,8 +17,8 @@
 
 class Shell:
     def __init__(self, name: str, beat: int, facade: Facade, front: Front, peers: Peers,
-                 everyone: tuple[str, int] | None, say: Callable[..., None]) -> None:
-        self.facade, self.front, self.peers, self.everyone, self.say = facade, front, peers, everyone, say
+                 say: Callable[..., None]) -> None:
+        self.facade, self.front, self.peers, self.say = facade, front, peers, say
         own = peers.order.index(peers.listen)
         start_ms = clock.unix_ns() // 1_000_000
         seed = facade.decisions.ground.seed ^ zlib.crc32(name.encode())
@@ -27,7 +27,7 @@
         self.filed: object = None
         self.version = self.term = -1
         peers.other = self.take
-        peers.renewed = lambda: self.together.members.renew(len(peers.order), clock.now())
+        peers.renewed = lambda: self.together.members.renew(len(peers.order))
 
     def turn(self) -> None:
         self.send(self.together.turn(clock.now(), self.facade.seen, self.crowd))
@@ -74,8 +74,8 @@
             if one.to != EVERYONE:
                 if one.to < len(self.peers.order):
                     self.peers.send_data(data, self.peers.order[one.to])
-            elif self.everyone:
-                self.peers.send_data(data, self.everyone)
+            elif self.peers.everyone:
+                self.peers.send_data(data, self.peers.everyone)
             else:
                 for number in self.together.members.others():
                     self.peers.send_data(data, self.peers.order[number])
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -6,20 +6,39 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from ..choice import ALONE, FURTHER_SHARE
 from ..interface import Fleet, Ground, Seen
 from ..wire.gossip import Fleetgram
 from .duties import Duty, holder
 from .members import Ack, Members, Out, Ping, PingFor
-from .shares import AGES, ALONE, aged, lent, part
-from .views import CACHES, OLD_MS, SPAN, YOUNG, Crowd, Crowded, Gatherer, Paces, Report, Sums, View
+from .shares import AGES, aged, lent, part
+from .views import (
+    ANSWERED,
+    CACHES,
+    OLD_MS,
+    PLACES,
+    SPAN,
+    YOUNG,
+    Crowd,
+    Crowded,
+    Gatherer,
+    Paces,
+    Report,
+    Sums,
+    View,
+)
 
 VIEWS = b"views"
-ALLOWED = 0.2       # further launches for each first one, over all fronts
 EVERYONE = -1       # a receiver: all fronts
 
 
+def flat(kind: str, pairs: dict[int, tuple[int, int]]) -> dict[object, int]:
+    """Counters of their own for both figures of each pair."""
+    return {(kind, key, place): figure for key, pair in pairs.items() for place, figure in enumerate(pair)}
+
+
 class Together:
     def __init__(self, own: int, count: int, start_ms: int, ground: Ground, beat: int, now: int,
                  seed: int) -> None:
@@ -67,24 +86,24 @@
         return None if to == self.own else to
 
     def reports(self, seen: Seen, crowd: Crowd | None) -> list[Report | Paces]:
-        caches = {("cache", cache, place): figure for cache, pair in seen.caches.items()
-                  for place, figure in enumerate(pair)}
-        self.sums.period(caches | {"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
-                          "pushed": seen.pushed} | {(key, place): figure for key, pair in seen.links.items()
-                                                    for place, figure in enumerate(pair)})
+        self.sums.period({"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
+                          "pushed": seen.pushed} | flat("link", seen.links) | flat("cache", seen.caches))
         load, *counts = (self.sums.sum(name) for name in ("asked", "firsts", "furthers", "pushed"))
         self.own_load = load // 1_000_000
         self.seq += 1
-        links = {key: (self.sums.sum((key, 0)) // 1_000_000, self.sums.sum((key, 1)) // 1_000_000)
-                 for key in seen.links}
-        paces = {cache: tuple(self.sums.sum(("cache", cache, place)) // 1_000_000 for place in (0, 1))
-                 for cache in seen.caches}
-        most = sorted((cache for cache, pair in paces.items() if pair[0]), key=lambda one: -paces[one][0])
+        links, paces = self.lately("link", seen.links), self.lately("cache", seen.caches)
+        most = sorted(paces, key=lambda one: -paces[one][0])
         report = Report(self.seq, self.ground.zone, self.own_load, *counts,
-                        {key: pair for key, pair in links.items() if pair[0]},
-                        {self.ground.zone: crowd} if crowd else {}, seen.shut[:8], seen.answered[:6])
+                        links, {self.ground.zone: crowd} if crowd else {}, seen.shut[:PLACES],
+                        seen.answered[:ANSWERED])
         return [report, Paces(self.seq, self.ground.zone, {cache: paces[cache] for cache in most[:CACHES]})]
 
+    def lately(self, kind: str, keys: Iterable[int]) -> dict[int, tuple[int, int]]:
+        """Sending time done and time taken lately, ms, of each where something was done."""
+        sums = {key: tuple(self.sums.sum((kind, key, place)) // 1_000_000 for place in (0, 1))
+                for key in keys}
+        return {key: pair for key, pair in sums.items() if pair[0]}
+
     def take(self, sender: int, message: Fleetgram, now: int) -> list[Out]:
         """A datagram from a listed front. A new view stands in `fleet` from then on."""
         if isinstance(message, Ping | Ack | PingFor):
@@ -105,7 +124,7 @@
         paces = {key: (spent / done, done * 1_000_000) for key, (done, spent) in view.links.items() if done}
         crowd = view.crowds.get(self.ground.zone)
         self.fleet = Fleet(
-            now + YOUNG * self.period, part(self.own_load, view), lent(view, ALLOWED), view.fronts,
+            now + YOUNG * self.period, part(self.own_load, view), lent(view, FURTHER_SHARE), view.fronts,
             {key: (max(1.0, slow), evidence) for key, (slow, evidence) in paces.items()},
             {place: one.by for place, one in view.shut.items()},
             frozenset(place for place, one in view.shut.items() if one.trier == self.own),
@@ -121,8 +140,8 @@
         told, alone = part(self.own_load, view), ALONE / max(1, view.fronts)
         self.fleet = Fleet(
             now + self.period * 3 // 2, aged(told, alone, since, self.period),
-            aged(lent(view, ALLOWED), 1.0, since, self.period), view.fronts, {}, {}, frozenset(), frozenset(),
-            {}, True)
+            aged(lent(view, FURTHER_SHARE), 1.0, since, self.period), view.fronts, {}, {}, frozenset(),
+            frozenset(), {}, True)
 
     def crowd(self) -> tuple[float, int] | None:
         """The own location's load as the fleet knows it, and when it was reported."""
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -227,18 +227,20 @@
                          "shut_ms": max(0, getattr(belief, "shut", 0) - now) // 1_000_000})
         return seen
 
-    def _near(self) -> list[Cache]:
+    def _last_reported(self) -> Cache | None:
+        """Of this location's caches, the one whose load report came last, or any; None if there is none."""
         zone = self.facade.decisions.ground.zone
-        return [cache for cache in self.places.by_cache if cache.role is Role.CACHE and cache.zone == zone]
+        near = [cache for cache in self.places.by_cache if cache.role is Role.CACHE and cache.zone == zone]
+        return max(near, key=lambda cache: cache.reported, default=None)
 
     def crowd_seen(self) -> tuple[float, int] | None:
         """The last load report of this location, and when it came; None if none did."""
-        last = max(self._near(), key=lambda cache: cache.reported, default=None)
+        last = self._last_reported()
         return (last.crowd, last.reported) if last and last.reported else None
 
     def crowd_told(self, value: float, at: int) -> None:
         """Another front's load report of this location, filed as one's own."""
-        last = max(self._near(), key=lambda cache: cache.reported, default=None)
+        last = self._last_reported()
         if last and last.reported < at:
             file_report(last, {"x1": value}, at)
 
--- a/marbleglade/life/renewal.py
+++ b/marbleglade/life/renewal.py
@@ -26,7 +26,7 @@
             return
         self.log.counters.add("renewal.taken")
         if self.peers and told.peers:
-            self.peers.renew(told.peers)
+            self.peers.renew(told.peers, told.peers_all)
         self.log.say("renewal", last=self.follower.last, coordinator=":".join(map(str, told.coordinator)),
                      not_changed=[one for one, value in told.fixed.items() if self.fixed.get(one) != value])
         self.follower.catch_up(told.known)
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -59,7 +59,7 @@
     if around.peer_messages and told.peer_listen and told.peers:
         hearsay = Hearsay(int(BEAT * SECOND), ground.purge_time * 2, clock.now())
         peers = Peers(told.peer_listen, told.peers, ground.seed, hearsay, front.heed,
-                      lambda: follower.heard_at, guard)
+                      lambda: follower.heard_at, guard, told.peers_all)
         front.told, front.unsaid = peers.told, hearsay.unsaid
         work.append(peers.run)
     fleet = None
@@ -67,8 +67,7 @@
         from ..fleet.reading import read as read_part
         from ..fleet.shell import Shell
 
-        fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, told.peers_all,
-                      log.say)
+        fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, log.say)
 
     def tell() -> None:
         log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
--- a/marbleglade/standins/airwaves.py
+++ b/marbleglade/standins/airwaves.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import heapq
-import zlib
 from collections.abc import Callable
 
+from ..fleet.draws import scattered
+
 MS = 1_000_000
 
 
@@ -22,7 +23,7 @@
 
     def chance(self) -> float:
         self.count += 1
-        return zlib.crc32(b"%d air %d" % (self.seed, self.count)) * 2654435761 % 2**32 / 2**32
+        return scattered(b"%d air %d" % (self.seed, self.count))
 
     def send(self, sender: int, to: int, data: bytes, now: int) -> None:
         assert len(data) <= 256
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -18,19 +18,22 @@
     coordinator spoke last, 0 for never."""
 
     def __init__(self, listen: tuple[str, int], peers: list[tuple[str, int]], seed: int, hearsay: Hearsay,
-                 heed: Callable[[Hint], None], heard_at: Callable[[], int], guard: Guard) -> None:
+                 heed: Callable[[Hint], None], heard_at: Callable[[], int], guard: Guard,
+                 everyone: tuple[str, int] | None = None) -> None:
+        self.everyone: tuple[str, int] | None = None
         self.listen, self.seed, self.count, self.hearsay = listen, seed, 0, hearsay
         self.heed, self.heard_at = heed, heard_at
         self.guard, self.counters = guard, guard.counters
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(listen)
         self.renewed: Callable[[], None] = lambda: None     # where a fleet is on: the list changed
-        self.renew(peers)
+        self.renew(peers, everyone)
 
         # Where a fleet is on it takes what is no message of these.
         self.other: Callable[[bytes, tuple[str, int]], bool] = lambda data, sender: False
 
-    def renew(self, peers: list[tuple[str, int]]) -> None:
+    def renew(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+        self.everyone = everyone or self.everyone
         self.order, self.numbers = peers, {one: number for number, one in enumerate(peers)}
         self.others = [one for one in peers if one != self.listen]
         self.renewed()
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -1,9 +1,8 @@
 """Who asks whom what the coordinator took away, on simulated time."""
 
-import zlib
-
 import pytest
 
+from marbleglade.fleet.draws import scattered
 from marbleglade.fleet.hearsay import MOST, OPEN, Hearsay
 from marbleglade.wire.coordlines import Purge
 from marbleglade.wire.datagrams import LONGEST, MOST_PARTS, Answer, Ask, PlaceLeaves, decode, encode
@@ -88,8 +87,7 @@
     """Twenty fronts; four of them hear nothing. Each fact reaches them before it counts as told, 7 s later,
     with datagrams lost, doubled and late."""
     def chance(*of):
-        # Sums of like texts are alike; the product scatters them.
-        return zlib.crc32(" ".join(map(str, (seed, *of))).encode()) * 2654435761 % 2**32 / 2**32
+        return scattered(" ".join(map(str, (seed, *of))).encode())
 
     fronts, deaf = [front() for _ in range(20)], range(4)
     under_way, known, sent = [], {}, 0
