Work orders: order, grants by a majority, emptying of a front, off unless a file is named

Need: patching fronts and boxes is a person's list. Operators say what has to be worked on; the fronts settle the order: never more out than service bears, none let go by two who believe themselves in turn.

A place out for work stays so at every front until it is listed with a later start (memory/places). One that began lately is told by members who is there, as it knew no starts.

Found by the bounded search of every order of words, losses, restarts and waits, before any of it ran: - a new keeper took over a called-back machine as let go; - the union of what voters told brought a long replaced table back; now the latest table of a majority counts. Found on simulated time: after a cut the minority was terms ahead and heeded no word of the keeper.

--- /dev/null
+++ b/benchmarks/simwork.py
@@ -0,0 +1,150 @@
+"""Orders of work on simulated time: the fleet's core by the hundred, with machines that are worked on."""
+
+from __future__ import annotations
+
+from marbleglade.fleet.drain import Drain, Stage
+from marbleglade.fleet.members import Ack, Members, Ping, PingFor
+from marbleglade.fleet.order import Kind, Order, Sight
+from marbleglade.fleet.works import Look, Works
+from marbleglade.standins.airwaves import Airwaves
+from marbleglade.wire import gossip, workgrams
+
+MS = 1_000_000
+S = 1000 * MS
+BEAT = S
+LEASE = 6 * BEAT
+STEP = 50 * MS
+BORN_MS = 1_700_000_000_000
+
+
+class Box:
+    """A cache as fronts see it; when its work ends it is listed with a later start."""
+
+    def __init__(self) -> None:
+        self.start_ms, self.up, self.ready_at, self.began = BORN_MS, True, 0, 0
+
+
+class Front:
+    def __init__(self, world: SimWork, number: int) -> None:
+        self.world, self.number = world, number
+        self.start_ms = world.unix_ms()
+        seed = world.seed * 7919 + number
+        self.members = Members(number, world.count, self.start_ms, BEAT, world.now, seed)
+        self.works = Works(number, self.members, self.start_ms, LEASE, world.warms_ms, world.now)
+        self.drain, self.emptied = Drain(), 0
+
+
+class SimWork:
+    """`count` fronts and `boxes` caches. What is out is worked on for `takes` ns and begins anew."""
+
+    def __init__(self, count: int, boxes: int, seed: int, takes: int = 2 * S, warms_ms: int = 2000) -> None:
+        self.count, self.seed, self.takes, self.warms_ms = count, seed, takes, warms_ms
+        self.now, self.began = 100 * S, 100 * S
+        self.air = Airwaves(seed, self.deliver)
+        self.work_bytes = 0
+        self.fronts: dict[int, Front] = {}
+        self.boxes = {f"box{n}": Box() for n in range(boxes)}
+        self.stopped: set[int] = set()
+        self.dead: dict[int, int] = {}          # fronts that are down, and when they begin again
+        self.out_worst = 0
+        self.wrong: list[str] = []
+        self.went: list[tuple[int, str]] = []
+        self.never: set[str] = set()            # machines that do not come back
+        for number in range(count):
+            self.start(number)
+
+    def unix_ms(self) -> int:
+        return BORN_MS + 1000 + (self.now - self.began) // MS
+
+    def start(self, number: int) -> None:
+        self.fronts[number] = Front(self, number)
+        self.dead.pop(number, None)
+
+    def kill(self, number: int, back_at: int = 1 << 62) -> None:
+        self.fronts.pop(number, None)
+        self.dead[number] = back_at
+
+    def give(self, number: int, order: Order, raw: bytes) -> None:
+        self.fronts[number].works.take_up(order, raw, self.now)
+
+    def deliver(self, to: int, sender: int, data: bytes, now: int) -> None:
+        front = self.fronts.get(to)
+        if front is None or to in self.stopped:
+            return
+        if isinstance(message := gossip.decode(data), Ping | Ack | PingFor):
+            self.send(to, front.members.take(sender, message, now))
+        elif message := workgrams.decode(data):
+            self.send(to, front.works.take(sender, message, now))
+
+    def send(self, sender: int, out) -> None:
+        for one in out:
+            of_members = isinstance(one.message, Ping | Ack | PingFor)
+            data = (gossip if of_members else workgrams).encode(one.message)
+            self.work_bytes += 0 if of_members else len(data)
+            self.air.send(sender, one.to, data, self.now)
+
+    def look(self) -> Look:
+        unix = self.unix_ms()
+        return Look({name: (Kind.CACHE, "z", Sight(
+            box.start_ms, box.up, unix - box.start_ms >= self.warms_ms)) for name, box in self.boxes.items()})
+
+    def run(self, seconds: float, each=lambda: None) -> None:
+        end = self.now + int(seconds * S)
+        while self.now < end:
+            self.now += STEP
+            self.air.pass_on(self.now)
+            each()
+            for number, back_at in list(self.dead.items()):
+                if self.now >= back_at:
+                    self.start(number)
+            for number, front in list(self.fronts.items()):
+                if number not in self.stopped and (self.now // STEP + number) % 5 == 0:
+                    self.send(number, front.members.tick(self.now))
+                    self.send(number, front.works.turn(self.now, self.look))
+                if number not in self.stopped:
+                    self.empty(number, front)
+            self.work()
+            self.check()
+
+    def empty(self, number: int, front: Front) -> None:
+        order = front.works.order
+        deadline = (order.deadline_ms if order else 1000) * MS
+        front.drain.turn(front.works.goes(self.now), deadline, 0, 0, self.now)
+        front.emptied = front.emptied if front.drain.stage is Stage.EMPTY else self.now
+        # Whoever works on it ends it a little later, if it is still out then.
+        if front.drain.stage is Stage.EMPTY and self.now - front.emptied > S // 2:
+            self.went.append((self.now, f"front {number}"))
+            never = f"front {number}" in self.never
+            self.kill(number, 1 << 62 if never else self.now + self.takes)
+
+    def work(self) -> None:
+        """Boxes that all fronts leave alone are worked on, and begin anew."""
+        for name, box in self.boxes.items():
+            resting = [front for front in self.fronts.values()
+                       if front.works.resting.get(_key(name), -1) >= box.start_ms]
+            if box.up and resting and len(resting) == len(self.fronts):
+                box.up, box.ready_at = False, self.now + self.takes
+                self.went.append((self.now, name))
+            elif not box.up and self.now >= box.ready_at and name not in self.never:
+                box.up, box.start_ms = True, self.unix_ms()
+
+    def out(self) -> list[str]:
+        """What does not serve now: by its own belief, worked on, or down."""
+        fronts = [f"front {number}" for number, one in self.fronts.items()
+                  if one.drain.stage is not Stage.SERVING]
+        return [*fronts, *(f"front {number}" for number in self.dead),
+                *(name for name, box in self.boxes.items() if not box.up)]
+
+    def check(self) -> None:
+        self.out_worst = max(self.out_worst, len(self.out()))
+
+    def done(self, order: Order) -> int:
+        return sum((self.boxes[one.name].start_ms if one.name in self.boxes else
+                    self.fronts[int(one.name[6:])].start_ms if int(one.name[6:]) in self.fronts else 0)
+                   > order.asked_ms for one in order.machines)
+
+
+def _key(name: str) -> int:
+    import zlib
+
+    return zlib.crc32(name.encode())
--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -474,6 +474,11 @@
                     [name for name, standing in places if standing.shut],
                     [name for name, standing in places if now - standing.answered < self.agreed * 4])
 
+    def homes(self, most: int) -> list[list[Cache]]:
+        """Of so many objects that were asked for most: the caches in the hash's order."""
+        hot = heapq.nlargest(most, self.seen, key=lambda one: self.seen[one].uses)
+        return [self.ranked(self.near, *one) for one in hot]
+
     def settled(self, fleet: Fleet) -> None:
         """What the fleet saw is filed as one's own reports are, within bounds; it opens nothing by itself."""
         self.fleet, now = fleet, self.actions.now()
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -124,6 +124,12 @@
         finally:
             self._end(case, Final(End.GONE))
 
+    def refuse(self, retrieval: Retrieval) -> Final:
+        """A new retrieval while the front is out for work: the decisions give it up at once."""
+        case = self.open.add(retrieval)
+        self._call(self.decisions.give_up, retrieval)
+        return case.steps.popleft()
+
     def close(self, retrieval: Retrieval) -> None:
         """Forgets a retrieval whose last word was carried out, and what a trouble left of its launches."""
         case = self.open.cases.get(retrieval)
--- /dev/null
+++ b/marbleglade/fleet/grants.py
@@ -0,0 +1,309 @@
+"""Who may be out: a table of machines that all agree on, kept by a keeper with a majority of the members.
+
+A keeper is chosen by votes of a majority of all that are listed, each of which tells what the voter holds to
+be out; so whoever is chosen knows all that any keeper before it let go. What a keeper lets go counts once a
+majority has taken it in, and a member that voted for a later keeper takes nothing in from an earlier one:
+two keepers can't both let go. A keeper that hears no majority for a lease rests.
+
+A front that is out stays so while its keeper shows it, in answer to its own words, that a majority stood
+behind the table lately; else it comes back. One that is called back counts as out until it has heard so. A
+front that began again has forgotten its votes: it is mute for a lease, in which whatever leaned on them runs
+out or was renewed with others. `docs/notes/work.md` says why this holds; `tests/test_protocols.py` searches
+it.
+
+Free of I/O, clocks and chance; moments in ns of the caller's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .members import Out
+from .order import MOST_OUT
+
+# Parts of a lease.
+RENEW = 1 / 6       # between two words of a keeper; what changed is told at once
+FRESH = 1 / 3       # as old the majority's word may be for what a keeper says to count
+STAYS = 1 / 2       # so long a front stays out after it last asked whether it may
+CALM = 1 / 3        # so long after a keeper spoke no other is voted for
+STAMPS = 64         # words remembered until they are answered
+FURTHEST = 1 << 20  # a term that jumps further ahead than this is not believed
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A machine that is out, by its key; its start when it went, and the version of the table then."""
+
+    machine: int
+    start_ms: int
+    number: int
+    age_ms: int = 0         # how long it is out
+    back: bool = False      # it is called back
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    term: int
+
+
+@dataclass(slots=True, frozen=True)
+class Vote:
+    term: int
+    held: tuple[int, int, int]      # term, keeper and version that the table is of
+    entries: tuple[Entry, ...]      # of a term other than the one claimed: no vote, but the latest term known
+
+
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """The table, and up to which version a majority has it; 0: no majority stood behind it lately."""
+
+    term: int
+    version: int
+    committed: int
+    stamp: int              # the keeper's number of this word
+    echo: int               # the last stamp that came from whom this goes to
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    term: int
+    version: int
+    stamp: int              # of the word that this answers
+    word: int               # this front's own stamp
+
+
+Grantgram = Claim | Vote | Hold | Held
+
+
+@dataclass(slots=True)
+class Gone:
+    """A machine in the table."""
+
+    start_ms: int
+    number: int             # the version it came with
+    since: int              # when it went
+    back: int = 0           # the version that calls it back
+    back_at: int = 0
+
+
+@dataclass(slots=True)
+class Ack:
+    version: int = 0
+    at: int = -1            # when the word was sent that this member answered last
+    word: int = 0
+
+
+@dataclass(slots=True)
+class Grants:
+    own: int
+    count: int              # members that are listed, whether alive or not
+    lease: int
+    now: int
+    term: int = 0           # the latest that this front voted for or heard, and whose it is
+    by: int = -1
+    heard: int = 0          # when that keeper spoke last
+    leading: bool = False
+    table: dict[int, Gone] = field(default_factory=dict)
+    sure: dict[int, int] = field(default_factory=dict)      # as of when each counted as let go, to this front
+    version: int = 0
+    committed: int = 0
+    held: tuple[int, int, int] = (0, -1, 0)     # term, keeper and version that the table is of
+    votes: dict[int, Vote] = field(default_factory=dict)
+    acks: dict[int, Ack] = field(default_factory=dict)
+    stamps: dict[int, int] = field(default_factory=dict)    # when each word was sent
+    stamp: int = 0
+    due: int = 0
+    backed: int = -1        # the keeper's: as of when a majority stood behind its table
+    mute: int = 0           # until then it votes for nobody and takes nothing in
+
+    def __post_init__(self) -> None:
+        self.mute, self.heard, self.due = self.now + self.lease, self.now, self.now
+
+    # What others ask of it.
+
+    def may_stay_out(self, machine: int, start_ms: int, now: int) -> bool:
+        """True while that front, which is this one and began then, is let go and may believe it."""
+        gone = self.table.get(machine)
+        return (gone is not None and gone.start_ms == start_ms and not gone.back and machine in self.sure
+                and now - self.sure[machine] < self.lease * STAYS)
+
+    def out(self) -> dict[int, Gone]:
+        """What a majority let go, by key."""
+        return {machine: gone for machine, gone in self.table.items() if gone.number <= self.committed}
+
+    def rules(self, now: int) -> bool:
+        """True for the keeper while what it lets go can count."""
+        return self.leading and self.backed >= 0 and now - self.backed < self.lease * FRESH
+
+    # The keeper's part.
+
+    def let_go(self, machine: int, start_ms: int, now: int) -> bool:
+        if not self.rules(now) or machine in self.table or len(self.table) >= MOST_OUT:
+            return False
+        self.version += 1
+        self.table[machine] = Gone(start_ms, self.version, now)
+        self._changed(now)
+        return True
+
+    def call_back(self, machine: int, now: int) -> None:
+        """It counts as out until it has heard so, or can't believe itself out any more."""
+        gone = self.table.get(machine)
+        if self.leading and gone and not gone.back:
+            self.version += 1
+            gone.back, gone.back_at = self.version, now
+            self._changed(now)
+
+    def forget(self, machine: int, now: int) -> None:
+        """It was seen back: with a later start, or in service after it was called."""
+        if self.leading and self.table.pop(machine, None):
+            self.version += 1
+            self._changed(now)
+
+    def heard_back(self, machine: int, number: int, now: int) -> bool:
+        """True once the front of that number, called back, knows it, or must have come back by itself."""
+        gone = self.table.get(machine)
+        if gone is None or not gone.back:
+            return False
+        knows = number == self.own or (number in self.acks and self.acks[number].version >= gone.back)
+        return knows or now - gone.back_at > self.lease
+
+    def turn(self, wanted: bool, now: int) -> list[Out]:
+        """What is due. `wanted`: there is work, and by rendezvous this front is the one to keep the table."""
+        self.now = now
+        if self.leading:
+            self._count(now)
+            if now - max(self.backed, self.heard) > self.lease:
+                self.leading = False
+        if now < self.due or now < self.mute:
+            return []
+        if self.leading:
+            self.due = now + int(self.lease * RENEW)
+            return [Out(one, self._hold(one, now)) for one in range(self.count) if one != self.own]
+        if not wanted or (self.by != self.own and now - self.heard < self.lease * CALM):
+            return []
+        self.due = now + int(self.lease * RENEW)
+        self._follow(self.term + 1, self.own)
+        self.votes = {self.own: Vote(self.term, self.held, self.entries(now))}
+        self._chosen(now)
+        return [Out(number, Claim(self.term)) for number in range(self.count) if number != self.own]
+
+    def rest(self) -> None:
+        """It goes out itself, or the work is done: another may be chosen."""
+        self.leading = False
+
+    def entries(self, now: int) -> tuple[Entry, ...]:
+        return tuple(Entry(machine, gone.start_ms, gone.number, max(0, now - gone.since) // 1_000_000,
+                           bool(gone.back)) for machine, gone in sorted(self.table.items()))
+
+    def _changed(self, now: int) -> None:
+        """All are told at once."""
+        self.held = self.term, self.own, self.version
+        self.due = now
+        self._count(now)
+
+    def _said(self, now: int) -> int:
+        self.stamp = (self.stamp + 1) & 0xFFFF_FFFF
+        self.stamps[self.stamp] = now
+        while len(self.stamps) > STAMPS + 16 * self.count:
+            del self.stamps[next(iter(self.stamps))]
+        return self.stamp
+
+    def _hold(self, to: int, now: int) -> Hold:
+        return Hold(self.term, self.version, self.committed if self.rules(now) else 0, self._said(now),
+                    self.acks.setdefault(to, Ack()).word, self.entries(now))
+
+    def _chosen(self, now: int) -> None:
+        if self.leading or len(self.votes) * 2 <= self.count:
+            return
+        # The latest table among those of a majority holds all that was ever let go and counted.
+        latest = max(self.votes.values(), key=lambda one: one.held)
+        self.table = {one.machine: Gone(one.start_ms, 1, now - one.age_ms * 1_000_000, int(one.back), now)
+                      for one in latest.entries}
+        self.version, self.committed, self.backed = 1, 0, -1
+        self.leading, self.acks, self.votes, self.heard = True, {}, {}, now
+        self._changed(now)
+
+    def _count(self, now: int) -> None:
+        """Up to which version a majority has the table, and as of when."""
+        need = self.count // 2      # beside this front itself
+        if need == 0:
+            self.committed, self.backed = self.version, now
+        elif len(self.acks) >= need:
+            at = sorted((one.at for one in self.acks.values()), reverse=True)[need - 1]
+            version = sorted((one.version for one in self.acks.values()), reverse=True)[need - 1]
+            self.backed = max(self.backed, at)
+            self.committed = max(self.committed, min(version, self.version))
+        if self.rules(now):
+            for machine, gone in self.table.items():
+                if gone.number <= self.committed:
+                    self.sure[machine] = self.backed
+
+    # What comes.
+
+    def take(self, sender: int, message: Grantgram, now: int) -> list[Out]:
+        self.now = now
+        if isinstance(message, Claim):
+            return self._claimed(sender, message, now)
+        if isinstance(message, Hold):
+            return self._told(sender, message, now)
+        if isinstance(message, Vote):
+            self._voted(sender, message, now)
+        elif self.leading and message.term == self.term and message.stamp in self.stamps:
+            ack, before = self.acks.setdefault(sender, Ack()), self.committed
+            ack.at = max(ack.at, self.stamps[message.stamp])
+            ack.version, ack.word = max(ack.version, message.version), max(ack.word, message.word)
+            self._count(now)
+            if self.committed > before:
+                self.due = now      # who waits for it is told at once
+        return []
+
+    def _voted(self, sender: int, vote: Vote, now: int) -> None:
+        if self.leading or now < self.mute:
+            return
+        if vote.term == self.term and self.by == self.own:
+            self.votes[sender] = vote
+            self._chosen(now)
+        elif self.term < vote.term < self.term + FURTHEST:
+            self._follow(vote.term, -1)     # others are further; the next claim is above theirs
+
+    def _claimed(self, sender: int, claim: Claim, now: int) -> list[Out]:
+        if now < self.mute:
+            return []
+        if not (self.term, self.by) < (claim.term, sender) or claim.term >= self.term + FURTHEST:
+            return [Out(sender, Vote(self.term, self.held, ()))] if claim.term < self.term else []
+        led = self.rules(now) if self.leading else self.by >= 0 and now - self.heard < self.lease * CALM
+        if led and self.by != sender:
+            if self.leading:        # some are further, and would heed no word of this term: it is chosen anew
+                self._follow(claim.term, self.own)
+                self.due = now
+            return []
+        self._follow(claim.term, sender)
+        return [Out(sender, Vote(claim.term, self.held, self.entries(now)))]
+
+    def _follow(self, term: int, by: int) -> None:
+        """What this front is sure of stays so until it has aged: a later keeper knows of it."""
+        if (term, by) != (self.term, self.by):
+            self.committed, self.version, self.backed = 0, 0, -1
+        self.term, self.by, self.leading = term, by, False
+
+    def _told(self, sender: int, told: Hold, now: int) -> list[Out]:
+        if (told.term, sender) < (self.term, self.by) or told.term >= self.term + FURTHEST:
+            return []
+        self._follow(told.term, sender)
+        self.heard = now
+        if told.version >= self.version:
+            self.version, self.held = told.version, (told.term, sender, told.version)
+            self.table = {one.machine: Gone(one.start_ms, one.number, now - one.age_ms * 1_000_000,
+                                            int(one.back)) for one in told.entries}
+            self.sure = {machine: at for machine, at in self.sure.items()
+                         if machine in self.table and not self.table[machine].back}
+            self.committed = max(self.committed, min(told.committed, self.version))
+            # It was sent after the word of ours that it echoes; the lease counts from when that went out.
+            if told.committed and (at := self.stamps.get(told.echo)) is not None:
+                for machine, gone in self.table.items():
+                    if gone.number <= told.committed and not gone.back:
+                        self.sure[machine] = max(at, self.sure.get(machine, at))
+        if now < self.mute:
+            return []
+        return [Out(sender, Held(told.term, self.version, told.stamp, self._said(now)))]
--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -26,7 +26,7 @@
 WORST = 4               # how far this front's own health goes down
 TOLD = 3                # an update is passed on so many times the logarithm of the fleet
 UPDATES = 10            # in one datagram
-NEW = 8                 # so long a front that began again is told who is gone
+NEW = 16                # so long a front that began again is told who is there and who is gone
 GONE_EACH = 4           # in so many turns one front that is held to be gone is asked instead
 AHEAD_MS = 60_000       # a start that is further ahead of the clock is no start
 
@@ -174,10 +174,18 @@
             if item[0] <= 0:
                 del self.news[number]
         if one and self.ticked - one.begun < NEW * self.period:
-            # One that began lately holds all that are listed to be alive; it is told who is gone.
-            gone = [number for number, other in self.all.items() if other.status > Status.SUSPECT]
-            told = {update.number for update in some}
-            for number in self.pick([number for number in gone if number not in told], UPDATES - len(some)):
+            # One that began lately holds all that are listed to be alive, and knows no start: it is told of
+            # this front, of who is gone, and of others.
+            told = {update.number for update in some} | {to}
+            if self.own not in told and len(some) < UPDATES:
+                some.append(self.say_self())
+                told.add(self.own)
+            known = [number for number, other in self.all.items() if other.start and number not in told]
+            gone = [number for number in known if self.all[number].status > Status.SUSPECT]
+            picked = self.pick(gone, UPDATES - len(some))
+            picked += self.pick([number for number in known if number not in picked],
+                                UPDATES - len(some) - len(picked))
+            for number in picked:
                 other = self.all[number]
                 some.append(Update(number, other.status, other.start, other.round, self.own))
         return some
--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/shell.py
@@ -17,7 +17,7 @@
 
 class Shell:
     def __init__(self, name: str, beat: int, facade: Facade, front: Front, peers: Peers,
-                 say: Callable[..., None]) -> None:
+                 say: Callable[..., None], work: str = "") -> None:
         self.facade, self.front, self.peers, self.say = facade, front, peers, say
         own = peers.order.index(peers.listen)
         start_ms = clock.unix_ns() // 1_000_000
@@ -26,19 +26,30 @@
                                  clock.now(), seed)
         self.filed: object = None
         self.version = self.term = -1
+        self.work = None
+        if work:
+            from .workshell import Work
+
+            self.work = Work(work, self.together, start_ms, beat, facade, front, say)
         peers.other = self.take
         peers.renewed = lambda: self.together.members.renew(len(peers.order))
 
     def turn(self) -> None:
         self.send(self.together.turn(clock.now(), self.facade.seen, self.crowd))
         self.file()
+        if self.work:
+            self.send(self.work.turn(clock.now()))
 
     def take(self, data: bytes, sender: tuple[str, int]) -> bool:
         """A datagram that is none of the peers' own; false if it is none of ours either."""
         message = gossip.decode(data)
         number = self.peers.numbers.get(sender)
-        if message is None or number is None:
+        if number is None:
             return False
+        if message is None:
+            out = self.work.heard(number, data, clock.now()) if self.work else None
+            self.send(out or [])
+            return out is not None
         self.send(self.together.take(number, message, clock.now()))
         self.file()
         return True
@@ -70,7 +81,8 @@
 
     def send(self, out: list[Out]) -> None:
         for one in out:
-            data = gossip.encode(one.message)
+            of_work = not isinstance(one.message, gossip.Fleetgram)
+            data = self.work.encode(one.message) if of_work else gossip.encode(one.message)
             if one.to != EVERYONE:
                 if one.to < len(self.peers.order):
                     self.peers.send_data(data, self.peers.order[one.to])
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -48,6 +48,7 @@
         self.view: View | None = None
         self.view_at = 0
         self.own_load = 0
+        self.resting = False        # out for work: what it does for all passes to others
         self.fleet: Fleet | None = None
 
     def turn(self, now: int, seen: Callable[[], Seen], crowd: Callable[[], Crowd | None]) -> list[Out]:
@@ -60,7 +61,7 @@
         mine = self.report(seen(), crowd())
         # A duty need not wait until a suspicion has run out: who holds it goes on as long as it is heard.
         first = holder(VIEWS, self.members.sound()) == self.own
-        if self.duty.turn(first and not self.members.leaving, now):
+        if self.duty.turn(first and not self.members.leaving and not self.resting, now):
             self.gatherer.take(self.own, mine, now)
             view = self.gatherer.view(self.duty.term, now)
             self.hold(view, now)
--- /dev/null
+++ b/marbleglade/fleet/works.py
@@ -0,0 +1,224 @@
+"""One front's part in an order of work: which order is in force, who keeps the table, who goes and comes.
+
+Free of I/O, clocks and chance: `turn` and `take` give the datagrams to be sent. What is seen of machines is
+handed in; what follows for this front and for places is read off `goes` and `resting`.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..life.assignment import Unfit
+from ..wire.workgrams import MOST_PARTS, PART_BYTES, Have, Part, Want, Workgram
+from .duties import holder
+from .grants import Claim, Grants, Held, Hold, Vote
+from .members import Members, Out, Status
+from .order import Kind, Order, Scene, Settled, Sight, settle
+from .order import Out as Gone
+from .workfile import received
+
+WORK = b"work"
+AHEAD_MS = 60_000       # an order written further ahead of the clock than this is none
+ASK = 1 / 24            # of a lease: between two asks for what lacks of an order
+
+
+@dataclass(slots=True)
+class Look:
+    """What this front sees of places: by name their kind, zone and state; the load that each kind carries."""
+
+    places: dict[str, tuple[Kind, str, Sight]] = field(default_factory=dict)
+    load: dict[Kind, float] = field(default_factory=dict)
+    near: frozenset[frozenset[str]] = frozenset()
+
+
+class Works:
+    def __init__(self, own: int, members: Members, start_ms: int, lease: int, warms_ms: int,
+                 now: int) -> None:
+        self.own, self.members, self.start_ms, self.born = own, members, start_ms, now
+        self.lease, self.warms_ms = lease, warms_ms
+        self.grants = Grants(own, len(members.all), lease, now)
+        self.name = f"front {own}"
+        self.key = zlib.crc32(self.name.encode())
+        self.order: Order | None = None
+        self.raw, self.digest = b"", 0
+        self.coming: tuple[Have, dict[int, bytes], int] | None = None   # its parts so far, and who has it
+        self.asked = self.told = self.spread = now - lease
+        self.agrees = -1            # who said last that it has the same order
+        self.finished = 0           # of the order that is done with
+        self.settled = Settled()
+        self.resting: dict[int, int] = {}       # places out for work, by key: their start when they went
+        self.unfit = 0
+
+    # The order in force.
+
+    def take_up(self, order: Order, raw: bytes, now: int) -> bool:
+        """False for one that is no later than what is in force."""
+        digest = zlib.crc32(raw)
+        if order.asked_ms > self.unix_ms(now) + AHEAD_MS or not self.later(order.asked_ms, digest):
+            return False
+        self.order, self.raw, self.digest, self.coming = order, raw, digest, None
+        self.told = self.spread = now - self.lease
+        self.agrees = -1
+        return True
+
+    def later(self, asked_ms: int, digest: int) -> bool:
+        """Of two that were written at once one wins, the same everywhere."""
+        return (asked_ms, digest) > ((self.order.asked_ms, self.digest) if self.order else (0, 0))
+
+    def unix_ms(self, now: int) -> int:
+        return self.start_ms + (now - self.born) // 1_000_000
+
+    def have(self) -> Have:
+        return Have(self.order.asked_ms, self.digest, len(self.raw))
+
+    # Time.
+
+    def first(self) -> int | None:
+        """Who is to keep the table: by rendezvous over those that are alive and were not let go."""
+        out = {f"front {number}".encode(): number for number in self.members.sound()}
+        staying = [number for name, number in out.items() if zlib.crc32(name) not in self.grants.table]
+        return holder(WORK, staying or list(out.values()))
+
+    def turn(self, now: int, look: Callable[[], Look]) -> list[Out]:
+        wanted = bool(self.grants.table) or (
+            self.order is not None and self.finished < self.order.asked_ms)
+        spoken = self.grants.by in self.members.all and now - self.grants.heard < self.lease
+        first = self.first()
+        out = self.grants.turn(wanted and first == self.own and not self.members.leaving, now)
+        if self.grants.rules(now):
+            before = self.grants.version
+            self._settle(now, look())
+            if self.grants.version != before:
+                out += self.grants.turn(True, now)
+        holds = [one.to for one in out if isinstance(one.message, Hold)]
+        if self.order and holds and now - self.spread >= self.lease:
+            self.spread = now       # whoever began lately lacks it
+            out += [Out(to, self.have()) for to in holds]
+        elif self.order and wanted and not self.grants.leading and now - self.told >= self.lease / 6:
+            to = self.grants.by if spoken else first
+            if to is not None and to not in (self.own, self.agrees):
+                self.told = now
+                out.append(Out(to, self.have()))
+        out += self._ask(now)
+        self._rest()
+        return out
+
+    def scene(self, now: int, look: Look) -> Scene:
+        """All that is listed, with what the table holds to be out, whether a majority has it yet or not."""
+        unix_ms = self.unix_ms(now)
+        seen = {name: sight for name, (_, _, sight) in look.places.items()}
+        groups = {name: (kind, zone) for name, (kind, zone, _) in look.places.items()}
+        zones = {one.name: one.zone for one in self.order.machines} if self.order else {}
+        for number, one in self.members.all.items():
+            name = f"front {number}"
+            up = one.status <= Status.SUSPECT and one.start > 0
+            seen[name] = Sight(one.start, up, unix_ms - one.start >= self.warms_ms)
+            groups[name] = Kind.FRONT, zones.get(name, "")
+        names = {zlib.crc32(name.encode()): name for name in seen}
+        out = {names[key]: Gone(unix_ms - (now - gone.since) // 1_000_000, gone.start_ms)
+               for key, gone in self.grants.table.items() if key in names}
+        return Scene(unix_ms, seen, groups, out, look.load, look.near)
+
+    def _settle(self, now: int, look: Look) -> None:
+        """The keeper's part: who is seen back, who is called back, who goes."""
+        grants, scene = self.grants, self.scene(now, look)
+        for name, gone in list(scene.out.items()):
+            key, sight = zlib.crc32(name.encode()), scene.seen[name]
+            if sight.start_ms > gone.start_ms or (
+                    name.startswith("front ") and grants.heard_back(key, int(name[6:]), now)):
+                grants.forget(key, now)
+                del scene.out[name]
+        if self.order is None:
+            return
+        self.settled = settled = settle(self.order, scene)
+        for name in settled.back:
+            grants.call_back(zlib.crc32(name.encode()), now)
+        for name in settled.next:
+            grants.let_go(zlib.crc32(name.encode()), scene.seen[name].start_ms, now)
+        if settled.over and not grants.table and grants.committed == grants.version:
+            self.finished = self.order.asked_ms
+            grants.rest()
+
+    def _rest(self) -> None:
+        for key, gone in self.grants.out().items():
+            self.resting[key] = max(gone.start_ms, self.resting.get(key, 0))
+
+    def goes(self, now: int) -> bool:
+        """This front is let go, as far as it may believe."""
+        return self.grants.may_stay_out(self.key, self.start_ms, now)
+
+    # What comes.
+
+    def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+        if isinstance(message, Claim | Vote | Hold | Held):
+            out = self.grants.take(sender, message, now)
+            self._rest()
+            return out
+        if isinstance(message, Have):
+            return self._offered(sender, message, now)
+        if isinstance(message, Want):
+            begin = message.part * PART_BYTES
+            data = self.raw[begin:begin + PART_BYTES] if message.digest == self.digest else b""
+            return [Out(sender, Part(self.digest, message.part, data))] if data else []
+        self._came(message, now)
+        return self._ask(now)
+
+    def _offered(self, sender: int, have: Have, now: int) -> list[Out]:
+        if self.order and (have.asked_ms, have.digest) == (self.order.asked_ms, self.digest):
+            self.agrees = sender
+            return []
+        if not self.later(have.asked_ms, have.digest):
+            # Who offers an earlier one lacks this one.
+            return [Out(sender, self.have())] if self.grants.leading else []
+        possible = (0 < have.size <= MOST_PARTS * PART_BYTES
+                    and have.asked_ms <= self.unix_ms(now) + AHEAD_MS and have.digest != self.unfit)
+        if possible and (self.coming is None or (self.coming[0].asked_ms, self.coming[0].digest)
+                         <= (have.asked_ms, have.digest)):
+            parts = self.coming[1] if self.coming and self.coming[0] == have else {}
+            self.coming = have, parts, sender
+        return self._ask(now)
+
+    def _ask(self, now: int) -> list[Out]:
+        """For the parts that lack, a few at a time."""
+        if self.coming is None or now - self.asked < self.lease * ASK:
+            return []
+        have, parts, sender = self.coming
+        self.asked = now
+        lacking = [part for part in range(-(-have.size // PART_BYTES)) if part not in parts]
+        return [Out(sender, Want(have.digest, part)) for part in lacking[:8]]
+
+    def _came(self, part: Part, now: int) -> None:
+        if self.coming is None or part.digest != self.coming[0].digest:
+            return
+        have, parts, _ = self.coming
+        count = -(-have.size // PART_BYTES)
+        if part.part >= count or len(part.data) != min(PART_BYTES, have.size - part.part * PART_BYTES):
+            return
+        parts[part.part] = part.data
+        if len(parts) % 8 == 0:
+            self.asked = now - self.lease       # the next few need not wait
+        if len(parts) < count:
+            return
+        raw = b"".join(parts[place] for place in range(count))
+        self.coming = None
+        try:
+            order = received(raw)
+            if zlib.crc32(raw) != have.digest or order.asked_ms != have.asked_ms:
+                raise Unfit("not what was offered")
+            self.take_up(order, raw, now)
+        except Unfit:
+            self.unfit = have.digest    # it is not asked for again
+
+    def survey(self, now: int) -> dict[str, object]:
+        """For the log: who keeps the table, what is out, what is next and why not yet."""
+        names = {one.key: one.name for one in self.order.machines} if self.order else {}
+        return {"asked_ms": self.order.asked_ms if self.order else 0,
+                "finished": bool(self.order and self.finished >= self.order.asked_ms),
+                "term": self.grants.term, "by": self.grants.by, "keeper": self.grants.leading,
+                "out": sorted(names.get(key, f"{key:08x}") for key in self.grants.out()),
+                "done": len(self.settled.done),
+                "waiting": dict(list(self.settled.why.items())[:12]) if self.grants.leading else {},
+                "halted": {kind.name.lower(): why for kind, why in self.settled.halted.items()}
+                if self.grants.leading else {}}
--- /dev/null
+++ b/marbleglade/fleet/workshell.py
@@ -0,0 +1,121 @@
+"""Puts a front's part in an order of work between what it sees, its doors and the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..facade import Facade
+from ..front import Front
+from ..interface import Role, State
+from ..life import clock
+from ..life.assignment import Unfit
+from ..wire import workgrams
+from ..wire.workgrams import Workgram
+from .drain import Drain, Stage
+from .members import Out
+from .order import Kind, Sight, neighbours
+from .together import Together
+from .workfile import DEADLINE_MS, read
+from .works import Look, Works
+
+LEASE = 6       # beats of the fleet
+NEWS = ("asked_ms", "finished", "term", "by", "keeper", "out", "done", "halted")      # what is logged anew
+HOT = 16        # objects whose homes are looked at
+KINDS = {Role.CACHE: Kind.CACHE, Role.PARENT: Kind.PARENT}
+
+
+class Work:
+    def __init__(self, path: str, together: Together, start_ms: int, beat: int, facade: Facade, front: Front,
+                 say: Callable[..., None]) -> None:
+        self.path, self.facade, self.front, self.say = path, facade, front, say
+        self.together, self.drain = together, Drain()
+        warms_ms = facade.decisions.ground.cold_time // 1_000_000
+        self.works = Works(together.own, together.members, start_ms, LEASE * beat, warms_ms, clock.now())
+        self.rested: dict[int, int] = {}
+        self.said: dict[str, object] = {}
+        front.empty = lambda: self.drain.stage is Stage.EMPTY
+        self.reread()
+
+    def reread(self) -> None:
+        """Takes up the order in the file, where there is one."""
+        try:
+            with open(self.path, "rb"):
+                pass
+        except OSError:
+            return
+        try:
+            taken = self.works.take_up(*read(self.path), clock.now())
+            self.say("work", taken_up=taken)
+        except Unfit as trouble:
+            self.say("work", unfit=str(trouble))
+
+    def turn(self, now: int) -> list[Out]:
+        out = self.works.turn(now, self.look)
+        self.apply(now)
+        return out
+
+    @staticmethod
+    def encode(message: Workgram) -> bytes:
+        return workgrams.encode(message)
+
+    def heard(self, sender: int, data: bytes, now: int) -> list[Out] | None:
+        """A datagram; None if it is none of these."""
+        message = workgrams.decode(data)
+        return None if message is None else self.take(sender, message, now)
+
+    def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+        out = self.works.take(sender, message, now)
+        self.apply(now)
+        return out
+
+    def apply(self, now: int) -> None:
+        """What was settled, for the places and for this front."""
+        if self.works.resting != self.rested:
+            self.rested = dict(self.works.resting)
+            self.front.rest(self.rested)
+        self.empty(now)
+        told = self.works.survey(now)
+        news = {name: told[name] for name in NEWS}
+        if news != self.said:
+            self.said = news
+            self.say("work", **told)
+
+    def survey(self) -> dict[str, object]:
+        return self.works.survey(clock.now()) | {"stage": self.drain.stage.value}
+
+    @property
+    def going(self) -> bool:
+        return self.drain.stage is not Stage.SERVING
+
+    def empty(self, now: int) -> None:
+        """Runs the emptying of this front; often, as it has a deadline."""
+        goes, stage = self.works.goes(now), self.drain.stage
+        if not goes and stage is Stage.SERVING:
+            return
+        order = self.works.order
+        deadline = (order.deadline_ms if order else DEADLINE_MS) * 1_000_000
+        taken = self.front.counters.counts["retrieval.taken"]
+        if self.drain.turn(goes, deadline, taken, len(self.facade.open), now):
+            self.facade.last_call()
+        if self.drain.stage is not stage:
+            self.together.resting = self.going      # its duties pass to others
+            self.say("out", stage=self.drain.stage.value, open=len(self.facade.open))
+
+    def look(self) -> Look:
+        """Places as this front sees them."""
+        now, told, zones = clock.now(), Look(), self.front.places.around.zones
+        ground = self.facade.decisions.ground
+        for cache, place in self.front.places.by_cache.items():
+            if (kind := KINDS.get(cache.role)) is None:
+                continue
+            belief = cache.memory
+            up = cache.state is State.ACTIVE and not (belief and belief.shut > now)
+            zone = zones[cache.zone] if 0 <= cache.zone < len(zones) else ""
+            told.places[place.id] = kind, zone, Sight(
+                place.started_ms, up, not cache.born or now - cache.born >= ground.cold_time,
+                belief.link.slow(now) if belief else 1.0)
+        if load := self.front.crowd_seen():
+            told.load[Kind.CACHE] = load[0]
+        told.near = neighbours(self.facade.decisions.homes(HOT),
+                               lambda caches: [one.mark.decode() for one in caches])
+        return told
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -51,6 +51,8 @@
         # Where fronts may send one another datagrams: files what others may ask for, and what holds no more.
         self.told: Callable[[Hint], None] = lambda fact: None
         self.unsaid: Callable[[str], None] = lambda id: None
+        # Where fronts settle who is out for work: true while this one is, and has been emptied.
+        self.empty: Callable[[], bool] = lambda: False
 
     def take(self, ask: Ask) -> Retrieval:
         """A client's ask as the decisions know it."""
@@ -100,8 +102,12 @@
     def answer_now(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
         """Looks at a retrieval; its reply if the first decision is the last word, else `serve` goes on."""
         try:
-            self.hold(ask, retrieval)
-            final = self.facade.first(retrieval)
+            if self.empty():
+                self.counters.add("retrieval.out_for_work")
+                final = self.facade.refuse(retrieval)
+            else:
+                self.hold(ask, retrieval)
+                final = self.facade.first(retrieval)
             if final is None:
                 return None
             reply = self._reply(retrieval, final, None)
@@ -207,6 +213,13 @@
             self.facade.listed([cache], False)
             self.log.say("hint", index=hint.index, place=hint.id)
 
+    def rest(self, resting: dict[int, int]) -> None:
+        """Places that are out for work, by the sum of their names, with their starts when they went."""
+        if changed := self.places.rest(resting):
+            self.caches.outdated(changed)
+            self.facade.listed(changed, False)
+            self.log.say("resting", places=[self.places.by_cache[cache].id for cache in changed])
+
     def _purge(self, purge: Purge) -> None:
         now = clock.now()
         at = min(clock.from_unix_ms(purge.unix_ms), now)
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -50,7 +50,7 @@
                     lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
     front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
     clients = Clients(front, told.descriptors // 3, told.memory // 12, around.answer_slack,
-                      lambda: not stop.asked_at, clock.now, guard)
+                      lambda: not (stop.asked_at or (work and work.going)), clock.now, guard)
     for event in told.known:
         guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.follow, guard)
@@ -62,17 +62,20 @@
                       lambda: follower.heard_at, guard, told.peers_all)
         front.told, front.unsaid = peers.told, hearsay.unsaid
         work.append(peers.run)
-    fleet = None
+    fleet = work = None
     if peers and (text := os.environ.get("MARBLEGLADE_FLEET")) and told.peer_listen in told.peers:
         from ..fleet.reading import read as read_part
         from ..fleet.shell import Shell
 
-        fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, log.say)
+        fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, log.say,
+                      os.environ.get("MARBLEGLADE_WORK", ""))
+        work = fleet.work
 
     def tell() -> None:
         log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
                 cache_connections=caches.count, places=front.survey(),
-                **({"fleet": fleet.together.survey(clock.now())} if fleet else {}))
+                **({"fleet": fleet.together.survey(clock.now())} if fleet else {}),
+                **({"work": work.survey()} if work else {}))
 
     def leave() -> None:
         stop.ask(clock.now())
@@ -81,7 +84,13 @@
             guard.run("fleet", fleet.leave)
 
     renewals = Renewals(os.environ, told.fixed, follower, peers, log)
-    gevent.signal_handler(signal.SIGHUP, guard.run, "renewal", renewals.renew)
+
+    def renew() -> None:
+        guard.run("renewal", renewals.renew)
+        if work:
+            guard.run("renewal", work.reread)
+
+    gevent.signal_handler(signal.SIGHUP, renew)
     gevent.signal_handler(signal.SIGUSR1, tell)
     gevent.signal_handler(signal.SIGTERM, leave)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -104,6 +113,8 @@
                 guard.run("sweep", peers.turn)
             if fleet:
                 guard.run("fleet", fleet.turn)
+        if work and work.going:
+            guard.run("work", work.empty, clock.now())
         if stop.given_up(clock.now()):
             guard.run("last_call", facade.last_call)
         gevent.sleep(max(0, due - clock.now()) / 1e9)
--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,11 +24,27 @@
         self.around, self.from_unix_ms = around, from_unix_ms
         self.by_id: dict[str, Place] = {}
         self.by_cache: dict[Cache, Place] = {}
+        self.resting: dict[int, int] = {}       # out for work, by `key`: the start at which each went
 
     def role(self, kind: str) -> Role:
         kinds = self.around.kinds
         return self.around.role(kinds.index(kind)) if kind in kinds else Role.CACHE
 
+    def rests(self, id: str, started_ms: int) -> bool:
+        """It is out for work, until it is listed with a later start."""
+        return self.resting.get(zlib.crc32(id.encode()), -1) >= started_ms
+
+    def rest(self, resting: dict[int, int]) -> list[Cache]:
+        """Takes in what is out for work; gives the places that were not known to be."""
+        changed = []
+        for key, start in resting.items():
+            self.resting[key] = max(start, self.resting.get(key, start))
+        for place in self.by_id.values():
+            if place.cache.state is State.ACTIVE and self.rests(place.id, place.started_ms):
+                place.cache.state = State.LEAVING
+                changed.append(place.cache)
+        return changed
+
     def leaves(self, id: str, started_ms: int) -> Cache | None:
         """A place that another front was told to leave; None if this one knew, or knows a later start."""
         place = self.by_id.get(id)
@@ -55,6 +72,8 @@
             place.address, cache.role, cache.cell = member.address, self.role(member.kind), member.cell
             cache.zone = self.around.zones.index(member.zone) if member.zone in self.around.zones else -1
             cache.state = STATES[member.state]
+            if cache.state is State.ACTIVE and self.resting and self.rests(member.id, member.started_ms):
+                cache.state = State.LEAVING
             told.append(cache)
         if change.whole:
             for cache in self.by_cache.keys() - set(told):
--- a/marbleglade/standins/frontfleet.py
+++ b/marbleglade/standins/frontfleet.py
@@ -49,8 +49,9 @@
     """`count` fronts. With `together` they settle things among themselves, else each decides alone."""
 
     def __init__(self, count: int, folder: Path, seed: int, together: bool = True, boxes: int = 4,
-                 hubs: int = 2, beat_ms: int = 300, cold=None, store: Room | None = None) -> None:
-        self.count, self.folder, self.seed, self.together = count, folder, seed, together
+                 hubs: int = 2, beat_ms: int = 300, cold=None, store: Room | None = None,
+                 work: bool = False) -> None:
+        self.count, self.folder, self.seed, self.together, self.work = count, folder, seed, together, work
         clock, self.effects = RegionClock(), Counter()
         self.library = Library("store", clock, lambda thing: True)
         self.store = Place("root", self.library, effects=self.effects)
@@ -97,11 +98,22 @@
         environ = os.environ | {"GW_CONFIG": str(path)}
         if self.together:
             environ["MARBLEGLADE_FLEET"] = str(self.folder / "fleet.textproto")
+        if self.work:
+            environ["MARBLEGLADE_WORK"] = str(self.order_of(number))
         log = (self.folder / f"f{number}.{self.starts[number]}.log").open("wb")
         self.processes[number] = subprocess.Popen([sys.executable, "-O", "-m", "marbleglade"], stderr=log,
                                                   env=environ)
         log.close()
 
+    def order_of(self, number: int) -> Path:
+        """Where that front looks for an order of work."""
+        return self.folder / f"work{number}.textproto"
+
+    def give(self, number: int, order: str) -> None:
+        """An order of work, as operators give it: a file at one front, and SIGHUP."""
+        self.order_of(number).write_text(order)
+        self.signal(number, signal.SIGHUP)
+
     def ready(self, seconds: float = 20.0) -> None:
         """Until each answers its STATUS."""
         with gevent.Timeout(seconds):
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -1,9 +1,13 @@
 """The protocols of the fleet under a bounded exhaustive search: every order of messages, losses and time."""
 
+import copy
+
 import pytest
 
-from marbleglade.fleet import duties
+from marbleglade.fleet import duties, grants
 from marbleglade.fleet.duties import LEASE, Duty
+from marbleglade.fleet.grants import Grants, Vote
+from marbleglade.fleet.members import Out
 from marbleglade.standins.explore import explore
 
 PERIOD = 1
@@ -100,3 +104,167 @@
 @pytest.mark.parametrize("order", [lambda words: words, lambda words: words[::-1], lambda words: words * 2])
 def test_two_holders_become_one_once_they_hear_each_other(order):
     assert settled(order) == [True, False, False]
+
+
+LEASE_NS = 600
+
+
+class Words:
+    """Three fronts that let one another go, one at a time. One move is a word and its answer, either of which
+    may be lost or late; a front may begin anew, and time passes in steps that end some waits only."""
+
+    def __init__(self, moves, restarts=1, late=1):
+        self.now, self.left, self.restarts, self.most_late = LEASE_NS * 2, moves, restarts, late
+        self.fronts = [Grants(number, 3, LEASE_NS, 0) for number in range(3)]
+        for one in self.fronts:
+            one.mute = 0
+        self.starts = [1, 1, 1]
+        self.late = []
+
+    def __deepcopy__(self, memo):
+        other = copy.copy(self)
+        other.starts, other.late, other.fronts = list(self.starts), list(self.late), []
+        for front in self.fronts:
+            one = copy.copy(front)
+            one.table = {machine: copy.copy(gone) for machine, gone in front.table.items()}
+            one.acks = {number: copy.copy(ack) for number, ack in front.acks.items()}
+            one.sure, one.votes, one.stamps = dict(front.sure), dict(front.votes), dict(front.stamps)
+            other.fronts.append(one)
+        return other
+
+    def moves(self):
+        if self.left <= 0:
+            return []
+        some = [("wait",)]
+        for one, front in enumerate(self.fronts):
+            some += [("talk", one, other, answered) for other in range(3) if other != one
+                     for answered in (True, False)]
+            if front.rules(self.now):
+                some += [("go", one, machine) for machine in range(3) if not front.table]
+                some += [("back", one, machine) for machine, gone in front.table.items() if not gone.back]
+            if self.restarts:
+                some.append(("restart", one))
+        return some + [("late", place) for place in range(len(self.late))]
+
+    def do(self, move):
+        what, *told = move
+        self.left -= 1
+        if what == "wait":
+            self.now += int(LEASE_NS * 0.4)
+        elif what == "restart":
+            self.restarts -= 1
+            self.starts[told[0]] += 1
+            self.fronts[told[0]] = Grants(told[0], 3, LEASE_NS, self.now)
+        elif what == "go":
+            self.fronts[told[0]].let_go(told[1], self.starts[told[1]], self.now)
+        elif what == "back":
+            self.fronts[told[0]].call_back(told[1], self.now)
+        elif what == "late":
+            sender, to, message = self.late.pop(told[0])
+            self.fronts[to].take(sender, message, self.now)
+        else:
+            one, other, answered = told
+            front = self.fronts[one]
+            front.due = self.now
+            for out in front.turn(True, self.now):
+                if out.to != other:
+                    continue
+                for back in self.fronts[other].take(one, out.message, self.now):
+                    if answered:
+                        front.take(other, back.message, self.now)
+                    else:
+                        self.late = [*self.late, (other, one, back.message)][-self.most_late:]
+        for one in self.fronts:     # a front that was called back and heard it, or began anew, is in service
+            for machine in [*one.table] if one.leading else ():
+                gone = one.table[machine]
+                if one.heard_back(machine, machine, self.now) or gone.start_ms < self.starts[machine]:
+                    one.forget(machine, self.now)
+
+    def key(self):
+        def age(at):
+            return -1 if at is None or at < 0 else min(self.now - at, LEASE_NS * 2) * 5 // LEASE_NS
+
+        fronts = []
+        for one in self.fronts:
+            table = tuple((m, g.start_ms, g.number, bool(g.back)) for m, g in sorted(one.table.items()))
+            fronts.append((one.term, one.by, one.leading, one.version, one.committed, age(one.heard),
+                           age(one.backed), one.mute > self.now and one.mute - self.now, table,
+                           tuple((m, age(at)) for m, at in sorted(one.sure.items())),
+                           tuple((n, a.version, age(a.at)) for n, a in sorted(one.acks.items()))))
+        return self.left, tuple(fronts), tuple(self.starts), self.restarts, len(self.late)
+
+    def wrong(self):
+        out = [one for one in range(3) if self.fronts[one].may_stay_out(one, self.starts[one], self.now)]
+        return f"{out} are out at once" if len(out) > 1 else ""
+
+
+ELECTED = [("talk", 0, 1, True), ("talk", 0, 1, True)]
+LET_GO = [*ELECTED, ("go", 0, 1), ("talk", 0, 1, True), ("talk", 0, 1, True)]
+CALLED = [*LET_GO, ("back", 0, 1), ("wait",), ("talk", 0, 2, True), ("wait",), ("talk", 0, 2, True)]
+FOLLOWED = [*ELECTED, ("wait",), ("talk", 2, 1, True), ("talk", 2, 1, True), ("go", 2, 2),
+            ("talk", 2, 1, True), ("talk", 2, 1, True)]
+
+
+def begun(ways, moves=12):
+    """The search begins where it matters: with a keeper, one that is let go or called back, two keepers."""
+    model = Words(moves + len(ways))
+    for move in ways:
+        model.do(move)
+        assert not model.wrong()
+    return model
+
+
+@pytest.mark.parametrize("ways, states", [([], 3000), (LET_GO, 6000), (CALLED, 4000), (FOLLOWED, 4000)])
+def test_never_more_out_than_allowed_in_any_order_of_words_losses_and_restarts(ways, states):
+    found = explore(begun(ways), states)
+    assert not found.wrong and found.states > states and found.deepest > 2, (found.wrong, found.way)
+
+
+@pytest.mark.parametrize("ways, then", [
+    (LET_GO, [("back", 0, 1), ("talk", 0, 1, True), ("go", 0, 0), ("talk", 0, 2, True), ("wait",),
+              ("talk", 1, 0, True)]),
+    (FOLLOWED, [("back", 2, 2), ("go", 2, 1), ("wait",), ("talk", 1, 2, True), ("talk", 1, 2, True)])])
+def test_whom_one_keeper_called_back_no_later_one_lets_stay(ways, then):
+    """Both found by the search: a later keeper held the union of what its voters told, so a table that was
+    long replaced brought a machine back into it."""
+    model = begun(ways)
+    for move in then:
+        model.do(move)
+    assert not model.wrong()
+
+
+FAULTS = {
+    "votes at once after a restart": LET_GO,
+    "takes words of an earlier keeper": FOLLOWED,
+    "stays out without end": CALLED,
+    "a new keeper forgets what others hold": LET_GO,
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_the_search_finds_a_seeded_fault_in_grants(monkeypatch, fault):
+    if fault.startswith("votes"):
+        began = grants.Grants.__post_init__
+
+        def mute_no_more(self):
+            began(self)
+            self.mute = 0
+        monkeypatch.setattr(grants.Grants, "__post_init__", mute_no_more)
+    elif fault.startswith("takes"):
+        told = grants.Grants._told
+
+        def heed(self, sender, message, now):
+            self.term, self.by = 0, -1
+            return told(self, sender, message, now)
+        monkeypatch.setattr(grants.Grants, "_told", heed)
+    elif fault.startswith("stays"):
+        monkeypatch.setattr(grants, "STAYS", 100.0)
+    else:
+        claimed = grants.Grants._claimed
+
+        def forget(self, sender, claim, now):
+            said = claimed(self, sender, claim, now)
+            return [Out(one.to, Vote(one.message.term, (0, -1, 0), ())) for one in said]
+        monkeypatch.setattr(grants.Grants, "_claimed", forget)
+    found = explore(begun(FAULTS[fault]), 30_000)
+    assert found.wrong, found
