--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -50,7 +50,7 @@
                     lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
     front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
     clients = Clients(front, told.descriptors // 3, told.memory // 12, around.answer_slack,
-                      lambda: not (stop.asked_at or (work and work.going)), clock.now, guard)
+                      lambda: not (stop.asked_at or (orders and orders.going)), clock.now, guard)
     for event in told.known:
         guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.follow, guard)
@@ -62,20 +62,20 @@
                       lambda: follower.heard_at, guard, told.peers_all)
         front.told, front.unsaid = peers.told, hearsay.unsaid
         work.append(peers.run)
-    fleet = work = None
+    fleet = orders = None
     if peers and (text := os.environ.get("MARBLEGLADE_FLEET")) and told.peer_listen in told.peers:
         from ..fleet.reading import read as read_part
         from ..fleet.shell import Shell
 
         fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, log.say,
                       os.environ.get("MARBLEGLADE_WORK", ""))
-        work = fleet.work
+        orders = fleet.work
 
     def tell() -> None:
         log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
                 cache_connections=caches.count, places=front.survey(),
                 **({"fleet": fleet.together.survey(clock.now())} if fleet else {}),
-                **({"work": work.survey()} if work else {}))
+                **({"work": orders.survey()} if orders else {}))
 
     def leave() -> None:
         stop.ask(clock.now())
@@ -87,8 +87,8 @@
 
     def renew() -> None:
         guard.run("renewal", renewals.renew)
-        if work:
-            guard.run("renewal", work.reread)
+        if orders:
+            guard.run("renewal", orders.reread)
 
     gevent.signal_handler(signal.SIGHUP, renew)
     gevent.signal_handler(signal.SIGUSR1, tell)
@@ -113,8 +113,8 @@
                 guard.run("sweep", peers.turn)
             if fleet:
                 guard.run("fleet", fleet.turn)
-        if work and work.going:
-            guard.run("work", work.empty, clock.now())
+        if orders and orders.going:
+            guard.run("work", orders.empty, clock.now())
         if stop.given_up(clock.now()):
             guard.run("last_call", facade.last_call)
         gevent.sleep(max(0, due - clock.now()) / 1e9)
