--- a/benchmarks/simwork.py
+++ b/benchmarks/simwork.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
+from functools import lru_cache
+
 from marbleglade.fleet.drain import Drain, Stage
 from marbleglade.fleet.members import Ack, Members, Ping, PingFor
 from marbleglade.fleet.order import Kind, Order, Sight
@@ -119,7 +122,10 @@
 
     def work(self) -> None:
         """Boxes that all fronts leave alone are worked on, and begin anew."""
+        some = next(iter(self.fronts.values()), None)
         for name, box in self.boxes.items():
+            if box.up and (some is None or some.works.resting.get(_key(name), -1) < box.start_ms):
+                continue
             resting = [front for front in self.fronts.values()
                        if front.works.resting.get(_key(name), -1) >= box.start_ms]
             if box.up and resting and len(resting) == len(self.fronts):
@@ -144,7 +150,6 @@
                    > order.asked_ms for one in order.machines)
 
 
+@lru_cache(1 << 12)
 def _key(name: str) -> int:
-    import zlib
-
     return zlib.crc32(name.encode())
--- /dev/null
+++ b/benchmarks/work.py
@@ -0,0 +1,271 @@
+"""Orders of work settled by the fronts, beside a fixed list and beside a lock without leases or majority.
+
+(a) processes of the program under load, with faults drawn from the seed, worked through by an order; (b) the
+fleet's core on simulated time by the hundred; (c) the baselines. All figures come from stand-ins on loopback
+and from simulated machines. Exits with 1 where a rule broke.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import statistics
+import sys
+import time
+import zlib
+from collections import Counter
+
+import gevent
+
+from marbleglade.fleet.order import Cap, Kind, Machine, Order, Scene, Sight, plan
+from marbleglade.fleet.work_pb2 import WorkOrder
+from marbleglade.standins.airwaves import Airwaves
+from marbleglade.standins.clients import Client
+from marbleglade.standins.frontfleet import FrontFleet
+from marbleglade.standins.world import chance
+
+from .crew import Crew, order
+from .rig import Door, Stream, Tally, folder
+from .simwork import MS, S, SimWork
+
+OBJECTS = 200
+COLD = (0.2, 2.0, 3.0, 0.5, 120.0)
+FRONTS, BOXES, AT_ONCE = 9, 3, 3
+FLOOR = 0.6
+DEADLINE_MS, BEAT_MS = 1000, 200
+
+
+class Play:
+    """Real fronts, all of which and some caches are worked on under load and faults."""
+
+    def __init__(self, seed: int, longest: float) -> None:
+        self.seed, self.longest, self.folder = seed, longest, folder()
+        self.fleet = FrontFleet(FRONTS, self.folder, 300 + seed % 1000, cold=COLD, beat_ms=BEAT_MS, work=True)
+        self.tally, self.orders = Tally(), []
+        self.down: dict[int, list[list[float]]] = {n: [] for n in range(FRONTS)}
+        self.streams = [Stream(
+            Door(f"f{n}", "z", self.fleet.doors[n], seed % 991 + n,
+                 lambda at, end, n=n: self.alive(n, at, end)),
+            self.tally, seed * 100 + n, 8.0, lambda k, n=n: (self.thing(k * 97 + n), True))
+            for n in range(FRONTS)]
+        self.served_least = FRONTS
+
+    def alive(self, number: int, at: float, end: float) -> bool:
+        return all(end < begin or at > over for begin, over in self.down[number])
+
+    def went_down(self, number: int) -> None:
+        self.down[number].append([time.monotonic() - 0.1, time.monotonic() + 3600])
+
+    def came_back(self, number: int) -> None:
+        self.down[number][-1][1] = time.monotonic() + 0.2
+
+    def thing(self, number: int) -> int:
+        place = int(chance(self.seed, "thing", number) ** 3 * OBJECTS)
+        return int(chance(self.seed, "object", place) * 2**56) << 2 | (place % 4 == 0) * 3
+
+    def effect(self, number: int) -> None:
+        """Something that must not happen twice, at a front that may be on its way out."""
+        try:
+            client = Client(self.fleet.doors[number % FRONTS], 700 + number)
+        except OSError:
+            return
+        self.orders.append(client.ask("orders", 99, patience=2000, body=b"%d" % number))
+        client.close()
+
+    def cancel(self) -> float:
+        """Calls a front back that is being emptied; ms until it is in service, by its own log."""
+        self.fleet.give(0, order([4], deadline_ms=20_000))
+        self.until(lambda: self.crew.stage(4) == "emptying", 12)
+        began = time.time() * 1000
+        self.fleet.give(0, order(withdrawn=True))
+        self.until(lambda: self.crew.stage(4) == "serving", 5)
+        back = [one["at"] for one in self.fleet.events(4)
+                if one["event"] == "out" and one["stage"] == "serving"]
+        return back[-1] - began
+
+    @staticmethod
+    def until(holds, seconds: float) -> bool:
+        end = time.monotonic() + seconds
+        while not holds() and time.monotonic() < end:
+            gevent.sleep(0.05)
+        return holds()
+
+    def run(self) -> Play:
+        self.fleet.ready()
+        loops = [gevent.spawn(one.run) for one in self.streams]
+        self.crew = Crew(self.fleet, self.went_down, self.came_back)
+        begin = time.monotonic()
+        gevent.sleep(2.5)
+        self.before = self.tally.service(begin + 0.5, begin + 2.5)
+        self.cancelled = self.cancel()
+        between = self.fleet.between
+        between.lost = (0.0, 0.1, 0.3)[int(chance(self.seed, "lost") * 3)]
+        cut_at = 4 + 4 * chance(self.seed, "cut")
+        parts = 2 + int(chance(self.seed, "parts") * 2)
+        began = self.began = time.monotonic()
+        limits = f"most: {AT_ONCE} kind: FRONT", "most: 1 kind: CACHE"
+        self.fleet.give(1, order(range(FRONTS), range(BOXES), limits, deadline_ms=DEADLINE_MS).replace(
+            "floor: 0.3", f"floor: {FLOOR}"))
+        done, count, cut = False, 0, False
+        while not done and time.monotonic() - began < self.longest:
+            gevent.sleep(0.1)
+            at = time.monotonic() - began
+            if not cut and at > cut_at:
+                cut = True
+                between.cut = lambda a, b: a % parts != b % parts
+                gevent.spawn_later(1.5, setattr, between, "cut", lambda a, b: False)
+            if int(at * 4) > count:
+                count = int(at * 4)
+                gevent.spawn(self.effect, count)
+            serving = sum(self.crew.stage(n) != "empty" for n in self.fleet.processes)
+            self.served_least = min(self.served_least, serving)
+            done = len(set(self.crew.log)) == FRONTS + BOXES and not self.crew.busy and (
+                len(self.crew.boxes_back) == BOXES)
+        self.total = time.monotonic() - began
+        gevent.sleep(0.5)
+        self.share = self.tally.service(began, began + self.total)
+        gevent.killall(loops)
+        for one in self.streams:
+            one.finish()
+        self.broken = sum(one.door.broken() for one in self.streams)
+        for one in self.streams:
+            one.door.close()
+        self.crew.loop.kill()
+        self.overruns, self.waits = self.from_logs()
+        self.wrong = self.fleet.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+        return self
+
+    def from_logs(self) -> tuple[list[float], list[float]]:
+        """Ms by which emptying took longer than it may; ms from the order to each grant."""
+        over, waits = [0.0], []
+        for number in range(FRONTS):
+            begun, asked = None, 0
+            for one in self.fleet.events(number):
+                if one["event"] == "work" and one.get("asked_ms"):
+                    asked = asked or one["at"]
+                if one["event"] == "out" and one["stage"] == "emptying":
+                    begun = one["at"]
+                    waits.append(begun - asked)
+                elif one["event"] == "out" and one["stage"] == "empty" and begun:
+                    over.append(one["at"] - begun - DEADLINE_MS)
+        return over, waits
+
+    def rules(self) -> Counter:
+        fallen = sum(one.fallen for one in (*self.fleet.boxes, *self.fleet.hubs))
+        twice = sum(n - 1 for n in self.fleet.effects.values() if n > 1)
+        allowed = AT_ONCE + 1
+        return Counter(lost=self.tally.lost, doubled=self.broken, double_effects=twice, cold_fallen=fallen,
+                       stale=self.tally.stale + self.tally.spoilt, sent_to_resting=self.crew.sent,
+                       split_grants=max(0, self.crew.worst - allowed),
+                       floor_broken=int(self.served_least < FLOOR * FRONTS), wrong=len(self.wrong))
+
+
+def simulated(seed: int, fronts: int, boxes: int, at_once: int) -> dict:
+    """The core alone, with losses and a cut; every machine once."""
+    world = SimWork(fronts, boxes, seed)
+    world.air.lost = 0.05
+    world.run(8)
+    text = WorkOrder(asked_ms=world.unix_ms(), floor=0.5, deadline_ms=1000)
+    for number in range(fronts):
+        text.job.add(front=number)
+    for name in world.boxes:
+        text.job.add(place=name, zone="z")
+    for kind in (Kind.FRONT, Kind.CACHE):
+        text.limit.add(most=at_once, kind=kind)
+    from marbleglade.fleet.workfile import order_of
+    told = order_of(text)
+    world.give(seed % fronts, told, zlib.compress(text.SerializeToString(deterministic=True), 9))
+    began, count = world.now, fronts + boxes
+    world.work_bytes = 0
+    cut = began + 10 * S, began + 14 * S
+    world.air.cut = lambda a, b: cut[0] < world.now < cut[1] and (a % 3 == 0) != (b % 3 == 0)
+    while world.done(told) < count and world.now - began < 900 * S:
+        world.run(1)
+    return {"machines": count, "done": world.done(told), "worst": world.out_worst, "allowed": 2 * at_once,
+            "total_s": (world.now - began) / S, "bytes": world.work_bytes / count}
+
+
+def one_by_one(fronts: int, boxes: int, takes_ms: int, warms_ms: int, at_once: int) -> tuple[float, float]:
+    """Seconds of a fixed list, each after the last is warm; and of the settled order without any fault."""
+    machines = tuple(Machine(f"front {n}", Kind.FRONT) for n in range(fronts)) + tuple(
+        Machine(f"box{n}", Kind.CACHE, "z") for n in range(boxes))
+    seen = {one.name: Sight(1) for one in machines}
+    groups = {one.name: (one.kind, one.zone) for one in machines}
+    found = []
+    for caps in ((Cap(1),), (Cap(at_once, Kind.FRONT), Cap(at_once, Kind.CACHE))):
+        scene = Scene(10**12 + 1000, dict(seen), groups)
+        steps, _ = plan(Order(10**12, machines, caps, 0.5), scene, lambda one: takes_ms, warms_ms)
+        found.append((max(step.back_ms for step in steps) + warms_ms) / 1000)
+    return found[0], found[1]
+
+
+def lock_without_majority(seed: int, fronts: int) -> int:
+    """The worst number out at once where a front goes as soon as nobody that it hears says that it is out,
+    and the fleet is cut in two for a while. One is allowed."""
+    heard: dict[int, dict[int, int]] = {n: {} for n in range(fronts)}
+    out: dict[int, int] = {}
+    done: set[int] = set()
+
+    def deliver(to: int, sender: int, data: bytes, now: int) -> None:
+        heard[to][sender] = now
+
+    air = Airwaves(seed, deliver)
+    now, worst = 0, 0
+    air.cut = lambda a, b: 4 * S < now < 12 * S and a % 2 != b % 2
+    while now < 40 * S:
+        now += 50 * MS
+        air.pass_on(now)
+        for number in range(fronts):
+            if number in out and now > out[number]:
+                del out[number]
+                done.add(number)
+            if number in out and now % (250 * MS) == 0:
+                for to in range(fronts):
+                    if to != number:
+                        air.send(number, to, b"out", now)
+            said = any(now - at < S for at in heard[number].values())
+            turn = now % (fronts * S // 4) == number * S // 4
+            if turn and number not in out and number not in done and not said:
+                out[number] = now + 3 * S
+        worst = max(worst, len(out))
+    return worst
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=11)
+    parser.add_argument("--quick", action="store_true", help="ends within 45 s")
+    told = parser.parse_args()
+    fronts, at_once = (30, 4) if told.quick else (200, 10)
+    sim = simulated(told.seed, fronts, fronts, at_once)
+    lists, settled = one_by_one(fronts, fronts, 2500, 2000, at_once)
+    print(f"simulated: {sim['done']} of {sim['machines']} machines in {sim['total_s']:.0f} s with losses "
+          f"and a cut, planned {settled:.0f} s, one by one {lists:.0f} s; at most {sim['worst']} out, "
+          f"{sim['allowed']} allowed; {sim['bytes']:.0f} B of datagrams a machine")
+    lock = lock_without_majority(told.seed, 9)
+    print(f"a lock without leases or majority, cut in two: {lock} out at once, 1 allowed")
+    play = Play(told.seed, 26 if told.quick else 90).run()
+    rules = play.rules()
+    print(f"processes: {len(set(play.crew.log))} of {FRONTS + BOXES} in {play.total:.1f} s, served "
+          f"{play.share:.3f} ({play.before:.3f} before), {dict(rules)}", play.tally.notes[:2], play.wrong[:2])
+    line = {"machines": sim["machines"], "done": sim["done"],
+            **{name: rules[name] for name in ("lost", "doubled", "double_effects", "cold_fallen", "stale",
+                                              "sent_to_resting")},
+            "out_at_once_worst": max(play.crew.worst, 0), "out_allowed": AT_ONCE + 1,
+            "split_grants": rules["split_grants"] + max(0, sim["worst"] - sim["allowed"]),
+            "floor_broken": rules["floor_broken"], "cancel_to_service_ms_worst": play.cancelled,
+            "deadline_overrun_ms_worst": max(play.overruns), "served_share": play.share,
+            "served_share_before": play.before, "total_s": sim["total_s"], "total_s_one_by_one": lists,
+            "grant_wait_ms_median": statistics.median(play.waits or [0]), "bytes_per_machine": sim["bytes"],
+            "lock_out_at_once": lock, "processes_done": len(set(play.crew.log))}
+    print(json.dumps({key: round(value, 4) for key, value in line.items()}))
+    whole = sim["done"] == sim["machines"] and len(set(play.crew.log)) == FRONTS + BOXES
+    return int(any(line[key] for key in ("lost", "doubled", "double_effects", "cold_fallen", "stale",
+                                         "sent_to_resting", "split_grants", "floor_broken"))
+               or rules["wrong"] > 0 or not whole or lock < 2)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/marbleglade/fleet/grants.py
+++ b/marbleglade/fleet/grants.py
@@ -62,13 +62,13 @@
     committed: int
     stamp: int              # the keeper's number of this word
     echo: int               # the last stamp that came from whom this goes to
-    entries: tuple[Entry, ...]
+    entries: tuple[Entry, ...] | None       # None: as that member has it
 
 
 @dataclass(slots=True, frozen=True)
 class Held:
     term: int
-    version: int
+    version: int            # that it has; 0: not this table
     stamp: int              # of the word that this answers
     word: int               # this front's own stamp
 
@@ -92,6 +92,7 @@
     version: int = 0
     at: int = -1            # when the word was sent that this member answered last
     word: int = 0
+    stamp: int = 0          # that word's
 
 
 @dataclass(slots=True)
@@ -210,8 +211,9 @@
         return self.stamp
 
     def _hold(self, to: int, now: int) -> Hold:
+        ack = self.acks.setdefault(to, Ack())
         return Hold(self.term, self.version, self.committed if self.rules(now) else 0, self._said(now),
-                    self.acks.setdefault(to, Ack()).word, self.entries(now))
+                    ack.word, None if ack.version == self.version else self.entries(now))
 
     def _chosen(self, now: int) -> None:
         if self.leading or len(self.votes) * 2 <= self.count:
@@ -252,7 +254,8 @@
         elif self.leading and message.term == self.term and message.stamp in self.stamps:
             ack, before = self.acks.setdefault(sender, Ack()), self.committed
             ack.at = max(ack.at, self.stamps[message.stamp])
-            ack.version, ack.word = max(ack.version, message.version), max(ack.word, message.word)
+            if message.stamp >= ack.stamp:      # one that began anew has it no more
+                ack.stamp, ack.version, ack.word = message.stamp, message.version, message.word
             self._count(now)
             if self.committed > before:
                 self.due = now      # who waits for it is told at once
@@ -292,12 +295,15 @@
             return []
         self._follow(told.term, sender)
         self.heard = now
-        if told.version >= self.version:
+        has = self.held == (told.term, sender, told.version)
+        if told.entries is not None and told.version >= self.version:
             self.version, self.held = told.version, (told.term, sender, told.version)
             self.table = {one.machine: Gone(one.start_ms, one.number, now - one.age_ms * 1_000_000,
                                             int(one.back)) for one in told.entries}
             self.sure = {machine: at for machine, at in self.sure.items()
                          if machine in self.table and not self.table[machine].back}
+            has = True
+        if has:
             self.committed = max(self.committed, min(told.committed, self.version))
             # It was sent after the word of ours that it echoes; the lease counts from when that went out.
             if told.committed and (at := self.stamps.get(told.echo)) is not None:
@@ -306,4 +312,4 @@
                         self.sure[machine] = max(at, self.sure.get(machine, at))
         if now < self.mute:
             return []
-        return [Out(sender, Held(told.term, self.version, told.stamp, self._said(now)))]
+        return [Out(sender, Held(told.term, told.version if has else 0, told.stamp, self._said(now)))]
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -9,6 +9,7 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from ..life.assignment import Unfit
 from ..wire.workgrams import MOST_PARTS, PART_BYTES, Have, Part, Want, Workgram
@@ -33,6 +34,11 @@
     near: frozenset[frozenset[str]] = frozenset()
 
 
+@lru_cache(1 << 14)
+def _key(number: int) -> int:
+    return zlib.crc32(b"front %d" % number)
+
+
 class Works:
     def __init__(self, own: int, members: Members, start_ms: int, lease: int, warms_ms: int,
                  now: int) -> None:
@@ -40,12 +46,13 @@
         self.lease, self.warms_ms = lease, warms_ms
         self.grants = Grants(own, len(members.all), lease, now)
         self.name = f"front {own}"
-        self.key = zlib.crc32(self.name.encode())
+        self.key = _key(own)
         self.order: Order | None = None
         self.raw, self.digest = b"", 0
         self.coming: tuple[Have, dict[int, bytes], int] | None = None   # its parts so far, and who has it
         self.asked = self.told = self.spread = now - lease
         self.agrees = -1            # who said last that it has the same order
+        self.looked, self.keeps = now - lease, None     # when, and who is to keep the table
         self.finished = 0           # of the order that is done with
         self.settled = Settled()
         self.resting: dict[int, int] = {}       # places out for work, by key: their start when they went
@@ -75,17 +82,21 @@
 
     # Time.
 
-    def first(self) -> int | None:
+    def first(self, now: int) -> int | None:
         """Who is to keep the table: by rendezvous over those that are alive and were not let go."""
-        out = {f"front {number}".encode(): number for number in self.members.sound()}
-        staying = [number for name, number in out.items() if zlib.crc32(name) not in self.grants.table]
-        return holder(WORK, staying or list(out.values()))
+        if now - self.looked >= self.lease * ASK:
+            self.looked, sound = now, self.members.sound()
+            staying = [number for number in sound if _key(number) not in self.grants.table]
+            self.keeps = holder(WORK, staying or sound)
+        return self.keeps
 
     def turn(self, now: int, look: Callable[[], Look]) -> list[Out]:
         wanted = bool(self.grants.table) or (
             self.order is not None and self.finished < self.order.asked_ms)
+        if not (wanted or self.grants.leading or self.coming):
+            return []
         spoken = self.grants.by in self.members.all and now - self.grants.heard < self.lease
-        first = self.first()
+        first = self.first(now)
         out = self.grants.turn(wanted and first == self.own and not self.members.leaving, now)
         if self.grants.rules(now):
             before = self.grants.version
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -61,7 +61,8 @@
             data += _entries(entries)
         case Hold():
             data = HEAD.pack(VERSION, HOLD, message.stamp) + HOLDS.pack(
-                message.term, message.version, message.committed, message.echo) + _entries(message.entries)
+                message.term, message.version, message.committed, message.echo)
+            data += b"" if message.entries is None else _entries(message.entries)
         case Held():
             data = HEAD.pack(VERSION, HELD, message.stamp) + HELDS.pack(
                 message.term, message.version, message.word)
@@ -96,6 +97,9 @@
         entries = _read(rest[TABLE.size:])
         held = (of, -1 if by == NOBODY else by, at)
         return Vote(number, held, entries) if entries is not None else None
+    if kind == HOLD and len(rest) == HOLDS.size:
+        term, at, committed, echo = HOLDS.unpack(rest)
+        return Hold(term, at, committed, number, echo, None)
     if kind == HOLD and len(rest) > HOLDS.size:
         term, at, committed, echo = HOLDS.unpack_from(rest)
         entries = _read(rest[HOLDS.size:])
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -42,6 +42,9 @@
         for number in numbers:
             self.down[number].append((time.monotonic() - 0.1, time.monotonic() + 3600))
 
+    def came_back(self, number):
+        self.down[number][-1] = self.down[number][-1][0], time.monotonic() + 0.2
+
     def boost(self, factor):
         for one in self.streams:
             one.boost = factor
