Orders of work: another list of fronts, a place listed no more, a zone lost while fronts are out

Cause, by reading the keeper's part again: Grants.count stood still when SIGHUP changed `peers`, so a majority was counted of the old list; and a place that the coordinator dropped while it was out stayed in the table for good, and the order never ended. Change: a list of another length is waited out for a lease; what is listed no more is forgotten by the keeper, while each front still leaves it alone until a later start.

--- a/benchmarks/simwork.py
+++ b/benchmarks/simwork.py
@@ -53,6 +53,8 @@
         self.wrong: list[str] = []
         self.went: list[tuple[int, str]] = []
         self.never: set[str] = set()            # machines that do not come back
+        self.open = 0                           # retrievals open at each front
+        self.load: dict[Kind, float] = {}
         for number in range(count):
             self.start(number)
 
@@ -89,7 +91,8 @@
     def look(self) -> Look:
         unix = self.unix_ms()
         return Look({name: (Kind.CACHE, "z", Sight(
-            box.start_ms, box.up, unix - box.start_ms >= self.warms_ms)) for name, box in self.boxes.items()})
+            box.start_ms, box.up, unix - box.start_ms >= self.warms_ms)) for name, box in self.boxes.items()},
+            self.load)
 
     def run(self, seconds: float, each=lambda: None) -> None:
         end = self.now + int(seconds * S)
@@ -112,7 +115,7 @@
     def empty(self, number: int, front: Front) -> None:
         order = front.works.order
         deadline = (order.deadline_ms if order else 1000) * MS
-        front.drain.turn(front.works.goes(self.now), deadline, 0, 0, self.now)
+        front.drain.turn(front.works.goes(self.now), deadline, 0, self.open, self.now)
         front.emptied = front.emptied if front.drain.stage is Stage.EMPTY else self.now
         # Whoever works on it ends it a little later, if it is still out then.
         if front.drain.stage is Stage.EMPTY and self.now - front.emptied > S // 2:
--- a/marbleglade/fleet/grants.py
+++ b/marbleglade/fleet/grants.py
@@ -189,6 +189,11 @@
         self._chosen(now)
         return [Out(number, Claim(self.term)) for number in range(self.count) if number != self.own]
 
+    def resize(self, count: int, now: int) -> None:
+        """The list of members has another length, so a majority is another: earlier words don't count."""
+        self.count, self.mute, self.leading = count, now + self.lease, False
+        self.votes, self.acks = {}, {}
+
     def rest(self) -> None:
         """It goes out itself, or the work is done: another may be chosen."""
         self.leading = False
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -91,6 +91,8 @@
         return self.keeps
 
     def turn(self, now: int, look: Callable[[], Look]) -> list[Out]:
+        if len(self.members.all) != self.grants.count:
+            self.grants.resize(len(self.members.all), now)
         wanted = bool(self.grants.table) or (
             self.order is not None and self.finished < self.order.asked_ms)
         if not (wanted or self.grants.leading or self.coming):
@@ -141,6 +143,9 @@
                     name.startswith("front ") and grants.heard_back(key, int(name[6:]), now)):
                 grants.forget(key, now)
                 del scene.out[name]
+        listed = {zlib.crc32(name.encode()) for name in scene.seen}
+        for key in [key for key in grants.table if key not in listed]:
+            grants.forget(key, now)     # the coordinator lists it no more, so nobody uses it
         if self.order is None:
             return
         self.settled = settled = settle(self.order, scene)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -332,6 +332,49 @@
     assert one.asked_ms == other.asked_ms
 
 
+def test_a_place_that_is_listed_no_more_holds_up_nobody():
+    world = SimWork(5, 4, 8)
+    world.never = {"box1"}
+    world.run(8)
+    told = given(world, *(f"box{n}" for n in range(4)), caps=(Cap(1, Kind.CACHE),))
+    world.run(60)
+    assert world.done(told) < 4 and not world.boxes["box1"].up
+    del world.boxes["box1"]
+    world.run(60)
+    assert sum(one.start_ms > told.asked_ms for one in world.boxes.values()) == 3
+
+
+def test_a_list_of_another_length_makes_another_majority_and_is_waited_out():
+    one = grants.Grants(0, 3, 1000, ERA - 1000)
+    one.turn(True, ERA)
+    one.take(1, Vote(1, (0, -1, 0), ()), ERA)
+    assert one.leading
+    one.resize(5, ERA)
+    assert not one.leading and one.turn(True, ERA + 900) == []
+    one.turn(True, ERA + 1000)
+    one.take(1, Vote(2, (0, -1, 0), ()), ERA + 1000)
+    assert not one.leading      # two of five are no majority
+    one.take(2, Vote(2, (0, -1, 0), ()), ERA + 1000)
+    assert one.leading
+
+
+def test_a_zone_that_is_lost_and_a_load_that_rises_stop_what_would_go_next():
+    world = SimWork(6, 6, 9)
+    world.open, world.load = 1, {Kind.CACHE: 0.9}
+    world.run(8)
+    names = [f"front {n}" for n in range(6)]
+    given(world, *names, *world.boxes, caps=(Cap(2),), floor=0.6, deadline_ms=20_000)
+    world.run(4)
+    going = [n for n, one in world.fronts.items() if one.drain.stage is Stage.EMPTYING]
+    assert len(going) == 2
+    lost = next(n for n in world.fronts if n not in going)
+    world.kill(lost)
+    world.run(12)       # three of six would serve: one of the two comes back, and nobody else goes
+    assert len([n for n, one in world.fronts.items() if one.drain.stage is Stage.EMPTYING]) == 1
+    assert not any(one.works.resting for one in world.fronts.values() if set(one.works.resting) - {
+        other.works.key for other in world.fronts.values()})
+
+
 def test_a_front_that_voted_before_it_restarted_gives_no_word_until_a_lease_is_over():
     one = grants.Grants(1, 3, 1000, ERA)
     assert one.take(0, Claim(1), ERA + 999) == []
