--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/workshell.py
@@ -52,6 +52,11 @@
     def turn(self, now: int) -> list[Out]:
         out = self.works.turn(now, self.look)
         self.apply(now)
+        told = self.works.survey(now)
+        news = {name: told[name] for name in NEWS}
+        if news != self.said:
+            self.said = news
+            self.say("work", **told)
         return out
 
     @staticmethod
@@ -74,11 +79,6 @@
             self.rested = dict(self.works.resting)
             self.front.rest(self.rested)
         self.empty(now)
-        told = self.works.survey(now)
-        news = {name: told[name] for name in NEWS}
-        if news != self.said:
-            self.said = news
-            self.say("work", **told)
 
     def survey(self) -> dict[str, object]:
         return self.works.survey(clock.now()) | {"stage": self.drain.stage.value}
