--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/shell.py
@@ -34,6 +34,11 @@
         peers.other = self.take
         peers.renewed = lambda: self.together.members.renew(len(peers.order))
 
+    def reread(self) -> None:
+        """Takes up a new order of work at once."""
+        self.work.reread()
+        self.send(self.work.turn(clock.now()))
+
     def turn(self) -> None:
         self.send(self.together.turn(clock.now(), self.facade.seen, self.crowd))
         self.file()
--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/workshell.py
@@ -69,9 +69,11 @@
         return None if message is None else self.take(sender, message, now)
 
     def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+        before = self.works.order
         out = self.works.take(sender, message, now)
         self.apply(now)
-        return out
+        # A new order may call somebody back: that does not wait for the next turn.
+        return out if self.works.order is before else out + self.turn(now)
 
     def apply(self, now: int) -> None:
         """What was settled, for the places and for this front."""
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -88,7 +88,7 @@
     def renew() -> None:
         guard.run("renewal", renewals.renew)
         if orders:
-            guard.run("renewal", orders.reread)
+            guard.run("renewal", fleet.reread)
 
     gevent.signal_handler(signal.SIGHUP, renew)
     gevent.signal_handler(signal.SIGUSR1, tell)
