--- a/benchmarks/crew.py
+++ b/benchmarks/crew.py
@@ -9,12 +9,12 @@
 
 
 def order(fronts=(), boxes=(), limits=("most: 1 kind: FRONT", "most: 1 kind: CACHE"), asked=None,
-          deadline_ms=1500, takes_ms=30_000, withdrawn=False, after=None):
+          deadline_ms=1500, takes_ms=30_000, withdrawn=False, after=None, floor=0.3):
     """The text of an order."""
     jobs = [f"job {{ front: {number} takes_ms: {takes_ms} }}" for number in fronts]
     jobs += [f'job {{ place: "box{number}" zone: "z" takes_ms: {takes_ms} '
              + (f'after: "{after}" }}' if after else "}") for number in boxes]
-    return (f"asked_ms: {asked or int(time.time() * 1000)} floor: 0.3 deadline_ms: {deadline_ms} "
+    return (f"asked_ms: {asked or int(time.time() * 1000)} floor: {floor} deadline_ms: {deadline_ms} "
             f"withdrawn: {str(withdrawn).lower()} {' '.join(jobs)} "
             + " ".join(f"limit {{ {one} }}" for one in limits))
 
@@ -29,19 +29,22 @@
         self.loop = gevent.spawn(self.run)
         self.busy = set()
 
+    def said(self, number, event):
+        """The lines of an event in a front's present start."""
+        lines = self.fleet.log(number).read_bytes().splitlines()
+        return [one for one in lines if b'"event":"%b"' % event in one]
+
     def stage(self, number):
-        """Where a front says that it is, by the last line of its present start."""
-        path = self.fleet.folder / f"f{number}.{self.fleet.starts[number]}.log"
-        lines = [one for one in path.read_bytes().splitlines() if b'"event":"out"' in one]
+        """Where a front says that it is, by its last line."""
+        lines = self.said(number, b"out")
         return next((word for word in ("serving", "emptying", "empty")
                      if lines and b'"stage":"%b"' % word.encode() in lines[-1]), "serving")
 
     def resting(self, box):
         """That every front that runs leaves it alone."""
         name = b'"%b"' % box.id.encode()
-        return all(any(b'"event":"resting"' in line and name in line for line in (
-            self.fleet.folder / f"f{number}.{self.fleet.starts[number]}.log").read_bytes().splitlines())
-            for number in self.fleet.processes)
+        return all(any(name in line for line in self.said(number, b"resting"))
+                   for number in self.fleet.processes)
 
     def run(self):
         while True:
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -16,17 +16,15 @@
 
 import gevent
 
-from marbleglade.standins.clients import Client
 from marbleglade.standins.frontfleet import FrontFleet
 from marbleglade.standins.places import Room
 from marbleglade.standins.world import chance
 
-from .rig import Door, Stream, Tally, folder
+from .rig import Load, broken_rules, effect, folder
 from .simfleet import SimWorld
 
 WAYS = ("together", "alone", "knowing")
 TROUBLES = ("slow", "hung", "erring")
-OBJECTS = 300
 COLD = (0.2, 3.0, 3.0, 0.5, 120.0)
 BAD, HURT, FLOOD, DEATH, END = 2.0, 6.0, 8.0, 10.5, 15.0   # seconds: trouble, its end, load, deaths, end
 
@@ -39,49 +37,22 @@
         self.trouble = ("slow", "silent", "fails")[int(chance(seed, "trouble") * 3)]
         self.fleet = FrontFleet(count, self.folder, 100 + seed % 1000, together=way == "together", cold=COLD,
                                 store=Room(max(4, count), falls=2.5, within=0.5))
-        self.tally, self.orders = Tally(), []
-        self.down: dict[int, float] = {}
-        self.streams = [Stream(
-            Door(f"f{n}", "z", self.fleet.doors[n], seed % 997 + n,
-                 lambda at, end, n=n: not self.died(n, end)),
-            self.tally, seed * 100 + n, rate, lambda k, n=n: (self.thing(k * 97 + n), True))
-            for n in range(count)]
-
-    def died(self, number: int, end: float) -> bool:
-        return number in self.down and end > self.down[number] - 0.1
-
-    def thing(self, number: int) -> int:
-        place = int(chance(self.seed, "thing", number) ** 3 * OBJECTS)
-        return int(chance(self.seed, "object", place) * 2**56) << 2 | (place % 4 == 0) * 3
-
-    def order(self, number: int) -> None:
-        """Something that must not happen twice."""
-        try:
-            client = Client(self.fleet.doors[number % self.count], 900 + number)
-        except OSError:
-            return
-        self.orders.append(client.ask("orders", 77, patience=2000, body=b"%d" % number))
-        client.close()
+        self.rate = rate
 
     def run(self) -> Play:
         self.fleet.ready()
-        loops = [gevent.spawn(one.run) for one in self.streams]
+        load = self.load = Load(self.fleet, self.seed, [self.rate] * self.count)
         gevent.sleep(1.0)
         self.began = began = time.monotonic()
         bad, dying = self.fleet.boxes[int(chance(self.seed, "box") * 4)], list(range(self.count))[::2]
-        steps = [(0.1 + k * 0.5, lambda k=k: gevent.spawn(self.order, k)) for k in range(24)]
+        steps = [(0.1 + k * 0.5, lambda k=k: gevent.spawn(effect, self.fleet, k, 77)) for k in range(24)]
         steps += [(BAD, lambda: self.hurt(bad, True)), (HURT, lambda: self.hurt(bad, False)),
-                  (FLOOD, lambda: self.boost(3.0)), (FLOOD + 1, lambda: self.boost(1.0)),
+                  (FLOOD, lambda: load.boost(3.0)), (FLOOD + 1, lambda: load.boost(1.0)),
                   (DEATH, lambda: self.kill(dying)), (END, lambda: None)]
         for at, what in sorted(steps, key=lambda one: one[0]):
             gevent.sleep(max(0.0, began + at - time.monotonic()))
             what()
-        gevent.killall(loops)
-        for one in self.streams:
-            one.finish()
-        self.broken = sum(one.door.broken() for one in self.streams)
-        for one in self.streams:
-            one.door.close()
+        self.broken = load.finish()
         self.wrong = self.fleet.close()
         shutil.rmtree(self.folder, ignore_errors=True)
         return self
@@ -92,19 +63,14 @@
         if self.way == "knowing":       # told at once, as nobody can be
             self.fleet.each(lambda one: one.list([(bad, "box")], state="leaving" if on else "active"))
 
-    def boost(self, factor: float) -> None:
-        for one in self.streams:
-            one.boost = factor
-
     def kill(self, numbers: list[int]) -> None:
-        for number in numbers:
-            self.down[number] = time.monotonic()
+        self.load.went_down(*numbers)
         self.fleet.kill(*numbers)
 
     # What is measured.
 
     def served(self, begin: float = 0.0, end: float = END) -> float:
-        return self.tally.service(self.began + begin, self.began + end)
+        return self.load.tally.service(self.began + begin, self.began + end)
 
     def back(self) -> float:
         """Seconds after the flood until half a second is served to 95 in 100 of what was at first."""
@@ -115,10 +81,7 @@
         return 3.0
 
     def rules(self) -> Counter:
-        fallen = sum(one.fallen for one in (*self.fleet.boxes, *self.fleet.hubs))
-        twice = sum(n - 1 for n in self.fleet.effects.values() if n > 1)
-        return Counter(lost=self.tally.lost, doubled=self.broken, double_effects=twice, cold_fallen=fallen,
-                       stale=self.tally.stale + self.tally.spoilt, wrong=len(self.wrong))
+        return broken_rules(self.fleet, self.load.tally, self.broken, self.wrong)
 
 
 def simulate(seed: int, sizes: tuple[int, ...]) -> dict:
@@ -171,7 +134,7 @@
         broken += rules
         print(f"{count:>6} {way:<9} {one.trouble:<7} {one.served():.3f} {one.served(BAD, HURT):.3f} "
               f"{one.served(FLOOD, FLOOD + 1):.3f} after the deaths {one.served(DEATH + 1, END):.3f} "
-              f"{dict(rules)} {one.tally.notes[:2]} {one.wrong[:2]}")
+              f"{dict(rules)} {one.load.tally.notes[:2]} {one.wrong[:2]}")
     shares = {way: one.served() for way, one in plays.items()}
     line = {"fronts": 100 if told.quick else 1000, "processes": count,
             "lost": broken["lost"] + figures["lost"], "doubled": broken["doubled"] + figures["doubled"],
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -18,6 +18,7 @@
 import gevent
 
 from marbleglade.standins.clients import Client
+from marbleglade.standins.frontfleet import ZONE
 from marbleglade.standins.world import RegionClock, chance, group_of, version_of
 
 RETRIES = 3     # of a client after a pushback
@@ -300,5 +301,75 @@
         gevent.joinall(list(self.open), timeout=5)
 
 
+class Load:
+    """Clients at every front of a fleet, each answer checked; `rates` by front, retrievals a second."""
+
+    def __init__(self, fleet, seed: int, rates: list[float], objects: int = 300) -> None:
+        self.seed, self.objects, self.tally = seed, objects, Tally()
+        self.down: dict[int, list[tuple[float, float]]] = {number: [] for number in range(fleet.count)}
+        self.streams = [
+            Stream(Door(f"f{number}", ZONE, fleet.doors[number], seed % 997 + number,
+                        lambda at, end, number=number: self.alive(number, at, end)),
+                   self.tally, seed * 100 + number, rate,
+                   lambda n, number=number: (self.thing(n * 97 + number), True))
+            for number, rate in enumerate(rates)]
+        self.loops = [gevent.spawn(one.run) for one in self.streams]
+
+    def thing(self, number: int) -> int:
+        place = int(chance(self.seed, "thing", number) ** 3 * self.objects)
+        return int(chance(self.seed, "object", place) * 2**56) << 2 | (place % 4 == 0) * 3
+
+    def alive(self, number: int, at: float, end: float) -> bool:
+        """False where the front was down at some time between."""
+        return all(end < begin or at > over for begin, over in self.down[number])
+
+    def went_down(self, *numbers: int) -> None:
+        for number in numbers:
+            self.down[number].append((now() - 0.1, now() + 3600))
+
+    def came_back(self, number: int) -> None:
+        self.down[number][-1] = self.down[number][-1][0], now() + 0.2
+
+    def boost(self, factor: float) -> None:
+        for one in self.streams:
+            one.boost = factor
+
+    def share(self, seconds: float) -> float:
+        """Runs on, and gives what was settled of what was asked for meanwhile."""
+        begin = now()
+        gevent.sleep(seconds)
+        end = now()
+        gevent.sleep(0.5)
+        return self.tally.share(begin, end)
+
+    def finish(self) -> int:
+        """Ends all; how many answers were no answers or came twice."""
+        gevent.killall(self.loops)      # first: a stream asks once more after its last wait
+        for one in self.streams:
+            one.finish()
+        broken = sum(one.door.broken() for one in self.streams)
+        for one in self.streams:
+            one.door.close()
+        return broken
+
+
+def broken_rules(fleet, tally: Tally, doubled: int, wrong: list[str]) -> Counter:
+    """What no fleet of fronts may ever do, counted at its end."""
+    return Counter(lost=tally.lost, doubled=doubled,
+                   double_effects=sum(n - 1 for n in fleet.effects.values() if n > 1),
+                   cold_fallen=sum(one.fallen for one in (*fleet.boxes, *fleet.hubs)),
+                   stale=tally.stale + tally.spoilt, wrong=len(wrong))
+
+
+def effect(fleet, number: int, thing: int) -> None:
+    """Something that must not happen twice, at one front after the other."""
+    try:
+        client = Client(fleet.doors[number % fleet.count], 900 + number)
+    except OSError:
+        return
+    client.ask("orders", thing, patience=2000, body=b"%d" % number)
+    client.close()
+
+
 def folder() -> Path:
     return Path(tempfile.mkdtemp(prefix="marbleglade-bench-"))
--- a/benchmarks/simwork.py
+++ b/benchmarks/simwork.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import zlib
-from functools import lru_cache
+from collections.abc import Iterable
 
 from marbleglade.fleet.drain import Drain, Stage
 from marbleglade.fleet.members import Ack, Members, Ping, PingFor
-from marbleglade.fleet.order import Kind, Order, Sight
-from marbleglade.fleet.works import Look, Works
+from marbleglade.fleet.order import Cap, Kind, Order, Sight, front_name
+from marbleglade.fleet.work_pb2 import WorkOrder
+from marbleglade.fleet.workfile import order_of, packed
+from marbleglade.fleet.works import Look, Works, key_of
 from marbleglade.standins.airwaves import Airwaves
 from marbleglade.wire import gossip, workgrams
 
@@ -24,12 +25,11 @@
     """A cache as fronts see it; when its work ends it is listed with a later start."""
 
     def __init__(self) -> None:
-        self.start_ms, self.up, self.ready_at, self.began = BORN_MS, True, 0, 0
+        self.start_ms, self.up, self.ready_at = BORN_MS, True, 0
 
 
 class Front:
     def __init__(self, world: SimWork, number: int) -> None:
-        self.world, self.number = world, number
         self.start_ms = world.unix_ms()
         seed = world.seed * 7919 + number
         self.members = Members(number, world.count, self.start_ms, BEAT, world.now, seed)
@@ -50,7 +50,6 @@
         self.stopped: set[int] = set()
         self.dead: dict[int, int] = {}          # fronts that are down, and when they begin again
         self.out_worst = 0
-        self.wrong: list[str] = []
         self.went: list[tuple[int, str]] = []
         self.never: set[str] = set()            # machines that do not come back
         self.open = 0                           # retrievals open at each front
@@ -69,8 +68,18 @@
         self.fronts.pop(number, None)
         self.dead[number] = back_at
 
-    def give(self, number: int, order: Order, raw: bytes) -> None:
-        self.fronts[number].works.take_up(order, raw, self.now)
+    def ordered(self, names: Iterable[str], caps: Iterable[Cap], at: int = 0, takes_ms: int = 60_000,
+                floor: float = 0.5, deadline_ms: int = 1000, withdrawn: bool = False) -> Order:
+        """An order for these machines, taken up by the front `at`."""
+        told = WorkOrder(asked_ms=self.unix_ms(), floor=floor, deadline_ms=deadline_ms, withdrawn=withdrawn)
+        for name in names:
+            which = {"place": name, "zone": "z"} if name in self.boxes else {"front": int(name.split()[1])}
+            told.job.add(takes_ms=takes_ms, **which)
+        for cap in caps:
+            told.limit.add(most=cap.most, kind=cap.kind or 0, zone=cap.zone)
+        order = order_of(told)
+        self.fronts[at].works.take_up(order, packed(told), self.now)
+        return self.fronts[at].works.order
 
     def deliver(self, to: int, sender: int, data: bytes, now: int) -> None:
         front = self.fronts.get(to)
@@ -119,19 +128,14 @@
         front.emptied = front.emptied if front.drain.stage is Stage.EMPTY else self.now
         # Whoever works on it ends it a little later, if it is still out then.
         if front.drain.stage is Stage.EMPTY and self.now - front.emptied > S // 2:
-            self.went.append((self.now, f"front {number}"))
-            never = f"front {number}" in self.never
-            self.kill(number, 1 << 62 if never else self.now + self.takes)
+            self.went.append((self.now, front_name(number)))
+            self.kill(number, 1 << 62 if front_name(number) in self.never else self.now + self.takes)
 
     def work(self) -> None:
         """Boxes that all fronts leave alone are worked on, and begin anew."""
-        some = next(iter(self.fronts.values()), None)
         for name, box in self.boxes.items():
-            if box.up and (some is None or some.works.resting.get(_key(name), -1) < box.start_ms):
-                continue
-            resting = [front for front in self.fronts.values()
-                       if front.works.resting.get(_key(name), -1) >= box.start_ms]
-            if box.up and resting and len(resting) == len(self.fronts):
+            if box.up and self.fronts and all(front.works.resting.get(key_of(name), -1) >= box.start_ms
+                                              for front in self.fronts.values()):
                 box.up, box.ready_at = False, self.now + self.takes
                 self.went.append((self.now, name))
             elif not box.up and self.now >= box.ready_at and name not in self.never:
@@ -139,20 +143,14 @@
 
     def out(self) -> list[str]:
         """What does not serve now: by its own belief, worked on, or down."""
-        fronts = [f"front {number}" for number, one in self.fronts.items()
-                  if one.drain.stage is not Stage.SERVING]
-        return [*fronts, *(f"front {number}" for number in self.dead),
+        fronts = [number for number, one in self.fronts.items() if one.drain.stage is not Stage.SERVING]
+        return [*map(front_name, (*fronts, *self.dead)),
                 *(name for name, box in self.boxes.items() if not box.up)]
 
     def check(self) -> None:
         self.out_worst = max(self.out_worst, len(self.out()))
 
     def done(self, order: Order) -> int:
-        return sum((self.boxes[one.name].start_ms if one.name in self.boxes else
-                    self.fronts[int(one.name[6:])].start_ms if int(one.name[6:]) in self.fronts else 0)
-                   > order.asked_ms for one in order.machines)
-
-
-@lru_cache(1 << 12)
-def _key(name: str) -> int:
-    return zlib.crc32(name.encode())
+        starts = {front_name(number): one.start_ms for number, one in self.fronts.items()}
+        starts |= {name: box.start_ms for name, box in self.boxes.items()}
+        return sum(starts.get(one.name, 0) > order.asked_ms for one in order.machines)
--- a/benchmarks/work.py
+++ b/benchmarks/work.py
@@ -13,25 +13,23 @@
 import statistics
 import sys
 import time
-import zlib
 from collections import Counter
 
 import gevent
 
-from marbleglade.fleet.order import Cap, Kind, Machine, Order, Scene, Sight, plan
-from marbleglade.fleet.work_pb2 import WorkOrder
+from marbleglade.fleet.order import Cap, Kind, Machine, Order, Scene, Sight, front_name, plan
 from marbleglade.standins.airwaves import Airwaves
-from marbleglade.standins.clients import Client
 from marbleglade.standins.frontfleet import FrontFleet
 from marbleglade.standins.world import chance
 
 from .crew import Crew, order
-from .rig import Door, Stream, Tally, folder
+from .rig import Load, broken_rules, effect, folder
 from .simwork import MS, S, SimWork
 
 OBJECTS = 200
 COLD = (0.2, 2.0, 3.0, 0.5, 120.0)
 FRONTS, BOXES, AT_ONCE = 9, 3, 3
+ALLOWED = AT_ONCE + 1       # with one box
 FLOOR = 0.6
 DEADLINE_MS, BEAT_MS = 1000, 200
 
@@ -42,37 +40,8 @@
     def __init__(self, seed: int, longest: float) -> None:
         self.seed, self.longest, self.folder = seed, longest, folder()
         self.fleet = FrontFleet(FRONTS, self.folder, 300 + seed % 1000, cold=COLD, beat_ms=BEAT_MS, work=True)
-        self.tally, self.orders = Tally(), []
-        self.down: dict[int, list[list[float]]] = {n: [] for n in range(FRONTS)}
-        self.streams = [Stream(
-            Door(f"f{n}", "z", self.fleet.doors[n], seed % 991 + n,
-                 lambda at, end, n=n: self.alive(n, at, end)),
-            self.tally, seed * 100 + n, 8.0, lambda k, n=n: (self.thing(k * 97 + n), True))
-            for n in range(FRONTS)]
         self.served_least = FRONTS
 
-    def alive(self, number: int, at: float, end: float) -> bool:
-        return all(end < begin or at > over for begin, over in self.down[number])
-
-    def went_down(self, number: int) -> None:
-        self.down[number].append([time.monotonic() - 0.1, time.monotonic() + 3600])
-
-    def came_back(self, number: int) -> None:
-        self.down[number][-1][1] = time.monotonic() + 0.2
-
-    def thing(self, number: int) -> int:
-        place = int(chance(self.seed, "thing", number) ** 3 * OBJECTS)
-        return int(chance(self.seed, "object", place) * 2**56) << 2 | (place % 4 == 0) * 3
-
-    def effect(self, number: int) -> None:
-        """Something that must not happen twice, at a front that may be on its way out."""
-        try:
-            client = Client(self.fleet.doors[number % FRONTS], 700 + number)
-        except OSError:
-            return
-        self.orders.append(client.ask("orders", 99, patience=2000, body=b"%d" % number))
-        client.close()
-
     def cancel(self) -> float:
         """Calls a front back that is being emptied; ms until it is in service, by its own log."""
         self.fleet.give(0, order([4], deadline_ms=20_000))
@@ -93,11 +62,11 @@
 
     def run(self) -> Play:
         self.fleet.ready()
-        loops = [gevent.spawn(one.run) for one in self.streams]
-        self.crew = Crew(self.fleet, self.went_down, self.came_back)
+        load = self.load = Load(self.fleet, self.seed, [8.0] * FRONTS, OBJECTS)
+        self.crew = Crew(self.fleet, load.went_down, load.came_back)
         begin = time.monotonic()
         gevent.sleep(2.5)
-        self.before = self.tally.service(begin + 0.5, begin + 2.5)
+        self.before = self.load.tally.service(begin + 0.5, begin + 2.5)
         self.cancelled = self.cancel()
         between = self.fleet.between
         between.lost = (0.0, 0.1, 0.3)[int(chance(self.seed, "lost") * 3)]
@@ -105,8 +74,7 @@
         parts = 2 + int(chance(self.seed, "parts") * 2)
         began = self.began = time.monotonic()
         limits = f"most: {AT_ONCE} kind: FRONT", "most: 1 kind: CACHE"
-        self.fleet.give(1, order(range(FRONTS), range(BOXES), limits, deadline_ms=DEADLINE_MS).replace(
-            "floor: 0.3", f"floor: {FLOOR}"))
+        self.fleet.give(1, order(range(FRONTS), range(BOXES), limits, deadline_ms=DEADLINE_MS, floor=FLOOR))
         done, count, cut = False, 0, False
         while not done and time.monotonic() - began < self.longest:
             gevent.sleep(0.1)
@@ -117,20 +85,15 @@
                 gevent.spawn_later(1.5, setattr, between, "cut", lambda a, b: False)
             if int(at * 4) > count:
                 count = int(at * 4)
-                gevent.spawn(self.effect, count)
+                gevent.spawn(effect, self.fleet, count, 99)
             serving = sum(self.crew.stage(n) != "empty" for n in self.fleet.processes)
             self.served_least = min(self.served_least, serving)
             done = len(set(self.crew.log)) == FRONTS + BOXES and not self.crew.busy and (
                 len(self.crew.boxes_back) == BOXES)
         self.total = time.monotonic() - began
         gevent.sleep(0.5)
-        self.share = self.tally.service(began, began + self.total)
-        gevent.killall(loops)
-        for one in self.streams:
-            one.finish()
-        self.broken = sum(one.door.broken() for one in self.streams)
-        for one in self.streams:
-            one.door.close()
+        self.share = self.load.tally.service(began, began + self.total)
+        self.broken = load.finish()
         self.crew.loop.kill()
         self.overruns, self.waits = self.from_logs()
         self.wrong = self.fleet.close()
@@ -153,13 +116,10 @@
         return over, waits
 
     def rules(self) -> Counter:
-        fallen = sum(one.fallen for one in (*self.fleet.boxes, *self.fleet.hubs))
-        twice = sum(n - 1 for n in self.fleet.effects.values() if n > 1)
-        allowed = AT_ONCE + 1
-        return Counter(lost=self.tally.lost, doubled=self.broken, double_effects=twice, cold_fallen=fallen,
-                       stale=self.tally.stale + self.tally.spoilt, sent_to_resting=self.crew.sent,
-                       split_grants=max(0, self.crew.worst - allowed),
-                       floor_broken=int(self.served_least < FLOOR * FRONTS), wrong=len(self.wrong))
+        rules = broken_rules(self.fleet, self.load.tally, self.broken, self.wrong)
+        rules.update(sent_to_resting=self.crew.sent, split_grants=max(0, self.crew.worst - ALLOWED),
+                     floor_broken=int(self.served_least < FLOOR * FRONTS))
+        return rules
 
 
 def simulated(seed: int, fronts: int, boxes: int, at_once: int) -> dict:
@@ -167,16 +127,8 @@
     world = SimWork(fronts, boxes, seed)
     world.air.lost = 0.05
     world.run(8)
-    text = WorkOrder(asked_ms=world.unix_ms(), floor=0.5, deadline_ms=1000)
-    for number in range(fronts):
-        text.job.add(front=number)
-    for name in world.boxes:
-        text.job.add(place=name, zone="z")
-    for kind in (Kind.FRONT, Kind.CACHE):
-        text.limit.add(most=at_once, kind=kind)
-    from marbleglade.fleet.workfile import order_of
-    told = order_of(text)
-    world.give(seed % fronts, told, zlib.compress(text.SerializeToString(deterministic=True), 9))
+    names = [*map(front_name, range(fronts)), *world.boxes]
+    told = world.ordered(names, [Cap(at_once, Kind.FRONT), Cap(at_once, Kind.CACHE)], seed % fronts)
     began, count = world.now, fronts + boxes
     world.work_bytes = 0
     cut = began + 10 * S, began + 14 * S
@@ -189,7 +141,7 @@
 
 def one_by_one(fronts: int, boxes: int, takes_ms: int, warms_ms: int, at_once: int) -> tuple[float, float]:
     """Seconds of a fixed list, each after the last is warm; and of the settled order without any fault."""
-    machines = tuple(Machine(f"front {n}", Kind.FRONT) for n in range(fronts)) + tuple(
+    machines = tuple(Machine(front_name(n), Kind.FRONT) for n in range(fronts)) + tuple(
         Machine(f"box{n}", Kind.CACHE, "z") for n in range(boxes))
     seen = {one.name: Sight(1) for one in machines}
     groups = {one.name: (one.kind, one.zone) for one in machines}
@@ -249,11 +201,12 @@
     play = Play(told.seed, 26 if told.quick else 90).run()
     rules = play.rules()
     print(f"processes: {len(set(play.crew.log))} of {FRONTS + BOXES} in {play.total:.1f} s, served "
-          f"{play.share:.3f} ({play.before:.3f} before), {dict(rules)}", play.tally.notes[:2], play.wrong[:2])
+          f"{play.share:.3f} ({play.before:.3f} before), {dict(rules)}",
+          play.load.tally.notes[:2], play.wrong[:2])
     line = {"machines": sim["machines"], "done": sim["done"],
             **{name: rules[name] for name in ("lost", "doubled", "double_effects", "cold_fallen", "stale",
                                               "sent_to_resting")},
-            "out_at_once_worst": max(play.crew.worst, 0), "out_allowed": AT_ONCE + 1,
+            "out_at_once_worst": max(play.crew.worst, 0), "out_allowed": ALLOWED,
             "split_grants": rules["split_grants"] + max(0, sim["worst"] - sim["allowed"]),
             "floor_broken": rules["floor_broken"], "cancel_to_service_ms_worst": play.cancelled,
             "deadline_overrun_ms_worst": max(play.overruns), "served_share": play.share,
--- a/marbleglade/command/fleet.py
+++ b/marbleglade/command/fleet.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import json
-import sys
-from pathlib import Path
-
 import click
 
-from .line import UNFIT
+from .line import give_up, last_words
 
-SHOWN = ("members", "duty", "counters")
+SHOWN = ("members", "duty")
 
 
 @click.group()
@@ -27,8 +23,7 @@
     try:
         told = read(file)
     except Unfit as trouble:
-        click.echo(f"marbleglade: {trouble}", err=True)
-        sys.exit(UNFIT)
+        give_up([str(trouble)])
     click.echo(f"beat_ms: {told.beat_ms}")
 
 
@@ -36,17 +31,10 @@
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
 def show(logs: tuple[str, ...]) -> None:
     """Show from fronts' LOGs what each last believed: who is alive, who holds the duty, its part."""
-    last: dict[str, dict] = {}
-    for path in logs:
-        for line in Path(path).read_bytes().splitlines():
-            try:
-                one = json.loads(line)
-                event, front = one["event"], one["front"]
-            except (ValueError, KeyError, TypeError):
-                continue        # a line that a kill cut short, or another program's
-            told = one.get("fleet", {}) if event == "counters" else one
-            if event in SHOWN and told:
-                last.setdefault(front, {}).update(told | {"at": one.get("at", 0)})
+    def told_by(one: dict) -> dict:
+        return one.get("fleet", {}) if one["event"] == "counters" else one if one["event"] in SHOWN else {}
+
+    last = last_words(logs, told_by)
     for front, told in sorted(last.items()):
         duty = told.get("duty") or {"term": told.get("term"), "by": told.get("by"), "mine": told.get("mine")}
         click.echo(f"{front:12} at {told['at']} alive {told.get('alive', '?')} of {told.get('of', '?')} "
--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -4,7 +4,10 @@
 
 import json
 import sys
+from collections.abc import Callable, Iterable
 from importlib import import_module
+from pathlib import Path
+from typing import NoReturn
 
 import click
 
@@ -13,15 +16,35 @@
 UNFIT = 2       # the deployment, the configuration or the words can't be used
 
 
+def give_up(faults: Iterable[str]) -> NoReturn:
+    """Names what can't be used, and ends."""
+    for fault in faults:
+        click.echo(f"marbleglade: {fault}", err=True)
+    sys.exit(UNFIT)
+
+
+def last_words(logs: Iterable[str], told_by: Callable[[dict], dict]) -> dict[str, dict]:
+    """By front, what it said last: `told_by` picks the fields of a line, none where it does not matter."""
+    last: dict[str, dict] = {}
+    for path in logs:
+        for line in Path(path).read_bytes().splitlines():
+            try:
+                one = json.loads(line)
+                front, told = one["front"], told_by(one)
+            except (ValueError, KeyError, TypeError):
+                continue        # a line that a kill cut short, or another program's
+            if told:
+                last.setdefault(front, {}).update(told | {"at": one.get("at", 0)})
+    return last
+
+
 def _read(path: str, name: str):
     from ..deployment.reading import Unfit, read
 
     try:
         return read(path, name)
     except Unfit as trouble:
-        for fault in trouble.faults:
-            click.echo(f"marbleglade: {fault}", err=True)
-        sys.exit(UNFIT)
+        give_up(trouble.faults)
 
 
 def _loaded(path: str):
--- a/marbleglade/command/work.py
+++ b/marbleglade/command/work.py
@@ -5,13 +5,15 @@
 import json
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 import click
 
-from .line import UNFIT
+from .line import give_up, last_words
 
 WARMS_MS = 10_000
+SHOWN = ("work", "out")
 
 
 def _read(file: str):
@@ -20,9 +22,7 @@
     try:
         return read(file)
     except Unfit as trouble:
-        for fault in str(trouble).split("; "):
-            click.echo(f"marbleglade: {fault}", err=True)
-        sys.exit(UNFIT)
+        give_up(str(trouble).split("; "))
 
 
 @click.group()
@@ -35,9 +35,7 @@
 def check(file: str) -> None:
     """Name all faults of FILE, an order of work; print what is in force where there is none."""
     order, raw = _read(file)
-    kinds = {}
-    for one in order.machines:
-        kinds[one.kind.name.lower()] = kinds.get(one.kind.name.lower(), 0) + 1
+    kinds = Counter(one.kind.name.lower() for one in order.machines)
     click.echo(f"{len(order.machines)} machines: "
                + (", ".join(f"{count} {kind}" for kind, count in sorted(kinds.items())) or "none"))
     for cap in order.caps:
@@ -61,8 +59,7 @@
     try:
         scene = _scene(json.loads(Path(described).read_bytes()), order)
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
-        click.echo(f"marbleglade: {described}: {trouble!r}", err=True)
-        sys.exit(UNFIT)
+        give_up([f"{described}: {trouble!r}"])
     first = orders.settle(order, scene)
     steps, never = orders.plan(order, scene, lambda one: takes_ms or one.takes_ms, warms_ms)
     for step in steps:
@@ -78,14 +75,14 @@
 
 def _scene(told: dict, order):
     """The described fleet as the fronts would see it, all in service."""
-    from ..fleet.order import Kind, Scene, Sight
+    from ..fleet.order import Kind, Scene, Sight, front_name
 
     kinds = {"cache": Kind.CACHE, "parent": Kind.PARENT, "front": Kind.FRONT}
     zones = {one.name: one.zone for one in order.machines}
     seen, groups = {}, {}
     for number in range(int(told.get("fronts", 0))):
-        seen[f"front {number}"] = Sight(1)
-        groups[f"front {number}"] = Kind.FRONT, zones.get(f"front {number}", "")
+        name = front_name(number)
+        seen[name], groups[name] = Sight(1), (Kind.FRONT, zones.get(name, ""))
     for place in told.get("places", ()):
         seen[place["id"]] = Sight(1, pace=float(place.get("pace", 1.0)))
         groups[place["id"]] = kinds[place.get("kind", "cache")], place.get("zone", "")
@@ -98,17 +95,10 @@
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
 def show(logs: tuple[str, ...]) -> None:
     """Show from fronts' LOGs who keeps the table, who is out, who is next and why not yet."""
-    last: dict[str, dict] = {}
-    for path in logs:
-        for line in Path(path).read_bytes().splitlines():
-            try:
-                one = json.loads(line)
-                event, front = one["event"], one["front"]
-            except (ValueError, KeyError, TypeError):
-                continue        # a line that a kill cut short, or another program's
-            told = one.get("work", {}) if event == "counters" else one if event in ("work", "out") else {}
-            if told:
-                last.setdefault(front, {}).update(told | {"at": one.get("at", 0)})
+    def told_by(one: dict) -> dict:
+        return one.get("work", {}) if one["event"] == "counters" else one if one["event"] in SHOWN else {}
+
+    last = last_words(logs, told_by)
     for front, told in sorted(last.items()):
         click.echo(f"{front:12} at {told['at']} {told.get('stage', 'serving'):9} keeper {told.get('by', '?')}"
                    f"{' (this one)' if told.get('keeper') else ''} term {told.get('term', '?')} "
--- a/marbleglade/fleet/grants.py
+++ b/marbleglade/fleet/grants.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 
 from .members import Out
 from .order import MOST_OUT
@@ -100,7 +100,7 @@
     own: int
     count: int              # members that are listed, whether alive or not
     lease: int
-    now: int
+    now: InitVar[int]
     term: int = 0           # the latest that this front voted for or heard, and whose it is
     by: int = -1
     heard: int = 0          # when that keeper spoke last
@@ -118,8 +118,8 @@
     backed: int = -1        # the keeper's: as of when a majority stood behind its table
     mute: int = 0           # until then it votes for nobody and takes nothing in
 
-    def __post_init__(self) -> None:
-        self.mute, self.heard, self.due = self.now + self.lease, self.now, self.now
+    def __post_init__(self, now: int) -> None:
+        self.mute, self.heard, self.due = now + self.lease, now, now
 
     # What others ask of it.
 
@@ -171,7 +171,6 @@
 
     def turn(self, wanted: bool, now: int) -> list[Out]:
         """What is due. `wanted`: there is work, and by rendezvous this front is the one to keep the table."""
-        self.now = now
         if self.leading:
             self._count(now)
             if now - max(self.backed, self.heard) > self.lease:
@@ -249,7 +248,6 @@
     # What comes.
 
     def take(self, sender: int, message: Grantgram, now: int) -> list[Out]:
-        self.now = now
         if isinstance(message, Claim):
             return self._claimed(sender, message, now)
         if isinstance(message, Hold):
--- a/marbleglade/fleet/order.py
+++ b/marbleglade/fleet/order.py
@@ -9,16 +9,23 @@
 
 from __future__ import annotations
 
-import zlib
+import heapq
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
+from ..interface import name_of
+
 FULL = 0.8          # of what those that serve can carry; above it nothing more goes out
 MOST_OUT = 10       # machines out at once, whatever an order allows: a table of them fits a datagram
 
 
+def front_name(number: int) -> str:
+    """A front as a machine, by its place in the list of peers."""
+    return f"front {number}"
+
+
 class Kind(IntEnum):
     FRONT = 1
     CACHE = 2
@@ -38,7 +45,7 @@
     @property
     def key(self) -> int:
         """Its name among fronts, in four bytes."""
-        return zlib.crc32(self.name.encode())
+        return name_of(self.name.encode())
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,10 +73,6 @@
     deadline_ms: int = 10_000       # in which a front is emptied
     withdrawn: bool = False
 
-    @property
-    def by_key(self) -> dict[int, Machine]:
-        return {one.key: one for one in self.machines}
-
 
 @dataclass(slots=True)
 class Sight:
@@ -278,10 +281,10 @@
             took = takes_ms(by_name[name])
             steps.append(Step(now - began, name, now - began + took))
             scene.out[name] = Out(now, scene.seen[name].start_ms)
-            due += [(now + took, name, False), (now + took + warms_ms, name, True)]
+            heapq.heappush(due, (now + took, name, False))
+            heapq.heappush(due, (now + took + warms_ms, name, True))
         if not due:
             return steps, settled.why
-        due.sort()
-        now, name, warm = due.pop(0)
+        now, name, warm = heapq.heappop(due)
         scene.seen[name] = Sight(max(now, order.asked_ms + 1), True, warm, scene.seen[name].pace)
     return steps, {"": "takes longer than a week"}
--- a/marbleglade/fleet/reading.py
+++ b/marbleglade/fleet/reading.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from google.protobuf.message import Message
+
 from ..life.assignment import Unfit
 from ..textproto import parsed
 from .fleet_pb2 import FleetPart
@@ -18,14 +20,24 @@
     beat_ms: int
 
 
-def read(path: str) -> Told:
-    """The file at `path`, with its defaults. Raises `Unfit`."""
+def whole(path: str, into: Message) -> Message:
+    """The file at `path`, read into a message. Raises `Unfit`, whose text is one line."""
     try:
-        told = parsed(path, FleetPart(), LONGEST)
+        return parsed(path, into, LONGEST)
     except ValueError as trouble:
         raise Unfit(" ".join(str(trouble).split())) from trouble
+
+
+def outside(name: str, value: int, bounds: dict[str, tuple[int, int]]) -> str:
+    """What is wrong with a figure; "" where it lies in its bounds."""
+    least, most = bounds[name]
+    return "" if least <= value <= most else f"{name} is {value}, not {least} to {most}"
+
+
+def read(path: str) -> Told:
+    """The file at `path`, with its defaults. Raises `Unfit`."""
+    told = whole(path, FleetPart())
     beat_ms = told.beat_ms if told.HasField("beat_ms") else BEAT_MS
-    least, most = BOUNDS["beat_ms"]
-    if not least <= beat_ms <= most:
-        raise Unfit(f"{path}: beat_ms is {beat_ms}, not {least} to {most}")
+    if wrong := outside("beat_ms", beat_ms, BOUNDS):
+        raise Unfit(f"{path}: {wrong}")
     return Told(beat_ms)
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -31,11 +31,6 @@
 EVERYONE = -1       # a receiver: all fronts
 
 
-def flat(kind: str, pairs: dict[int, tuple[int, int]]) -> dict[object, int]:
-    """Counters of their own for both figures of each pair."""
-    return {(kind, key, place): figure for key, pair in pairs.items() for place, figure in enumerate(pair)}
-
-
 class Together:
     def __init__(self, own: int, count: int, start_ms: int, ground: Ground, beat: int, now: int,
                  seed: int) -> None:
@@ -78,12 +73,13 @@
 
     def report(self, seen: Seen, crowd: Crowd | None) -> Report:
         self.sums.period({"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
-                          "pushed": seen.pushed} | flat("link", seen.links))
+                          "pushed": seen.pushed} | {
+            (key, place): figure for key, pair in seen.links.items() for place, figure in enumerate(pair)})
         load, *counts = (self.sums.sum(name) for name in ("asked", "firsts", "furthers", "pushed"))
         self.own_load = load // 1_000_000
         self.seq += 1
         links = {key: pair for key in seen.links if (pair := tuple(
-            self.sums.sum(("link", key, place)) // 1_000_000 for place in (0, 1)))[0]}
+            self.sums.sum((key, place)) // 1_000_000 for place in (0, 1)))[0]}
         return Report(self.seq, self.ground.zone, self.own_load, *counts,
                         links, {self.ground.zone: crowd} if crowd else {}, seen.shut[:PLACES],
                         seen.answered[:ANSWERED])
@@ -106,7 +102,7 @@
         crowd = view.crowds.get(self.ground.zone)
         own, lending = part(self.own_load, view), lent(view, FURTHER_SHARE)
         self.fleet = Fleet(
-            now + YOUNG * self.period, own, lending, view.fronts,
+            now + YOUNG * self.period, own, lending,
             {key: (max(1.0, slow), evidence) for key, (slow, evidence) in paces.items()},
             {place: one.by for place, one in view.shut.items()},
             frozenset(place for place, one in view.shut.items()
@@ -123,8 +119,8 @@
         alone = ALONE / max(1, view.fronts)
         own = aged(part(self.own_load, view), alone, since, self.period)
         lending = aged(lent(view, FURTHER_SHARE), 1.0, since, self.period)
-        self.fleet = Fleet(now + self.period * 3 // 2, own, lending, view.fronts, {}, {}, frozenset(),
-                           frozenset(), True, saves(own, view.fronts, lending))
+        self.fleet = Fleet(now + self.period * 3 // 2, own, lending, {}, {}, frozenset(), frozenset(), True,
+                           saves(own, view.fronts, lending))
 
     def crowd(self) -> tuple[float, int] | None:
         """The own location's load as the fleet knows it, and when it was reported."""
--- a/marbleglade/fleet/workfile.py
+++ b/marbleglade/fleet/workfile.py
@@ -11,19 +11,18 @@
 from google.protobuf.message import DecodeError
 
 from ..life.assignment import Unfit
-from ..textproto import parsed
-from .order import Cap, Kind, Machine, Order
+from .order import Cap, Kind, Machine, Order, front_name
+from .reading import LONGEST, outside, whole
 from .work_pb2 import Job, WorkOrder
 
-LONGEST = 1 << 16       # bytes, of a file and of what a front passes on
 MOST = 2048             # machines
 TAKES_MS, DEADLINE_MS, FLOOR = 60_000, 10_000, 0.5
 BOUNDS = {"takes_ms": (1_000, 86_400_000), "deadline_ms": (100, 600_000)}
 EARLIEST = 1_000_000_000_000    # Unix ms; seconds given by mistake lie under it
 
 
-def name_of(job: Job) -> str:
-    return f"front {job.front}" if job.HasField("front") else job.place
+def machine_of(job: Job) -> str:
+    return front_name(job.front) if job.HasField("front") else job.place
 
 
 def faults(told: WorkOrder) -> Iterator[str]:
@@ -36,11 +35,11 @@
         yield f"it names {len(told.job)} machines, {MOST} at most"
     if told.HasField("floor") and not 0 < told.floor < 1:
         yield f"floor is {told.floor:g}, not over 0 and under 1"
-    if told.HasField("deadline_ms") and (text := _outside("deadline_ms", told.deadline_ms)):
+    if told.HasField("deadline_ms") and (text := outside("deadline_ms", told.deadline_ms, BOUNDS)):
         yield text
     names: dict[str, Job] = {}
     for place, job in enumerate(told.job, 1):
-        name = name_of(job)
+        name = machine_of(job)
         if job.HasField("front") == bool(job.place):
             yield f"job {place} names no machine, or two"
             continue
@@ -51,7 +50,7 @@
             yield f"{name} is a front, and its kind says otherwise"
         if job.place and job.kind == Kind.FRONT:
             yield f"{name} is a place; fronts are named by their number"
-        if job.HasField("takes_ms") and (text := _outside("takes_ms", job.takes_ms)):
+        if job.HasField("takes_ms") and (text := outside("takes_ms", job.takes_ms, BOUNDS)):
             yield f"{name}: {text}"
     for name, job in names.items():
         for other in job.after:
@@ -64,11 +63,6 @@
             yield "a limit of 0 would let nothing go"
 
 
-def _outside(name: str, value: int) -> str:
-    least, most = BOUNDS[name]
-    return "" if least <= value <= most else f"{name} is {value}, not {least} to {most}"
-
-
 def _circle(after: dict[str, list[str]]) -> list[str]:
     """Those that can never go, as each waits for another of them."""
     left = set(after)
@@ -82,7 +76,7 @@
     if wrong := list(faults(told)):
         raise Unfit("; ".join(wrong))
     machines = tuple(
-        Machine(name_of(job), Kind(job.kind or (Kind.FRONT if job.HasField("front") else Kind.CACHE)),
+        Machine(machine_of(job), Kind(job.kind or (Kind.FRONT if job.HasField("front") else Kind.CACHE)),
                 job.zone, job.takes_ms if job.HasField("takes_ms") else TAKES_MS, tuple(job.after))
         for job in told.job)
     caps = tuple(Cap(one.most, Kind(one.kind) if one.kind else None, one.zone) for one in told.limit)
@@ -92,15 +86,16 @@
                  told.deadline_ms if told.HasField("deadline_ms") else DEADLINE_MS, told.withdrawn)
 
 
+def packed(told: WorkOrder) -> bytes:
+    """As one front passes it on to another."""
+    return zlib.compress(told.SerializeToString(deterministic=True), 9)
+
+
 def read(path: str) -> tuple[Order, bytes]:
     """The order in a file, and the bytes that pass it on. Raises `Unfit`."""
-    told = WorkOrder()
-    try:
-        parsed(path, told, LONGEST)
-    except ValueError as trouble:
-        raise Unfit(" ".join(str(trouble).split())) from trouble
+    told = whole(path, WorkOrder())
     try:
-        return order_of(told), zlib.compress(told.SerializeToString(deterministic=True), 9)
+        return order_of(told), packed(told)
     except Unfit as trouble:
         raise Unfit(f"{path}: {trouble}") from trouble
 
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -11,12 +11,13 @@
 from dataclasses import dataclass, field
 from functools import lru_cache
 
+from ..interface import name_of
 from ..life.assignment import Unfit
 from ..wire.workgrams import MOST_PARTS, PART_BYTES, Have, Part, Want, Workgram
 from .duties import holder
-from .grants import Claim, Grants, Held, Hold, Vote
+from .grants import RENEW, Claim, Grants, Held, Hold, Vote
 from .members import Members, Out, Status
-from .order import Kind, Order, Scene, Settled, Sight, settle
+from .order import Kind, Order, Scene, Settled, Sight, front_name, settle
 from .order import Out as Gone
 from .workfile import received
 
@@ -35,8 +36,8 @@
 
 
 @lru_cache(1 << 14)
-def _key(number: int) -> int:
-    return zlib.crc32(b"front %d" % number)
+def key_of(name: str) -> int:
+    return name_of(name.encode())
 
 
 class Works:
@@ -45,8 +46,7 @@
         self.own, self.members, self.start_ms, self.born = own, members, start_ms, now
         self.lease, self.warms_ms = lease, warms_ms
         self.grants = Grants(own, len(members.all), lease, now)
-        self.name = f"front {own}"
-        self.key = _key(own)
+        self.key = key_of(front_name(own))
         self.order: Order | None = None
         self.raw, self.digest = b"", 0
         self.coming: tuple[Have, dict[int, bytes], int] | None = None   # its parts so far, and who has it
@@ -86,7 +86,7 @@
         """Who is to keep the table: by rendezvous over those that are alive and were not let go."""
         if now - self.looked >= self.lease * ASK:
             self.looked, sound = now, self.members.sound()
-            staying = [number for number in sound if _key(number) not in self.grants.table]
+            staying = [number for number in sound if key_of(front_name(number)) not in self.grants.table]
             self.keeps = holder(WORK, staying or sound)
         return self.keeps
 
@@ -109,7 +109,7 @@
         if self.order and holds and now - self.spread >= self.lease:
             self.spread = now       # whoever began lately lacks it
             out += [Out(to, self.have()) for to in holds]
-        elif self.order and wanted and not self.grants.leading and now - self.told >= self.lease / 6:
+        elif self.order and wanted and not self.grants.leading and now - self.told >= self.lease * RENEW:
             to = self.grants.by if spoken else first
             if to is not None and to not in (self.own, self.agrees):
                 self.told = now
@@ -125,11 +125,11 @@
         groups = {name: (kind, zone) for name, (kind, zone, _) in look.places.items()}
         zones = {one.name: one.zone for one in self.order.machines} if self.order else {}
         for number, one in self.members.all.items():
-            name = f"front {number}"
+            name = front_name(number)
             up = one.status <= Status.SUSPECT and one.start > 0
             seen[name] = Sight(one.start, up, unix_ms - one.start >= self.warms_ms)
             groups[name] = Kind.FRONT, zones.get(name, "")
-        names = {zlib.crc32(name.encode()): name for name in seen}
+        names = {key_of(name): name for name in seen}
         out = {names[key]: Gone(unix_ms - (now - gone.since) // 1_000_000, gone.start_ms)
                for key, gone in self.grants.table.items() if key in names}
         return Scene(unix_ms, seen, groups, out, look.load, look.near)
@@ -137,22 +137,21 @@
     def _settle(self, now: int, look: Look) -> None:
         """The keeper's part: who is seen back, who is called back, who goes."""
         grants, scene = self.grants, self.scene(now, look)
+        numbers = {front_name(number): number for number in self.members.all} if scene.out else {}
+        for key in set(grants.table) - {key_of(name) for name in scene.out}:
+            grants.forget(key, now)     # the coordinator lists it no more, so nobody uses it
         for name, gone in list(scene.out.items()):
-            key, sight = zlib.crc32(name.encode()), scene.seen[name]
-            if sight.start_ms > gone.start_ms or (
-                    name.startswith("front ") and grants.heard_back(key, int(name[6:]), now)):
-                grants.forget(key, now)
+            heard = name in numbers and grants.heard_back(key_of(name), numbers[name], now)
+            if heard or scene.seen[name].start_ms > gone.start_ms:
+                grants.forget(key_of(name), now)
                 del scene.out[name]
-        listed = {zlib.crc32(name.encode()) for name in scene.seen}
-        for key in [key for key in grants.table if key not in listed]:
-            grants.forget(key, now)     # the coordinator lists it no more, so nobody uses it
         if self.order is None:
             return
         self.settled = settled = settle(self.order, scene)
         for name in settled.back:
-            grants.call_back(zlib.crc32(name.encode()), now)
+            grants.call_back(key_of(name), now)
         for name in settled.next:
-            grants.let_go(zlib.crc32(name.encode()), scene.seen[name].start_ms, now)
+            grants.let_go(key_of(name), scene.seen[name].start_ms, now)
         if settled.over and not grants.table and grants.committed == grants.version:
             self.finished = self.order.asked_ms
             grants.rest()
@@ -227,7 +226,7 @@
         except Unfit:
             self.unfit = have.digest    # it is not asked for again
 
-    def survey(self, now: int) -> dict[str, object]:
+    def survey(self) -> dict[str, object]:
         """For the log: who keeps the table, what is out, what is next and why not yet."""
         names = {one.key: one.name for one in self.order.machines} if self.order else {}
         return {"asked_ms": self.order.asked_ms if self.order else 0,
--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/workshell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable
 
 from ..facade import Facade
@@ -38,10 +39,7 @@
 
     def reread(self) -> None:
         """Takes up the order in the file, where there is one."""
-        try:
-            with open(self.path, "rb"):
-                pass
-        except OSError:
+        if not os.access(self.path, os.R_OK):
             return
         try:
             taken = self.works.take_up(*read(self.path), clock.now())
@@ -52,7 +50,7 @@
     def turn(self, now: int) -> list[Out]:
         out = self.works.turn(now, self.look)
         self.apply(now)
-        told = self.works.survey(now)
+        told = self.works.survey()
         news = {name: told[name] for name in NEWS}
         if news != self.said:
             self.said = news
@@ -83,7 +81,7 @@
         self.empty(now)
 
     def survey(self) -> dict[str, object]:
-        return self.works.survey(clock.now()) | {"stage": self.drain.stage.value}
+        return self.works.survey() | {"stage": self.drain.stage.value}
 
     @property
     def going(self) -> bool:
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -212,7 +212,6 @@
     until: int
     part: float                                 # of the fleet's load that is this front's, 0 to 1
     lent: float                                 # times its own allowance of further launches
-    fronts: int
     paces: dict[int, tuple[float, int]]         # by link: time taken over that at full pace; sending time
     doubted: dict[int, int]                     # places, by how many fronts they are left alone
     mine: frozenset[int]                        # those of them that this front has the duty to try
--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..ground import STATES, Surroundings
-from ..interface import Cache, Role, State
+from ..interface import Cache, Role, State, name_of
 from ..wire.coordlines import ListChange
 
 
@@ -24,7 +23,7 @@
         self.around, self.from_unix_ms = around, from_unix_ms
         self.by_id: dict[str, Place] = {}
         self.by_cache: dict[Cache, Place] = {}
-        self.resting: dict[int, int] = {}       # out for work, by `key`: the start at which each went
+        self.resting: dict[int, int] = {}       # out for work, by `name_of`: the start at which each went
 
     def role(self, kind: str) -> Role:
         kinds = self.around.kinds
@@ -32,7 +31,7 @@
 
     def rests(self, id: str, started_ms: int) -> bool:
         """It is out for work, until it is listed with a later start."""
-        return self.resting.get(zlib.crc32(id.encode()), -1) >= started_ms
+        return self.resting.get(name_of(id.encode()), -1) >= started_ms
 
     def rest(self, resting: dict[int, int]) -> list[Cache]:
         """Takes in what is out for work; gives the places that were not known to be."""
--- a/marbleglade/standins/frontfleet.py
+++ b/marbleglade/standins/frontfleet.py
@@ -100,11 +100,15 @@
             environ["MARBLEGLADE_FLEET"] = str(self.folder / "fleet.textproto")
         if self.work:
             environ["MARBLEGLADE_WORK"] = str(self.order_of(number))
-        log = (self.folder / f"f{number}.{self.starts[number]}.log").open("wb")
+        log = self.log(number).open("wb")
         self.processes[number] = subprocess.Popen([sys.executable, "-O", "-m", "marbleglade"], stderr=log,
                                                   env=environ)
         log.close()
 
+    def log(self, number: int, start: int = 0) -> Path:
+        """The log of that front's so-manieth start; of the present one by default."""
+        return self.folder / f"f{number}.{start or self.starts[number]}.log"
+
     def order_of(self, number: int) -> Path:
         """Where that front looks for an order of work."""
         return self.folder / f"work{number}.textproto"
@@ -140,7 +144,7 @@
         """What that front logged, over all its starts."""
         found = []
         for start in range(1, self.starts[number] + 1):
-            for line in (self.folder / f"f{number}.{start}.log").read_bytes().splitlines():
+            for line in self.log(number, start).read_bytes().splitlines():
                 with suppress(ValueError):
                     found.append(json.loads(line))
         return found
--- a/marbleglade/wire/gossip.py
+++ b/marbleglade/wire/gossip.py
@@ -19,6 +19,7 @@
     Shut,
     View,
 )
+from .cut import Bad, Cut, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
 PING, ACK, PING_FOR, REPORT, VIEW = range(5, 10)
@@ -35,27 +36,23 @@
 Fleetgram = Gossip | Report | View
 
 
-class Bad(Exception):
-    """What can't be read."""
-
-
 def encode(message: Fleetgram) -> bytes:
     if isinstance(message, Report):
         counts = (min(one, 65535) for one in (message.firsts, message.furthers, message.pushed))
         data = HEAD.pack(VERSION, REPORT, message.seq) + SUMS.pack(
             message.zone, min(message.load, 2**32 - 1), *counts)
         return _bounded(data + _links(message.links) + _crowds(message.crowds)
-                        + _list(MARK, ((one,) for one in message.shut))
-                        + _list(MARK, ((one,) for one in message.answered)))
+                        + listed(MARK, ((one,) for one in message.shut))
+                        + listed(MARK, ((one,) for one in message.answered)))
     if isinstance(message, View):
         data = HEAD.pack(VERSION, VIEW, message.seq) + TOTALS.pack(
             message.term, message.fronts, *(min(one, 2**32 - 1) for one in (
                 message.load, message.firsts, message.furthers, message.pushed)))
         return _bounded(data + _links(message.links) + _crowds(message.crowds)
-                        + _list(SHUT, ((place, min(one.by, 65535), one.trier)
+                        + listed(SHUT, ((place, min(one.by, 65535), one.trier)
                                        for place, one in message.shut.items()))
-                        + _list(MARK, ((one,) for one in message.answered)))
-    updates = _list(UPDATE, ((one.number, one.status, one.start, one.round, one.by)
+                        + listed(MARK, ((one,) for one in message.answered)))
+    updates = listed(UPDATE, ((one.number, one.status, one.start, one.round, one.by)
                              for one in message.updates))
     if isinstance(message, Ack):
         return HEAD.pack(VERSION, ACK, message.seq) + updates
@@ -68,64 +65,22 @@
     return data
 
 
-def _list(form: struct.Struct, rows) -> bytes:
-    packed = [form.pack(*row) for row in rows]
-    return bytes([len(packed)]) + b"".join(packed)
-
-
 def _links(links: dict[int, tuple[int, int]]) -> bytes:
-    return _list(LINK, ((key, min(done, 2**32 - 1), min(spent, 2**32 - 1))
+    return listed(LINK, ((key, min(done, 2**32 - 1), min(spent, 2**32 - 1))
                         for key, (done, spent) in list(links.items())[:LINKS]))
 
 
 def _crowds(crowds: dict[int, Crowd]) -> bytes:
-    return _list(CROWD, ((zone, min(int(one.value * CROWD_UNIT), 65535), min(one.age_ms, 65535), one.prober)
+    return listed(CROWD, ((zone, min(int(one.value * CROWD_UNIT), 65535), min(one.age_ms, 65535), one.prober)
                          for zone, one in crowds.items()))
 
 
-class _Cut:
-    """Takes values off the front of what is left."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data, self.at = data, 0
-
-    def one(self, form: struct.Struct) -> tuple:
-        if len(self.data) - self.at < form.size:
-            raise Bad
-        self.at += form.size
-        return form.unpack_from(self.data, self.at - form.size)
-
-    def list(self, form: struct.Struct, most: int) -> list[tuple]:
-        count = self.one(_COUNT)[0]
-        if count > most:
-            raise Bad
-        return [self.one(form) for _ in range(count)]
-
-    def end(self) -> None:
-        if self.at != len(self.data):
-            raise Bad
-
-
-_COUNT = struct.Struct("!B")
-
-
 def decode(data: bytes) -> Fleetgram | None:
     """None for anything that is not one of these, whole."""
-    if not HEAD.size <= len(data) <= LONGEST:
-        return None
-    version, kind, number = HEAD.unpack_from(data)
-    if version != VERSION:
-        return None
-    cut = _Cut(data[HEAD.size:])
-    try:
-        message = _message(kind, number, cut)
-        cut.end()
-    except (Bad, ValueError):
-        return None
-    return message
-
-
-def _message(kind: int, number: int, cut: _Cut) -> Fleetgram:
+    return read(data, _message)
+
+
+def _message(kind: int, number: int, cut: Cut) -> Fleetgram:
     if kind == REPORT:
         return Report(number, *cut.one(SUMS), _read_links(cut), _read_crowds(cut),
                       [one for one, in cut.list(MARK, PLACES)], [one for one, in cut.list(MARK, ANSWERED)])
@@ -144,9 +99,9 @@
     return Ping(number, target, updates) if kind == PING else PingFor(number, target, updates)
 
 
-def _read_links(cut: _Cut) -> dict[int, tuple[int, int]]:
+def _read_links(cut: Cut) -> dict[int, tuple[int, int]]:
     return {key: (done, spent) for key, done, spent in cut.list(LINK, LINKS)}
 
 
-def _read_crowds(cut: _Cut) -> dict[int, Crowd]:
+def _read_crowds(cut: Cut) -> dict[int, Crowd]:
     return {zone: Crowd(value / CROWD_UNIT, *rest) for zone, value, *rest in cut.list(CROWD, CROWDS)}
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -11,6 +11,7 @@
 
 from ..fleet.grants import Claim, Entry, Grantgram, Held, Hold, Vote
 from ..fleet.order import MOST_OUT
+from .cut import Bad, Cut, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
 CLAIM, VOTE, HOLD, HELD, HAVE, WANT, PART = range(16, 23)
@@ -77,49 +78,46 @@
 
 
 def _entries(entries: tuple[Entry, ...]) -> bytes:
-    return bytes([len(entries)]) + b"".join(
-        ENTRY.pack(one.machine, one.start_ms, one.number, min(one.age_ms, 0xFFFF_FFFF), one.back)
-        for one in entries)
+    return listed(ENTRY, ((one.machine, one.start_ms, one.number, min(one.age_ms, 0xFFFF_FFFF), one.back)
+                          for one in entries))
 
 
 def decode(data: bytes) -> Workgram | None:
     """None for anything that is not one of these, whole."""
-    if not HEAD.size <= len(data) <= LONGEST:
-        return None
-    version, kind, number = HEAD.unpack_from(data)
-    rest = data[HEAD.size:]
-    if version != VERSION or (kind in (CLAIM, VOTE, HOLD, HELD) and number >= 2**32):
-        return None
-    if kind == CLAIM and not rest:
+    return read(data, _message)
+
+
+def _message(kind: int, number: int, cut: Cut) -> Workgram:
+    if kind in (CLAIM, VOTE, HOLD, HELD) and number >= 2**32:
+        raise Bad
+    if kind == CLAIM:
         return Claim(number)
-    if kind == VOTE and len(rest) > TABLE.size:
-        of, by, at = TABLE.unpack_from(rest)
-        entries = _read(rest[TABLE.size:])
-        held = (of, -1 if by == NOBODY else by, at)
-        return Vote(number, held, entries) if entries is not None else None
-    if kind == HOLD and len(rest) == HOLDS.size:
-        term, at, committed, echo = HOLDS.unpack(rest)
-        return Hold(term, at, committed, number, echo, None)
-    if kind == HOLD and len(rest) > HOLDS.size:
-        term, at, committed, echo = HOLDS.unpack_from(rest)
-        entries = _read(rest[HOLDS.size:])
-        return Hold(term, at, committed, number, echo, entries) if entries is not None else None
-    if kind == HELD and len(rest) == HELDS.size:
-        term, at, word = HELDS.unpack(rest)
+    if kind == VOTE:
+        of, by, at = cut.one(TABLE)
+        return Vote(number, (of, -1 if by == NOBODY else by, at), _table(cut))
+    if kind == HOLD:
+        term, at, committed, echo = cut.one(HOLDS)
+        return Hold(term, at, committed, number, echo, _table(cut) if cut.left else None)
+    if kind == HELD:
+        term, at, word = cut.one(HELDS)
         return Held(term, at, number, word)
-    if kind == HAVE and len(rest) == HAS.size:
-        return Have(*HAS.unpack(rest))
-    if kind == WANT and len(rest) == WANTS.size:
-        return Want(*WANTS.unpack(rest))
-    if kind == PART and WANTS.size < len(rest) <= WANTS.size + PART_BYTES:
-        return Part(*WANTS.unpack_from(rest), rest[WANTS.size:])
-    return None
-
-
-def _read(data: bytes) -> tuple[Entry, ...] | None:
-    if not data or data[0] > MOST_OUT or len(data) != 1 + data[0] * ENTRY.size:
-        return None
-    rows = [ENTRY.unpack_from(data, 1 + place * ENTRY.size) for place in range(data[0])]
-    if any(back > 1 for *_, back in rows) or len({row[0] for row in rows}) < len(rows):
-        return None
-    return tuple(Entry(machine, start, at, age, bool(back)) for machine, start, at, age, back in rows)
+    if kind == HAVE:
+        return Have(*cut.one(HAS))
+    if kind == WANT:
+        return Want(*cut.one(WANTS))
+    if kind == PART:
+        return Part(*cut.one(WANTS), cut.rest(PART_BYTES))
+    raise Bad
+
+
+def _table(cut: Cut) -> tuple[Entry, ...]:
+    entries = tuple(Entry(*row[:-1], _either(row[-1])) for row in cut.list(ENTRY, MOST_OUT))
+    if len({one.machine for one in entries}) < len(entries):
+        raise Bad
+    return entries
+
+
+def _either(flag: int) -> bool:
+    if flag > 1:
+        raise Bad
+    return bool(flag)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -129,10 +129,10 @@
     return sock
 
 
-def until(holds):
-    with gevent.Timeout(WAIT):
+def until(holds, seconds=WAIT, every=0.001):
+    with gevent.Timeout(seconds):
         while not holds():
-            gevent.sleep(0.001)
+            gevent.sleep(every)
 
 
 class Server:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,70 +6,12 @@
 import gevent
 import pytest
 
-from benchmarks.rig import Door, Stream, Tally
+from benchmarks.rig import Load
 from marbleglade.standins.clients import Client
 from marbleglade.standins.frontfleet import FrontFleet
 from marbleglade.standins.places import Room
 from marbleglade.standins.world import chance
 
-OBJECTS = 300
-
-
-class Load:
-    """Clients at every front, each answer checked; `rates` by front, retrievals a second."""
-
-    def __init__(self, fleet, seed, rates):
-        self.fleet, self.tally = fleet, Tally()
-        self.down = {number: [] for number in range(fleet.count)}
-
-        def thing(number):
-            place = int(chance(seed, "thing", number) ** 3 * OBJECTS)
-            return int(chance(seed, "object", place) * 2**56) << 2 | (place % 4 == 0) * 3
-
-        self.streams = [
-            Stream(Door(f"f{number}", ZONE, fleet.doors[number], seed + number,
-                        lambda at, end, number=number: self.alive(number, at, end)),
-                   self.tally, seed * 100 + number, rate,
-                   lambda n, number=number: (thing(n * 97 + number), True))
-            for number, rate in enumerate(rates)]
-        self.loops = [gevent.spawn(one.run) for one in self.streams]
-
-    def alive(self, number, at, end):
-        """False where the front was down at some time between."""
-        return all(end < begin or at > over for begin, over in self.down[number])
-
-    def went_down(self, *numbers):
-        for number in numbers:
-            self.down[number].append((time.monotonic() - 0.1, time.monotonic() + 3600))
-
-    def came_back(self, number):
-        self.down[number][-1] = self.down[number][-1][0], time.monotonic() + 0.2
-
-    def boost(self, factor):
-        for one in self.streams:
-            one.boost = factor
-
-    def share(self, seconds):
-        """Runs on, and gives what was settled of what was asked for meanwhile."""
-        begin = time.monotonic()
-        gevent.sleep(seconds)
-        end = time.monotonic()
-        gevent.sleep(0.5)
-        return self.tally.share(begin, end)
-
-    def finish(self):
-        gevent.killall(self.loops)      # first: a stream asks once more after its last wait
-        for one in self.streams:
-            one.finish()
-        broken = sum(one.door.broken() for one in self.streams)
-        for one in self.streams:
-            one.door.close()
-        return broken
-
-
-ZONE = "z"
-
-
 @pytest.fixture
 def play(tmp_path):
     """Starts a fleet under load; what no front may ever do is checked at its end."""
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -246,8 +246,8 @@
     if fault.startswith("votes"):
         began = grants.Grants.__post_init__
 
-        def mute_no_more(self):
-            began(self)
+        def mute_no_more(self, now):
+            began(self, now)
             self.mute = 0
         monkeypatch.setattr(grants.Grants, "__post_init__", mute_no_more)
     elif fault.startswith("takes"):
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -209,22 +209,7 @@
 
 
 def given(world, *names, caps=CAPS, at=0, **more):
-    machines = tuple(Machine(name, Kind.FRONT if name.startswith("front") else Kind.CACHE,
-                             "" if name.startswith("front") else "z", 20_000) for name in names)
-    told = Order(world.unix_ms(), machines, tuple(caps), **{"floor": 0.4, "deadline_ms": 1000} | more)
-    text = WorkOrder(asked_ms=told.asked_ms, floor=told.floor, deadline_ms=told.deadline_ms,
-                     withdrawn=told.withdrawn)
-    for one in told.machines:
-        job = text.job.add(zone=one.zone, takes_ms=one.takes_ms)
-        if one.kind is Kind.FRONT:
-            job.front = int(one.name[6:])
-        else:
-            job.place = one.name
-    for cap in caps:
-        text.limit.add(most=cap.most, kind=cap.kind or 0, zone=cap.zone)
-    raw = zlib.compress(text.SerializeToString(deterministic=True), 9)
-    world.give(at, order_of(text), raw)
-    return world.fronts[at].works.order
+    return world.ordered(names, caps, at, **{"takes_ms": 20_000, "floor": 0.4} | more)
 
 
 FAULTS = {
--- a/tests/test_work_processes.py
+++ b/tests/test_work_processes.py
@@ -2,12 +2,14 @@
 
 import signal
 import time
+from functools import partial
 
 import gevent
 import pytest
 
 from benchmarks.crew import Crew, order
 
+from . import conftest
 from .test_fleet_processes import play    # noqa: F401  (a fixture)
 
 BEAT_MS = 200
@@ -29,10 +31,7 @@
         assert one.sent == 0, "launches to a box that was worked on"
 
 
-def until(holds, seconds):
-    with gevent.Timeout(seconds):
-        while not holds():
-            gevent.sleep(0.05)
+until = partial(conftest.until, every=0.05)     # a look reads logs
 
 
 def test_an_order_is_worked_through_under_load_with_losses_and_a_cut(crew):
