Tests of orders end when their crew is done, and stop a front only when nothing of its clients is open

Cause, seen with three test runs side by side: (1) "f1 ended with -15": a test ended while its crew had just started front 1 again, and the closing SIGTERM came before that had its handler; (2) "late at f1: 2.22 s": a stream asks once more after its last wait, so one retrieval reached the front after SIGSTOP. Ruled out: the program, whose fronts logged nothing wrong in either. At fault: the fixture `crew`, and `going = False` in both tests that stop a front.

Change: the fixture waits for its crew; `rig.Load.leave` ends a front's clients and waits for what is open. No check is looser.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -330,6 +330,12 @@
     def came_back(self, number: int) -> None:
         self.down[number][-1] = self.down[number][-1][0], now() + 0.2
 
+    def leave(self, number: int) -> None:
+        """The clients of a front go, and nothing of theirs is open any more: before it is stopped."""
+        gevent.kill(self.loops[number])
+        self.streams[number].finish()
+        self.went_down(number)
+
     def boost(self, factor: float) -> None:
         for one in self.streams:
             one.boost = factor
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -107,8 +107,7 @@
     fleet, load = play(cold=cold)
     holder = next(one for one in range(6) if fleet.survey(one)["fleet"]["duty"]["mine"])
     term = fleet.survey(holder)["fleet"]["duty"]["term"]
-    load.went_down(holder)      # its clients wait in vain meanwhile
-    load.streams[holder].going = False
+    load.leave(holder)
     fleet.signal(holder, signal.SIGSTOP)
     gevent.sleep(4.0)
     fleet.signal(holder, signal.SIGCONT)
--- a/tests/test_work_processes.py
+++ b/tests/test_work_processes.py
@@ -13,6 +13,7 @@
 from .test_fleet_processes import play    # noqa: F401  (a fixture)
 
 BEAT_MS = 200
+until = partial(conftest.until, every=0.05)     # a look reads logs
 
 
 @pytest.fixture
@@ -28,12 +29,10 @@
     yield start
     for one in crews:
         one.loop.kill()
+        until(lambda one=one: not one.busy, 15)     # a front that is just starting can't be ended cleanly yet
         assert one.sent == 0, "launches to a box that was worked on"
 
 
-until = partial(conftest.until, every=0.05)     # a look reads logs
-
-
 def test_an_order_is_worked_through_under_load_with_losses_and_a_cut(crew):
     fleet, load, working = crew()
     fleet.between.lost, fleet.between.late = 0.3, (0.0, 0.05)
@@ -95,8 +94,7 @@
     fleet.give(0, order([1, 2, 3], deadline_ms=20_000))
     until(lambda: any(working.stage(n) == "emptying" for n in fleet.processes), 15)
     turn = next(n for n in fleet.processes if working.stage(n) == "emptying")
-    load.streams[turn].going = False
-    load.went_down(turn)
+    load.leave(turn)
     fleet.signal(turn, signal.SIGSTOP)
     gevent.sleep(2.5)
     others = [n for n in fleet.processes if n != turn and working.stage(n) != "serving"]
