Other customers' settings: marks of receipted retrievals go on, writes are answered

Clients send nonce=... with receipted asks, wire.json names it replay towards caches, resp.py and cachelines.py knew neither. A write is answered HIT with bytes and neither entity nor issued; Answer.fits took that as unreadable and closed the connection (RESET, and broken off, since the launch may have run). Ruled out: class names, zones, bodies (they went on unchanged). Mend: Ask.mark and Errand.mark; what is never kept need not name a copy, is never kept by the front and never answered from a copy of the front's own; names of profiles in any alphabet. Each test fails without the mend.

--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -65,7 +65,10 @@
                          ask.again)
 
     def hold(self, ask: Ask, retrieval: Retrieval) -> None:
-        """Shows the decisions the front's own copy, if there is one."""
+        """Shows the decisions the front's own copy, if there is one. What is never kept has to run: guards
+        against a write that is answered with a copy of what it writes to."""
+        if retrieval.profile.never_kept:
+            return
         if copy := self.copies.get(retrieval.object, retrieval.part):
             same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
             retrieval.held = Held(work // SAME if same else work, copy.issued,
@@ -75,7 +78,7 @@
     def keep(self, retrieval: Retrieval, ending: Ending) -> None:
         """Files what came as a copy of the front's own."""
         told, thing, group = ending.answer.fields, retrieval.object, retrieval.group
-        if self.pace:
+        if self.pace and "entity" in told and not retrieval.profile.never_kept:
             issued = min(clock.from_unix_ms(int(told["issued"])), clock.now())
             copy = Copy(ending.answer.body, told["entity"], issued, group)
             self.copies.put(thing, retrieval.part, copy, self.purges.latest(thing, group))
@@ -170,7 +173,8 @@
         if not self.counters.must(kept is not None, "settled_without_answer"):
             return Reply(End.BROKEN_OFF)
         told = kept.answer.fields
-        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body, told["entity"], int(told["issued"]))
+        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body, told.get("entity", ""),
+                     int(told.get("issued", 0)))
 
     def _note(self, ask: Ask, go: Go, ending: Ending) -> None:
         launch = go.launch
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -37,12 +37,13 @@
     through: bool = False       # a parent on the way keeps no copy
     copy: str = ""
     body: bytes = b""
+    mark: str = ""              # by which a repeat of a receipted retrieval is known
 
     def encode(self) -> bytes:
         how = "+".join(word for word, wanted in (("ride", self.join), ("have-only", self.held_only),
                                                  ("through", self.through), ("update", self.renew)) if wanted)
         named = (("miss", self.source), ("prio", self.rank), ("within", self.age), ("f", how),
-                 ("mine", self.copy))
+                 ("mine", self.copy), ("replay", self.mark))
         fields = ",".join([f"profile={self.profile}", f"thing={self.thing}", f"nth={self.part}",
                            f"max={self.within}", *(f"{name}={value}" for name, value in named if value)])
         return b"do %b %b %d\r\n%b\r\n" % (self.id.encode(), fields.encode(), len(self.body), self.body)
@@ -64,10 +65,13 @@
     fields: dict[str, str]
     body: bytes
 
-    def fits(self, look: bool, copy: str) -> bool:
-        """Whether this answers what was asked: a probe, or an errand for a client that holds this copy."""
+    def fits(self, look: bool, copy: str, kept: bool = True) -> bool:
+        """Whether this answers what was asked: a probe, or an errand for a client that holds this copy.
+        What no cache keeps (`kept` is false) is answered with bytes alone, and names no copy."""
         if look or self.word not in COPY:
             return look == (self.word in PROBED)
+        if not kept and self.word == "HIT" and not {"entity", "issued"} & self.fields.keys():
+            return True
         tag, bare = self.fields.get("entity", ""), self.word == "VALID"
         return (bool(HEX16.fullmatch(tag.encode())) and bool(NUMBER.fullmatch(self.fields.get("issued", "")))
                 and (not bare or (bool(copy) and tag == copy and not self.body)))
@@ -123,7 +127,7 @@
                 raise BadLine("a line without end")
             return False
         try:
-            id, word, fields, size = self.buffer[:end].decode("ascii").split(" ")
+            id, word, fields, size = self.buffer[:end].decode().split(" ")
             pairs = [] if fields == "-" else [one.split("=", 1) for one in fields.split(",")]
             named = dict(pairs)
             if word not in WORDS or len(named) < len(pairs) or not NUMBER.fullmatch(size):
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -64,6 +64,7 @@
     ended: AsyncResult
     copy: str = ""          # that its client holds
     look: bool = False      # a probe
+    kept: bool = True       # what is asked for may be kept; else no copy is named
     line: Line | None = None    # from when it is written, until it ends
 
 
@@ -111,7 +112,8 @@
         cache, left = go.launch.cache, go.launch.sent + go.launch.within - self.clock()
         self.aloft[cache] += 1
         try:
-            return self._wait(Flight(ask.trace, go.ended, ask.copy), cache, left, self._start, ask, go)
+            flight = Flight(ask.trace, go.ended, ask.copy, kept=not ask.profile.never_kept)
+            return self._wait(flight, cache, left, self._start, ask, go)
         finally:
             self.aloft[cache] -= 1
             if not self.aloft[cache]:       # places come and go
@@ -205,7 +207,7 @@
             ask.trace, ask.profile_name, ask.thing, ask.part, max(1, left // 1_000_000),
             source="" if source is cache else place.id, rank=launch.rank,
             age=oldest(ask, go), join=go.join, held_only=go.held_only,
-            renew=go.renew, copy=ask.copy, body=ask.body)
+            renew=go.renew, copy=ask.copy, body=ask.body, mark=ask.mark)
         return self._send(line, flight, errand.encode())
 
     def _start_look(self, flight: Flight, line: Line) -> Ending | None:
@@ -346,7 +348,7 @@
             self.room.give(size)
             self.counters.add("cache.late_answer")
             return
-        if not answer.fits(flight.look, flight.copy):
+        if not answer.fits(flight.look, flight.copy, flight.kept):
             line.flights[flight.id] = flight
             self.room.give(size)
             raise BadLine("not an answer to what was asked")
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -11,6 +11,7 @@
 LONGEST_WORD = 4_096            # far above any field list that the protocol allows
 MOST_WORDS = 8
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
+MARK = re.compile(rb"[!-+\--~]{1,128}")      # passed on in a list of fields: no comma, no space
 NUMBER = re.compile(rb"[0-9]{1,18}")
 FIELD = re.compile(rb"([a-z]+)=([^,]*)(?:,|$)")
 # An ask as clients send it, up to its body: read at one go, since nothing else comes as often.
@@ -24,7 +25,8 @@
 
 @dataclass(slots=True)
 class Ask:
-    """A client's retrieval. `trace`, `thing` and `copy` are the client's own words, passed on unchanged."""
+    """A client's retrieval. `trace`, `thing`, `copy` and `mark` are the client's own words, passed on
+    unchanged; `mark` is that by which caches know a receipted one again."""
 
     tag: int
     profile: Profile
@@ -39,6 +41,7 @@
     body: bytes
     oldest: int = 0     # the oldest copy that will do, nanoseconds; 0: the decisions say
     passed: tuple[str, ...] = ()    # regions that it came through
+    mark: str = ""
 
 
 @dataclass(slots=True)
@@ -148,11 +151,12 @@
     fields = dict(pairs)
     if len(fields) < len(pairs):        # a field twice: it says two things
         return None
-    trace, thing, copy = (fields.get(name, b"") for name in (b"trace", b"entity", b"cached"))
+    trace, thing, copy, mark = (fields.get(name, b"") for name in (b"trace", b"entity", b"cached", b"nonce"))
     numbers = [fields.get(name, b"") for name in (b"patience", b"block", b"family")]
-    name = words[2].decode("ascii", "replace")
+    name = words[2].decode("utf-8", "replace")      # operators name profiles in their own alphabet
     if (name not in profiles or not all(map(HEX16.fullmatch, (trace, thing)))
-            or (copy and not HEX16.fullmatch(copy)) or not all(map(NUMBER.fullmatch, numbers))):
+            or (copy and not HEX16.fullmatch(copy)) or (mark and not MARK.fullmatch(mark))
+            or not all(map(NUMBER.fullmatch, numbers))):
         return None
     patience, part, group = map(int, numbers)
     # Far beyond the profile's client timeout, and so beyond what a cache can use.
@@ -160,7 +164,8 @@
         return None
     return Ask(tag, profiles[name], name, trace.decode(), patience * 1_000_000,
                fields.get(b"redo") == b"1", thing.decode(), part, group, copy.decode(),
-               words[4] if len(words) == 5 else b"")
+               words[4] if len(words) == 5 else b"",
+               mark=mark.decode())
 
 
 def encode(tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -51,6 +51,13 @@
                            "7f3a9c21e0b4d655", 3, 17, "4be0c1927d55a6f3", ODD)
     assert ask() == resp.Ask(7, PROFILES["segment"], "segment", "9b1f03aa5c7e2d41", 1_500_000_000, False,
                              "7f3a9c21e0b4d655", 3, 17, "", b"")
+    assert ask(FIELDS + b",nonce=a31c3d6cffc90fc4").mark == "a31c3d6cffc90fc4"
+
+
+def test_a_profile_may_be_named_in_any_alphabet():
+    name = "zápis-ж"
+    got = resp.decode([b"ASK", b"7", name.encode(), FIELDS], {name: PROFILES["segment"]})
+    assert isinstance(got, resp.Ask) and got.profile_name == name
 
 
 @pytest.mark.parametrize("old, new", [
@@ -59,7 +66,8 @@
     (b",family=17", b""),
     (b"patience=1500", b"patience=9000"), (b"block=3", b"block=3,block=4"),
     (b",family=17", b",family=17,trace=0000000000000000"),
-    (b"family=17", b"family=17,cached=nope"), (FIELDS, b"")])
+    (b"family=17", b"family=17,cached=nope"), (b"family=17", b"family=17,nonce=a\r\nundo b"),
+    (FIELDS, b"")])
 def test_an_ask_with_an_unusable_field_keeps_its_tag(old, new):
     assert ask(FIELDS.replace(old, new)) == resp.Unusable(7)
 
@@ -82,9 +90,9 @@
 @pytest.mark.parametrize("more, line", [
     ({}, b"do ab profile=p,thing=cd,nth=2,max=900 0\r\n\r\n"),
     (dict(source="s-1", rank=3, age=40, join=True, held_only=True, renew=True, through=True, copy="ef",
-          body=b"\r\n"),
+          body=b"\r\n", mark="9f"),
      b"do ab profile=p,thing=cd,nth=2,max=900,miss=s-1,prio=3,within=40,f=ride+have-only+through+update,"
-     b"mine=ef 2\r\n\r\n\r\n")])
+     b"mine=ef,replay=9f 2\r\n\r\n\r\n")])
 def test_an_errand_is_encoded(more, line):
     assert cachelines.Errand("ab", "p", "cd", 2, 900, **more).encode() == line
 
