Nothing is owed at the end of a front or of a client's connection

Cause, each forced over loopback first (tests/test_crossings.py, which fail on the code before): - Stop.over counted open retrievals. Clients.answer_now closes one before its bytes are written, so a front could leave with answers in Client.due or half written. Asks unread in sockets and connections in the backlog were not looked at (with the process stopped from 0.3 to 0.9 s after SIGTERM both asks were lost), and the end was a close by the kernel: a reset where anything lay unread. Test changed: a client that sends no more is still answered, but the order is forced now: it closes its side once its retrieval runs; closing before that is a case of its own (pushed back, nothing launched), as the issue asks.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -183,7 +183,8 @@
         # A stale entry costs nothing, and what was turned away at once little.
         price = (0 if missed and launch.source.role is Role.CACHE and launch.source is not launch.cache else
                  1 / 4 if launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed else 1)
-        if ((missed and price) or launch.outcome is Outcome.MOOT
+        # What a client that sends no more still waits for is launched nowhere else: it has most likely left.
+        if ((missed and price) or launch.outcome is Outcome.MOOT or retrieval.parted
                 or (not plan.sized and sum(one.outcome is Outcome.ERROR for one in retrieval.launches) > 2)
                 or len(retrieval.launches) >= self.ground.most_launches
                 or now + plan.work >= retrieval.until or self.choice.budget < price):
@@ -598,7 +599,7 @@
     def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
         """Rule 2: what may have run stays where its repeats are dropped, or goes nowhere any more."""
         profile = retrieval.profile
-        first = next((one for one in retrieval.launches if one.outcome not in NEVER_RAN), None)
+        first = next((one for one in retrieval.launches if one.ran), None)
         if first is None or profile.repeat is Repeat.PURE:
             return True
         if profile.repeat is Repeat.EFFECTFUL or self.actions.now() >= first.sent + profile.window:
@@ -608,7 +609,7 @@
 
     def give_up(self, retrieval: Retrieval) -> None:
         """The final answer at once: a pushback where a new try is harmless, else a break-off."""
-        if not retrieval.profile.harmless and any(one.outcome not in NEVER_RAN for one in retrieval.launches):
+        if not retrieval.profile.harmless and any(one.ran for one in retrieval.launches):
             return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
         self.pushed += 1
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -48,6 +48,7 @@
     held_only: bool
     keep: bool          # what comes is worth a copy of the front's own
     ended: AsyncResult
+    begun: bool = True      # it may have reached its cache; who carries it out says when it has not
 
 
 class Facade:
@@ -108,6 +109,7 @@
             return
         case.out.pop(launch, None)
         launch.outcome, launch.bare, launch.lag = outcome, bare, self.clock() - launch.sent
+        launch.unsent = not go.begun
         if outcome is Outcome.OK and not launch.retrieval.over:
             self._end(case, Final(End.SETTLED))
         self._call(self.decisions.ended, launch)
@@ -124,6 +126,17 @@
         finally:
             self._end(case, Final(End.GONE))
 
+    def part(self, retrieval: Retrieval) -> None:
+        """The client sends no more: what runs may still be answered, what waits is given up at once."""
+        retrieval.parted, case = True, self.open.cases.get(retrieval)
+        if case is None or case.final:
+            return
+        for go in case.out.values():
+            if not go.begun and not go.ended.ready():
+                go.ended.set(None)
+        if not case.out:
+            self._call(self.decisions.give_up, retrieval)
+
     def refuse(self, retrieval: Retrieval) -> Final:
         """A new retrieval while the front is out for work: the decisions give it up at once."""
         case = self.open.add(retrieval)
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -12,7 +12,7 @@
 
 from .facade import End, Facade, Final, Go
 from .ground import STATES, file_report
-from .interface import NEVER_RAN, Cache, Held, Outcome, Profile, Retrieval, Role, State
+from .interface import Cache, Held, Outcome, Profile, Retrieval, Role, State
 from .life import clock
 from .life.guard import Guard
 from .memory.copies import Copies, Copy
@@ -102,6 +102,10 @@
         """The client waits no more."""
         self.facade.leave(retrieval)
 
+    def part(self, retrieval: Retrieval) -> None:
+        """The client sends no more, and has most likely left."""
+        self.facade.part(retrieval)
+
     def answer_now(self, ask: Ask, retrieval: Retrieval) -> Reply | None:
         """Looks at a retrieval; its reply if the first decision is the last word, else `serve` goes on."""
         try:
@@ -168,7 +172,7 @@
             self.counters.add("retrieval.own")
             return retrieval.held.reply
         if final.end is not End.SETTLED:
-            ran = any(one.outcome not in NEVER_RAN for one in retrieval.launches)
+            ran = any(one.ran for one in retrieval.launches)
             return Reply(final.end, final.retry_after, ran=ran)
         if not self.counters.must(kept is not None, "settled_without_answer"):
             return Reply(End.BROKEN_OFF)
--- a/marbleglade/gateway/crossing.py
+++ b/marbleglade/gateway/crossing.py
@@ -49,6 +49,7 @@
     ask: Ask | None = None
     retrieval: Retrieval | None = None
     over: bool = False
+    parted: bool = False
 
 
 class Crossing:
@@ -108,7 +109,7 @@
                 self.routes.learn(thing, journey.region, clock.now())
             elif reply.lacking:
                 self.routes.lacks(thing, journey.region)
-                if journey.legs and clock.now() < journey.until and not reply.ran:
+                if journey.legs and clock.now() < journey.until and not (reply.ran or journey.parted):
                     last = reply
                     return
             answer(reply)
@@ -125,6 +126,12 @@
                 if last is None:
                     return
 
+    def part(self, journey: Journey) -> None:
+        """The client sends no more, and has most likely left: it goes to no further region."""
+        journey.parted = True
+        if journey.front:
+            journey.front.part(journey.retrieval)
+
     def leave(self, journey: Journey) -> None:
         """The client waits no more."""
         journey.over = True
--- a/marbleglade/gateway/life.py
+++ b/marbleglade/gateway/life.py
@@ -231,7 +231,7 @@
     gc.freeze()
     gateway.log.say("ready", region=gateway.region, start_ms=gateway.start_ms,
                     linked=[one.name for one in deployed.others])
-    while not gateway.stop.over(clock.now(), len(gateway.crossing)):
+    while not gateway.stop.over(clock.now(), len(gateway.crossing) or gateway.clients.owed):
         if gateway.stop.given_up(clock.now()):
             gateway.last_call()
         gevent.sleep(gateway.beat_every / 4e9)
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -163,6 +163,7 @@
     repeated: bool = False
     launches: list[Launch] = field(default_factory=list)
     over: bool = False
+    parted: bool = False    # its client sends no more: nothing more is launched for it
     held: Held | None = None
     plan: Any = None
 
@@ -182,8 +183,14 @@
     lag: int = 0
     waited: int = 0
     bare: bool = False      # settled without bytes: the client's own copy is the one
+    unsent: bool = False    # over before a byte of it was written
     plan: Any = None
 
+    @property
+    def ran(self) -> bool:
+        """It may have run, or may yet."""
+        return self.outcome not in NEVER_RAN and not self.unsent
+
 
 @dataclass(slots=True, eq=False)
 class Seen:
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -18,10 +18,10 @@
 from ..memory.purges import Purges
 from ..memory.room import Room
 from ..wire.caches import Caches
-from ..wire.clients import Clients
+from ..wire.clients import LINGER, Clients
 from ..wire.coordinator import BEAT, Follower
 from ..wire.peers import Peers
-from . import assignment, clock
+from . import assignment, clock, early
 from .counters import Counters
 from .guard import Guard
 from .log import Log
@@ -55,7 +55,7 @@
         guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.follow, guard)
     peers = None
-    work = [follower.run, front.probe, lambda: clients.accept(listener)]
+    work = [follower.run, front.probe]
     if around.peer_messages and told.peer_listen and told.peers:
         hearsay = Hearsay(int(BEAT * SECOND), ground.purge_time * 2, clock.now())
         peers = Peers(told.peer_listen, told.peers, ground.seed, hearsay, front.heed,
@@ -99,11 +99,17 @@
     listener.listen(told.descriptors)
     for one in work:
         gevent.spawn(one)
+    accepting = gevent.spawn(clients.accept, listener)
     gc.freeze()     # what a front starts with stays; the collector need not look at it again
     log.say("ready", places=len(places.by_id), last=told.last)
+    for number in early.came:
+        renew() if number == signal.SIGHUP else tell()
 
     swept = clock.now()
-    while not stop.over(clock.now(), len(facade.open)):
+    while True:
+        if stop.over(clock.now(), len(facade.open) or clients.owed) and (
+                stop.given_up(clock.now()) or not clients.unheard(listener)):
+            break
         due = guard.run("tick", facade.tick) or clock.now() + ground.resolution
         if clock.now() - swept >= SECOND // 4:
             swept = clock.now()
@@ -120,4 +126,11 @@
         gevent.sleep(max(0, due - clock.now()) / 1e9)
         if clock.now() - due > ground.resolution:
             counters.add("timer.late")
+    # Nothing is owed and all that came was looked at; nothing has had its turn since, so no more was taken.
+    accepting.kill(block=False)
+    listener.close()
+    clients.farewell()
+    until = clock.now() + LINGER
+    while clients.parting and clock.now() < until:
+        gevent.sleep(ground.resolution / 1e9)
     tell()
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -111,6 +111,7 @@
     def fly(self, ask: Ask, go: Go) -> Ending:
         cache, left = go.launch.cache, go.launch.sent + go.launch.within - self.clock()
         self.aloft[cache] += 1
+        go.begun = False
         try:
             flight = Flight(ask.trace, go.ended, ask.copy, kept=not ask.profile.never_kept)
             return self._wait(flight, cache, left, self._start, ask, go)
@@ -193,7 +194,7 @@
         launch = go.launch
         cache, source, retrieval = launch.cache, launch.source, launch.retrieval
         # The launch may have waited for its connection: what was told since holds for it too.
-        if (flight.ended.ready() or retrieval.over or self.purged(retrieval, launch.sent)
+        if (flight.ended.ready() or retrieval.over or retrieval.parted or self.purged(retrieval, launch.sent)
                 or cache.state is not State.ACTIVE or source.state is not State.ACTIVE):
             self._rest(line)
             self.counters.add("launch.stale")
@@ -208,6 +209,7 @@
             source="" if source is cache else place.id, rank=launch.rank,
             age=oldest(ask, go), join=go.join, held_only=go.held_only,
             renew=go.renew, copy=ask.copy, body=ask.body, mark=ask.mark)
+        go.begun = True
         return self._send(line, flight, errand.encode())
 
     def _start_look(self, flight: Flight, line: Line) -> Ending | None:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.lock import Semaphore
 
 from ..facade import End
@@ -15,13 +16,14 @@
 from ..life.guard import Guard
 from ..memory.traces import Traces
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
-from .sockets import SCRATCH, send_now
+from .sockets import SCRATCH, send_now, unread
 
 MOST_OPEN = 32      # the protocol's bound on one connection
 # The protocol's clients close what is idle after 4 s. One that says nothing, or does not finish what it
 # began, is let go in half of that: the operators ask for an answer or a close within 3 s of connecting.
 IDLE = 4_000_000_000
 UNFINISHED = IDLE // 2
+LINGER = UNFINISHED // 8    # how long who was said goodbye to may take to read it and to close
 TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
@@ -34,11 +36,18 @@
         self.open: dict[int, Retrieval] = {}
         self.turn = Semaphore()         # to write
         self.due = bytearray()          # answers of the door, written together
+        self.flushing: Event | None = None      # while they are being written: set once they are
         self.born = self.last = self.began = clock()    # `began`: the frame under way; 0: none is
         self.whole = self.asked = False     # it has sent a whole message; a retrieval
-        self.turned_away = 0                # messages that could not be used or taken
+        self.turned_away = 0                # messages that could not be used, one after the other
         self.buffered = 0       # bytes of a frame that is not whole yet
-        self.ended = self.closed = False    # the client sends no more; nothing can be written any more
+        # It sends no more that counts; it has closed its side; nothing can be written any more.
+        self.ended = self.left = self.closed = False
+
+    @property
+    def owed(self) -> bool:
+        """Something is still to be answered or written."""
+        return bool(self.open or self.due or self.flushing or self.turn.locked())
 
 
 class Clients:
@@ -50,6 +59,31 @@
         self.profiles = front.profiles
         self.traces = Traces(max(one.client_timeout for one in self.profiles.values()))
         self.clients: dict[Client, None] = {}
+        self.parting: dict[Client, int] = {}    # said goodbye to; until when they may take to close
+
+    @property
+    def owed(self) -> bool:
+        """Some connection is still owed an answer, or a part of one."""
+        return any(client.owed for client in self.clients)
+
+    def unheard(self, listener: socket.socket) -> bool:
+        """True while something that came was not looked at: it counts as taken. Connections that the machine
+        has accepted are taken in at once."""
+        patience, came = listener.gettimeout(), False
+        listener.settimeout(0.0)
+        try:
+            while True:
+                self.guard.run("accept", self._accepted, listener.accept()[0])
+                came = True
+        except OSError:
+            return came or any(not client.ended and unread(client.sock) for client in self.clients)
+        finally:
+            listener.settimeout(patience)
+
+    def farewell(self) -> None:
+        """Ends all connections in a way that lets their clients read what was written."""
+        for client in list(self.clients):
+            self._say_goodbye(client)
 
     def accept(self, listener: socket.socket) -> None:
         for count in itertools.count(1):
@@ -72,80 +106,116 @@
         if len(self.clients) > self.most:
             # Over the clients' share: who never sent anything whole makes room, then who never asked, then
             # who was idle longest, and only then who has just come and had no time to ask.
-            idle = (one for one in self.clients if not one.open)
             self.counters.add("client.over_share")
             just = self.clock() - UNFINISHED // 8
-            self._close(min(idle, default=client, key=lambda one: (
-                not one.whole and one.born > just, one.whole, one.asked, one.last)))
+            idle = sorted((one for one in self.clients if not one.owed), key=lambda one: (
+                not one.whole and one.born > just, one.whole, one.asked, one.last))
+            # On whom something lies unread an ask may have come: that is no idleness.
+            self._close(next((one for one in idle if not unread(one.sock)), client))
 
     def sweep(self) -> None:
         """Closes who says nothing, does not finish what it began, or is idle longer than clients are."""
         now = self.clock()
-        for client in [one for one in self.clients if not one.open]:
-            if client.began and now - client.began > UNFINISHED:
-                self.counters.add("client.unfinished")
-                self._close(client)
-            elif now - client.last > IDLE * 5 // 4:
-                self.counters.add("client.idle")
+        for client in [one for one, until in self.parting.items() if now > until]:
+            self._close(client)
+        for client in [one for one in self.clients if not one.owed]:
+            unfinished = client.began and now - client.began > UNFINISHED
+            # On whom something lies unread an ask may have come: that is no idleness.
+            if (unfinished or now - client.last > IDLE * 5 // 4) and not unread(client.sock):
+                self.counters.add("client.unfinished" if unfinished else "client.idle")
                 self._close(client)
 
     def _read(self, client: Client) -> None:
         try:
             while size := client.sock.recv_into(SCRATCH):
-                client.last = self.clock()
-                frames = client.frames.feed(SCRATCH[:size])
-                if frames:
-                    client.whole, client.began = True, 0
-                if client.frames.amid:
-                    client.began = client.began or client.last
-                for start in range(0, len(frames), TURN):
-                    if start:       # a flood from one must not hold up the others
-                        gevent.sleep(0)
-                    for words in frames[start:start + TURN]:
-                        if client.closed:
-                            return
-                        self._heard(client, words)
-                        if len(client.due) > len(SCRATCH):
-                            self._flush(client)
+                if client.ended:        # only its end counts any more
+                    continue
+                try:
+                    self._take_in(client, SCRATCH[:size])
+                except BadFrame:
+                    # It can't be followed further. What it asked for before is answered first.
+                    self.counters.add("client.bad_frame")
+                    client.ended, client.frames = True, Frames()
+                    self.buffered -= client.buffered
+                    client.buffered = 0
                     self._flush(client)
-                self.buffered += len(client.frames.buffer) - client.buffered
-                client.buffered = len(client.frames.buffer)
-                if self.buffered > self.most_buffered:
-                    self.counters.add("client.no_room")
-                    self._close(client)
-        except BadFrame:
-            self.counters.add("client.bad_frame")
-            self._flush(client)
-            self._close(client)
+                    self._done(client)
+                if client.closed:
+                    return
         except OSError:
             self._close(client)
         except Exception as trouble:
             self.guard.note("client", trouble)
             self._close(client)
         else:
-            # It sends no more but may still read: what it asked for is answered first.
-            client.ended = True
-            if not client.open:
-                self._close(client)
+            # It sends no more. It has most likely left, but may still read: what runs for it is answered,
+            # and what waits is given up. Guards against launches for who is no longer there.
+            client.ended = client.left = True
+            for retrieval in list(client.open.values()):
+                self.guard.run("part", self.front.part, retrieval)
+            self._done(client)
+
+    def _take_in(self, client: Client, data: memoryview) -> None:
+        client.last = self.clock()
+        frames = client.frames.feed(data)
+        if frames:
+            client.whole, client.began = True, 0
+        if client.frames.amid:
+            client.began = client.began or client.last
+        for start in range(0, len(frames), TURN):
+            if start:       # a flood from one must not hold up the others
+                gevent.sleep(0)
+            for words in frames[start:start + TURN]:
+                if client.closed:
+                    return
+                self._heard(client, words)
+                if len(client.due) > len(SCRATCH):
+                    self._flush(client)
+                    if client.flushing:     # nothing more is read of who does not take its answers
+                        client.flushing.wait()
+            self._flush(client)
+        if client.frames.bad:
+            raise client.frames.bad
+        self.buffered += len(client.frames.buffer) - client.buffered
+        client.buffered = len(client.frames.buffer)
+        self._make_room(client)
+
+    def _make_room(self, client: Client) -> None:
+        """Where parts of messages take too much room, who has begun most and is owed nothing makes room; if
+        there is none, no more is read of who has come last until there is."""
+        while self.buffered > self.most_buffered and client.buffered and not client.closed:
+            free = [one for one in self.clients if one.buffered and not one.owed]
+            if not free:
+                gevent.sleep(self.front.resolution / 1e9)
+                continue
+            self.counters.add("client.no_room")
+            self._close(max(free, key=lambda one: one.buffered))
 
     def _heard(self, client: Client, words: list[bytes]) -> None:
         message = decode(words, self.profiles)
+        if not isinstance(message, Nevermind) and message.tag in client.open:
+            raise BadFrame("a tag that is open already")    # any answer to it would be a second one
         if isinstance(message, Ask):
-            if message.tag in client.open:
-                raise BadFrame("a tag that is open already")
             if not self.traces.new(message.trace, client.last):
                 self.counters.add("retrieval.repeated_trace")
                 self._turn_away(client, message.tag, b"fault")
                 return
             client.asked = True
-            if (len(client.open) >= MOST_OPEN or self.front.refuse()
-                    or self.buffered + len(message.body) > self.most_buffered):
+            if len(client.open) >= MOST_OPEN:
                 self.counters.add("retrieval.refused_at_door")
                 self._turn_away(client, message.tag, b"full")
                 return
+            client.turned_away = 0
+            if self.front.refuse() or self.buffered + len(message.body) > self.most_buffered:
+                self.counters.add("retrieval.refused_at_door")
+                self._at_door(client, message.tag, b"full")
+                return
             retrieval = client.open[message.tag] = self.front.take(message)
             if reply := self.front.answer_now(message, retrieval):
                 del client.open[message.tag]
+                if reply.body and self.buffered + len(client.due) + len(reply.body) > self.most_buffered:
+                    self.counters.add("answer.no_room")
+                    reply = Reply(End.PUSHED_BACK)
                 client.due += self._encode(message.tag, reply)
             else:
                 gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
@@ -177,8 +247,7 @@
         left = retrieval.until + self.slack - self.clock()
         if self._write(client, self._encode(tag, reply), left, lambda: client.open.get(tag) is retrieval):
             client.open.pop(tag, None)
-        if client.ended and not client.open:
-            self._close(client)
+        self._done(client)
 
     def _encode(self, tag: int, reply: Reply) -> bytes:
         fields, word = b"", WORDS[reply.end]
@@ -197,46 +266,119 @@
         client.due += self._counted(tag, word)
 
     def _flush(self, client: Client) -> None:
-        """Writes the door's answers. Nothing more is read of a client that does not take them."""
-        if client.due:
-            data, client.due = client.due, bytearray()
-            self._write(client, data, UNFINISHED)
-
-    def _write(self, client: Client, data: bytes, left: int,
-               wanted: Callable[[], bool] = lambda: True) -> bool:
-        """True once all is written. A client that does not take it in time is closed; so it can tell."""
-        due, sent = self.clock() + left, 0
-        if client.turn.acquire(timeout=max(left, 0) / 1e9):
+        """Writes the door's answers. What is not taken at once is written beside the reading, so that a
+        NEVERMIND and the close are heard meanwhile."""
+        if not client.due or client.flushing or client.closed:
+            return
+        owned = client.turn.acquire(blocking=False)
+        if owned:
             try:
-                if client.closed or not wanted():       # it left meanwhile and gets nothing more
-                    return False
-                sent = send_now(client.sock, data)
-                if sent < len(data) and self.buffered + len(data) <= self.most_buffered:
-                    self.buffered += len(data)      # it waits for its reader
-                    try:
-                        with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
-                            client.sock.sendall(memoryview(data)[sent:])
-                            sent = len(data)
-                    finally:
-                        self.buffered -= len(data)
+                sent = send_now(client.sock, client.due)
             except OSError:
-                self.counters.add("client.write_failed")
-                self._close(client)
-                return False
-            finally:
                 client.turn.release()
-        if sent < len(data):
-            self.counters.add("client.slow_reader")
-            self._close(client)
+                self._lost(client)
+                return
+            del client.due[:sent]
+            if not client.due:
+                client.last = self.clock()
+                client.turn.release()
+                return
+        client.flushing = Event()
+        gevent.spawn(self._flush_on, client, owned)
+
+    def _flush_on(self, client: Client, owned: bool) -> None:
+        due = self.clock() + UNFINISHED
+        try:
+            if owned or client.turn.acquire(timeout=UNFINISHED / 1e9):
+                owned = True
+                while client.due and not client.closed:
+                    data, client.due = client.due, bytearray()
+                    if not self._pass_on(client, data, due):
+                        return
+            else:
+                self._slow(client)
+        finally:
+            if owned:
+                client.turn.release()
+            client.flushing.set()
+            client.flushing = None
+            self._done(client)
+
+    def _pass_on(self, client: Client, data: bytes | memoryview, due: int) -> bool:
+        """Waits until the client has taken these bytes; false where it is closed since it did not."""
+        whole = False
+        self.buffered += len(data)      # they wait for their reader
+        try:
+            with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
+                client.sock.sendall(data)
+                whole = True
+        except OSError:
+            self._lost(client)
+            return False
+        finally:
+            self.buffered -= len(data)
+        if not whole:
+            self._slow(client)
             return False
         client.last = self.clock()
         return True
 
+    def _write(self, client: Client, data: bytes, left: int, wanted: Callable[[], bool]) -> bool:
+        """True once all is written. A client that does not take it in time is closed; so it can tell."""
+        due = self.clock() + left
+        if not client.turn.acquire(timeout=max(left, 0) / 1e9):
+            self._slow(client)
+            return False
+        try:
+            if client.closed or not wanted():       # it left meanwhile and gets nothing more
+                return False
+            sent = send_now(client.sock, data)
+            if sent < len(data):
+                return self._pass_on(client, memoryview(data)[sent:], due)
+        except OSError:
+            self._lost(client)
+            return False
+        finally:
+            client.turn.release()
+        client.last = self.clock()
+        return True
+
+    def _slow(self, client: Client) -> None:
+        self.counters.add("client.slow_reader")
+        self._close(client)
+
+    def _lost(self, client: Client) -> None:
+        self.counters.add("client.write_failed")
+        self._close(client)
+
+    def _done(self, client: Client) -> None:
+        """Ends a connection that sends no more, once nothing is owed on it."""
+        if client.ended and not client.owed and not client.closed:
+            if client.left:
+                self._close(client)
+            else:
+                self._say_goodbye(client)
+
+    def _say_goodbye(self, client: Client) -> None:
+        """Ends our side alone and reads on until the client has ended its own: guards against the reset that
+        follows a close on unread bytes, and takes along answers that the client has not read yet."""
+        client.ended = True
+        if client in self.clients:
+            del self.clients[client]
+            self.parting[client] = self.clock() + LINGER
+            if len(self.parting) > max(1, self.most // 4):
+                self._close(next(iter(self.parting)))
+        try:
+            client.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close(client)
+
     def _close(self, client: Client) -> None:
         if client.closed:
             return
         client.closed = True
         self.clients.pop(client, None)
+        self.parting.pop(client, None)
         self.buffered -= client.buffered
         client.buffered = 0
         client.sock.close()
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -71,6 +71,7 @@
         self.buffer = bytearray()
         self.words: list[bytes] = []    # of the frame in hand
         self.due = 0                    # words that it still lacks
+        self.bad: BadFrame | None = None    # what stands behind the last whole frame can't be read
 
     @property
     def amid(self) -> bool:
@@ -78,6 +79,8 @@
         return bool(self.buffer or self.words or self.due)
 
     def feed(self, data: bytes) -> list[list[bytes]]:
+        """The frames that have come whole. What stands before bytes that can't be read still counts: it is
+        given, and `bad` is set; with nothing before them they are an error at once."""
         self.buffer += data
         frames, at = [], 0
         while True:
@@ -85,7 +88,14 @@
                 at = frame.pop()
                 frames.append(frame)
                 continue
-            if (after := self._step(at)) < 0:
+            try:
+                after = self._step(at)
+            except BadFrame as trouble:
+                if not frames:
+                    raise
+                self.bad = trouble
+                break
+            if after < 0:
                 break
             at = after
             if not self.due and self.words:
--- a/marbleglade/wire/sockets.py
+++ b/marbleglade/wire/sockets.py
@@ -20,6 +20,18 @@
             gevent.sleep(pause)
 
 
+def unread(sock: socket.socket) -> bool:
+    """True while bytes that came lie unread, never waits; an end alone is none."""
+    patience = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(patience)
+
+
 def send_now(sock: socket.socket, data: bytes) -> int:
     """Writes what the machine takes at once and never waits; gives how much that was."""
     try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -140,6 +140,7 @@
 
     def __init__(self):
         self.listener, self.said, self.socks = listening(), [], []
+        self.asks = []      # of each line: the connection that it came by
         self.address = self.listener.getsockname()
         self.loop = gevent.spawn(self.accept)
 
@@ -154,7 +155,9 @@
         with suppress(OSError):
             while data := sock.recv(4096):
                 *lines, rest = (rest + data).split(b"\n")
-                self.said += [line.strip().decode() for line in lines if line.strip()]
+                new = [line.strip().decode() for line in lines if line.strip()]
+                self.said += new
+                self.asks += [sock] * len(new)
 
     def heard(self, count):
         until(lambda: len(self.said) >= count)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -487,8 +487,8 @@
 def test_a_client_that_sends_no_more_still_gets_its_answer(world):
     sock = world.client()
     sock.sendall(ask(world, 7))
-    sock.shutdown(socket.SHUT_WR)
     world.server.heard(1)
+    sock.shutdown(socket.SHUT_WR)
     world.server.socks[0].sendall(full(b"9b1f03aa5c7e2d41 HIT - 1\r\nx\r\n"))
     assert sock.recv(4096) == words(b"7", b"ok", b"", b"x") and sock.recv(10) == b""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,10 +4,29 @@
 bytes, and by calls into the doors, never by waiting for luck.
 """
 
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+
+import gevent
+import orjson
 import pytest
+from gevent import socket
+from gevent.event import Event
+
+from marbleglade.interface import NEVER_RAN, Outcome, Repeat
+from marbleglade.life import clock
+from marbleglade.life.stop import Stop
+from marbleglade.memory.copies import Copy
 
-from .conftest import full, words
-from .test_connections import ask, serve, world  # noqa: F401  (the fixture)
+from . import test_life
+from .conftest import MS, WAIT, Server, front, full, listening, until, words  # noqa: F401  (the fixtures)
+from .test_connections import ask, serve, world  # noqa: F401
+from .test_life import program, told  # noqa: F401
 
 TRACE = b"9b1f03aa5c7e2d41"
 
@@ -46,3 +65,303 @@
     assert sock.recv(4096) == words(b"7", b"ok", b"", b"ok")
     assert ",replay=a31c3d6cffc90fc47fc97a47e35d8a29 0" in world.server.said[0]
     assert full(b" HIT - ") != b" HIT - "
+
+
+# The end of a front.
+
+
+def silent(sock):
+    """Nothing came, and the connection is open."""
+    with gevent.Timeout(0.02, False):
+        return sock.recv(1) == "never"
+    return True
+
+
+def own(world, size, thing=0x7f3a9c21e0b4d655):  # noqa: F811
+    """The front holds a copy of its own and gives it whenever it is shown one."""
+    world.copies.size = 10 * size
+    world.copies.put(thing, 3, Copy(b"x" * size, "4be0c1927d55a6f3", clock.now(), 17), 0)
+    script = world.facade.decisions
+    launch = script.take
+    script.take = lambda one: world.facade.settle(one) if one.held else launch(one)
+
+
+def read(sock, size):
+    got = b""
+    while len(got) < size and (data := sock.recv(1 << 16)):
+        got += data
+    return got
+
+
+def slow_reader(world):  # noqa: F811
+    """A client that has not read yet, on a connection that holds little."""
+    sock = socket.socket()
+    sock.settimeout(WAIT)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(world.door.getsockname())
+    world.socks.append(sock)
+    until(lambda: world.clients.clients)
+    client = list(world.clients.clients)[-1]
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock, client
+
+
+def test_an_answer_of_the_door_that_is_half_written_is_owed_though_nothing_is_open(world):  # noqa: F811
+    own(world, 60_000)
+    sock, client = slow_reader(world)
+    sock.sendall(ask(world, 7))
+    until(lambda: client.flushing)
+    assert not len(world.facade.open) and world.clients.owed
+    stop = Stop(2500 * MS)
+    stop.ask(0)
+    assert not stop.over(1000 * MS, len(world.facade.open) or world.clients.owed)
+    assert read(sock, 60_000).endswith(b"x\r\n") or sock.recv(100)
+    until(lambda: not world.clients.owed)
+
+
+def test_what_lies_unread_at_the_end_is_taken_in_and_answered_and_can_be_read(program):  # noqa: F811
+    process, door, cache, coordinator = program
+    sock = socket.create_connection(door)
+    sock.settimeout(WAIT)
+    sock.sendall(words(b"STATUS", b"1", b""))
+    sock.recv(100)
+    process.send_signal(signal.SIGTERM)
+    while orjson.loads(process.stderr.readline())["event"] != "stopping":
+        pass
+    os.kill(process.pid, signal.SIGSTOP)        # from here on nothing is looked at, and all of it is taken
+    sock.sendall(test_life.ask(2, 2))
+    late = socket.create_connection(door)
+    late.settimeout(WAIT)
+    late.sendall(test_life.ask(1, 3))
+    time.sleep(0.9)                             # the time in which clients may come is over when it goes on
+    os.kill(process.pid, signal.SIGCONT)
+    cache.heard(2)
+    for line, back in zip(cache.said, cache.asks, strict=True):
+        back.sendall(full(line.split()[1].encode() + b" HIT - 2\r\nok\r\n"))
+    assert sock.recv(4096) == words(b"2", b"ok", b"", b"ok") and sock.recv(10) == b""
+    assert late.recv(4096) == words(b"1", b"ok", b"", b"ok") and late.recv(10) == b""
+    until(lambda: process.poll() is not None)
+    assert process.returncode == 0
+
+
+def test_what_crosses_the_goodbye_does_not_take_written_answers_along(world):  # noqa: F811
+    own(world, 2_000)
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    until(lambda: world.counters.counts["answer.ok"] and not world.clients.owed)
+    sock.sendall(words(b"STATUS", b"9", b"") * 50)      # crosses it: the reader has its turn at the next wait
+    world.clients.farewell()
+    assert read(sock, 1 << 16) == words(b"7", b"ok", b"", b"x" * 2_000)     # and then an end, no reset
+    sock.close()
+    until(lambda: not world.clients.parting)
+
+
+@pytest.mark.parametrize("timeout, last_call", [(5000, 3400), (2000, 2500), (300, 900), (50, 700)])
+def test_the_last_call_leaves_time_to_write_answers(timeout, last_call):
+    # Killed no sooner than the longest timeout (3 s at most) and 0.7 s after SIGTERM.
+    stop = Stop(timeout * MS)
+    stop.ask(0)
+    assert stop.last_call == last_call * MS
+
+
+@pytest.fixture
+def held(tmp_path):
+    """The program in the midst of its start: it waits for its file, a pipe that is written by `say`."""
+    path = tmp_path / "c.json"
+    with listening() as place:
+        door = "%s:%d" % place.getsockname()    # noqa: UP031
+    os.mkfifo(path)
+    process = subprocess.Popen([sys.executable, "-O", "-m", "marbleglade"], stderr=subprocess.PIPE,
+                               env=os.environ | {"GW_CONFIG": str(path)})
+
+    def say(coordinator, meanwhile=lambda: None):
+        until(lambda: process.poll() is not None or opened(), seconds=10)
+        meanwhile()
+        text = json.dumps(told(listen=door, coordinator=":".join(map(str, coordinator.address))))
+        os.write(fds.pop(), text.encode().ljust(1 << 16)) and closing.pop()()
+
+    fds, closing = [], []
+    def opened():
+        with suppress(OSError):
+            fds.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+            os.set_blocking(fds[0], True)
+            closing.append(lambda fd=fds[0]: os.close(fd))
+        return fds
+
+    yield process, say
+    process.kill()
+    process.wait()
+
+
+def test_a_new_configuration_amid_the_start_is_heeded_once_the_front_is_there(held):
+    process, say = held
+    old, new = Server(), Server()
+    say(old, lambda: process.send_signal(signal.SIGHUP))
+    while orjson.loads(process.stderr.readline())["event"] != "ready":
+        pass
+    say(new)
+    assert new.heard(1) == "follow 2"
+    process.send_signal(signal.SIGTERM)
+    until(lambda: process.poll() is not None)
+    assert process.returncode == 0
+    old.close()
+    new.close()
+
+
+def test_an_end_amid_the_start_is_no_crash(held):
+    process, say = held
+    coordinator = Server()
+    with suppress(OSError):
+        say(coordinator, lambda: (process.send_signal(signal.SIGUSR1), process.send_signal(signal.SIGTERM)))
+    until(lambda: process.poll() is not None)
+    assert process.returncode == 0 and not process.stderr.read()
+    coordinator.close()
+
+
+# The end of a client's connection.
+
+
+@pytest.fixture
+def gate(world):  # noqa: F811
+    """Connections to caches come up once it is opened."""
+    one, line = Event(), world.caches._line
+    world.caches._line = lambda *told: (one.wait(WAIT), line(*told))[1]
+    return one
+
+
+def test_nothing_is_launched_for_who_has_closed_while_the_connection_came_up(world, gate):  # noqa: F811
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    until(lambda: world.caches.aloft)
+    sock.shutdown(socket.SHUT_WR)
+    assert sock.recv(4096) == words(b"7", b"full", b"pause=40", b"") and sock.recv(10) == b""
+    gate.set()
+    until(lambda: world.counters.counts["launch.stale"] == 1)
+    gevent.sleep(0.01)
+    assert world.server.said == [] and not len(world.facade.open)
+
+
+def test_nothing_is_launched_for_who_closes_as_it_asks(world):  # noqa: F811
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    sock.shutdown(socket.SHUT_WR)
+    assert sock.recv(4096) == words(b"7", b"full", b"pause=40", b"") and sock.recv(10) == b""
+    gevent.sleep(0.01)
+    assert world.server.said == []
+
+
+@pytest.mark.parametrize("repeat, unsent, said", [
+    (Repeat.EFFECTFUL, True, "push back"), (Repeat.EFFECTFUL, False, "break off"),
+    (Repeat.PURE, False, "push back")])
+def test_the_decisions_launch_nothing_more_for_who_sends_no_more(front, repeat, unsent, said):  # noqa: F811
+    one = front(repeat=repeat)
+    retrieval = one.ask()
+    one.sent[0].unsent = unsent
+    retrieval.parted = True
+    one.end(one.sent[0], Outcome.CALLED_OFF)
+    assert len(one.sent) == 1 and one.said == [(said, retrieval)] and Outcome.CALLED_OFF not in NEVER_RAN
+
+
+def test_a_nevermind_is_heard_while_answers_wait_for_their_reader(world):  # noqa: F811
+    own(world, 60_000)
+    sock, client = slow_reader(world)
+    sock.sendall(ask(world, 7))
+    until(lambda: client.flushing)
+    sock.sendall(ask(world, 8, "0000000000000008").replace(b"entity=7f", b"entity=00"))
+    world.server.heard(1)
+    sock.sendall(words(b"NEVERMIND", b"8"))
+    assert world.server.heard(2) == "undo 0000000000000008"
+    assert read(sock, 60_000) and client.flushing is None or read(sock, 100)
+
+
+def test_pushbacks_in_a_long_overload_end_no_connection(world):  # noqa: F811
+    sock = world.client()
+    sock.sendall(ask(world, 7))
+    world.server.heard(1)
+    world.front.refuse = lambda: True
+    for tag in range(100, 140):
+        sock.sendall(ask(world, tag, f"{tag:016x}"))
+        assert sock.recv(4096) == words(b"%d" % tag, b"full", b"", b"")
+    world.server.socks[0].sendall(full(TRACE + b" HIT - 1\r\nx\r\n"))
+    assert sock.recv(4096) == words(b"7", b"ok", b"", b"x")
+
+
+@pytest.mark.parametrize("garbage", [b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 100_000, words(b"ASK", b"x"),
+                                     words(b"ASK", b"7", b"page", b"")])
+def test_what_was_asked_before_garbage_is_answered_and_then_it_ends(world, garbage):  # noqa: F811
+    sock = world.client()
+    sock.sendall(ask(world, 7) + garbage)
+    world.server.heard(1)
+    sock.sendall(ask(world, 8, "0000000000000008"))     # nothing that comes after is looked at
+    world.server.socks[0].sendall(full(TRACE + b" HIT - 1\r\nx\r\n"))
+    assert sock.recv(4096) == words(b"7", b"ok", b"", b"x") and sock.recv(10) == b""
+    sock.close()
+    until(lambda: not world.clients.parting and not world.clients.clients)
+    assert len(world.server.said) == 1 and world.clients.buffered == 0
+
+
+def test_who_was_said_goodbye_to_and_does_not_close_is_closed(world):  # noqa: F811
+    sock = world.client()
+    sock.sendall(b"garbage\r\n")
+    assert sock.recv(10) == b"" and len(world.clients.parting) == 1
+    now = clock.now()
+    world.clients.clock = lambda: now + 400 * MS
+    world.clients.sweep()
+    assert not world.clients.parting
+
+
+def test_a_large_answer_waits_where_room_is_short_and_takes_no_other_along(world):  # noqa: F811
+    world.room.size = world.room.free = 1 << 20
+    sock, client = slow_reader(world)
+    sock.sendall(ask(world, 7) + ask(world, 8, "0000000000000008"))
+    world.server.heard(2)
+    world.clients.buffered += 99_999
+    said = dict(zip(world.server.said, world.server.asks, strict=True))
+    for line, cache in said.items():
+        size = 60_000 if TRACE.decode() in line else 1
+        cache.sendall(full(line.split()[1].encode() + b" HIT - %d\r\n" % size + b"x" * size + b"\r\n"))
+    large, small = words(b"7", b"ok", b"", b"x" * 60_000), words(b"8", b"ok", b"", b"x")
+    assert read(sock, len(large) + len(small)) in (large + small, small + large)
+    assert world.counters.counts["client.slow_reader"] == 0
+
+
+def test_an_own_copy_that_finds_no_room_is_pushed_back_and_the_connection_stays(world):  # noqa: F811
+    own(world, 60_000)
+    world.clients.buffered = 50_000
+    sock = world.client()
+    for tag in (7, 8):
+        sock.sendall(ask(world, tag, f"{tag:016x}"))
+        assert sock.recv(4096) == words(b"%d" % tag, b"full", b"", b"")
+
+
+def test_room_for_what_is_not_whole_is_made_by_who_is_owed_nothing(world):  # noqa: F811
+    part = (b"*5\r\n$3\r\nASK\r\n$1\r\n9\r\n$4\r\npage\r\n$1\r\nx\r\n$200000\r\n" + b"x" * 60_000)
+    idle, busy = world.client(), world.client()
+    idle.sendall(part)
+    until(lambda: world.clients.buffered > 50_000)
+    busy.sendall(ask(world, 7))
+    world.server.heard(1)
+    busy.sendall(part)
+    assert idle.recv(10) == b"" or True
+    until(lambda: world.counters.counts["client.no_room"] == 1)
+    world.server.socks[0].sendall(full(TRACE + b" HIT - 1\r\nx\r\n"))
+    assert busy.recv(4096) == words(b"7", b"ok", b"", b"x")
+
+
+@pytest.mark.parametrize("by", ["sweep", "share"])
+def test_a_connection_on_which_an_ask_lies_unread_is_not_idle(world, by):  # noqa: F811
+    socks = [world.client() for _ in range(3)]
+    until(lambda: len(world.clients.clients) == 3)
+    gevent.sleep(0.01)
+    now = clock.now()
+    world.clients.clock = lambda: now + 6000 * MS
+    socks[0].sendall(ask(world, 7))     # nobody else has his turn until the next wait
+    if by == "sweep":
+        world.clients.sweep()
+    else:
+        world.client()
+        sock, _ = world.door.accept()
+        world.clients._accepted(sock)
+    world.server.heard(1)
+    world.server.socks[0].sendall(full(TRACE + b" HIT - 1\r\nx\r\n"))
+    assert socks[0].recv(4096) == words(b"7", b"ok", b"", b"x") and socks[1].recv(10) == b""
