A list that can't be read in part, or for good, keeps no drain from the front

Cause, each forced over loopback first: - coordlines._content: one entry that can't be read made the whole event Other; the drains of all the others in it were lost and its number was used up. Entries are read one by one; a place whose own entry can't be read is left alone until a good one lists it; a list without one readable entry still is no list. - Events.feed raised at a line that can't be read, Follower asked anew from the same number, and the same line came again for ever, four times a second: nothing behind it was ever heard. It is asked for once more, then passed over (and counted). - Follower._heard used up the number of an event whose apply raised. It is asked for once more. - A purge with an unreadable moment was lost; it counts as of now. One that names neither object nor group purged group 0. - A coordinator that beats an old number kept a front from looking for another: only a number that is not behind is life. Checked, holds, and its test stays: a watch silent for good with half a line in hand, one that accepts and never speaks (two silences in a row: under 0.5 s where silence is 0.2 s; in service 2 s each, the settings grant 7 s), a whole list that lacks a place with launches out.

--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -74,6 +74,11 @@
             if cache.state is State.ACTIVE and self.resting and self.rests(member.id, member.started_ms):
                 cache.state = State.LEAVING
             told.append(cache)
+        # What can't be read may be a drain: such a place is left alone until a good entry lists it.
+        for place in [self.by_id[one] for one in change.unclear if one in self.by_id]:
+            if place.cache.state is State.ACTIVE:
+                place.cache.state = State.LEAVING
+            told.append(place.cache)
         if change.whole:
             for cache in self.by_cache.keys() - set(told):
                 cache.state = State.LEFT
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 
 from gevent import socket
 from gevent.event import Event as Signal
 
 from ..life import clock
 from ..life.guard import Guard
-from .coordlines import BadLine, Beat, Event, Events, ListChange, Other, Purge, encode_follow
+from .coordlines import BadLine, Beat, Event, Events, Garbled, ListChange, Other, Purge, encode_follow
 
 CHUNK = 1 << 16
 BEAT = 1.0          # seconds: the protocol promises a line as often
@@ -27,6 +28,8 @@
         self.anew = anew    # a coordinator may begin anew, and count from 1 again
         self.heard_at = 0   # when it last said something; 0: never
         self.gap = -1       # the last number after which one was found to be missing
+        self.garbled = -1   # the last number after which a line could not be read
+        self.failed = -1    # the number of an event that could not be taken in
 
     def run(self) -> None:
         while True:
@@ -50,7 +53,8 @@
         """Events told another way, by a new configuration; only what follows on is taken."""
         for event in events:
             if event.index == self.last + 1:
-                self._heard(event)
+                with suppress(BadLine):     # it comes again from the coordinator
+                    self._heard(event)
 
     def _follow(self) -> None:
         sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -64,13 +68,28 @@
                 sock.settimeout(max(self.silent - (clock.now() - heard) / 1e9, 1e-3))
                 if not (data := sock.recv(CHUNK)):
                     return
-                for event in events.feed(data):
+                for event in self._read(events, data):
                     self._heard(event)
-                    heard = self.heard_at = clock.now()
+                    if event.index >= self.last:    # who tells old numbers alone has fallen behind
+                        heard = self.heard_at = clock.now()
         finally:
             self.sock = None
             sock.close()
 
+    def _read(self, events: Events, data: bytes) -> Iterator[Event]:
+        """A line that can't be read is asked for anew, but only once: the same may come again for ever, and
+        what stands behind it would never be heard."""
+        while True:
+            try:
+                yield from events.feed(data)
+                return
+            except Garbled:
+                if self.garbled != self.last:
+                    self.garbled = self.last
+                    raise
+                self.counters.add("coordinator.passed_over")
+                data = b""
+
     def _heard(self, event: Event) -> None:
         """Each number once and in turn. A gap is asked for anew, but only once: it may be all there is."""
         beat = isinstance(event, Beat)
@@ -85,9 +104,16 @@
         if beat or event.index <= self.last:
             self.counters.add("coordinator.doubled", not beat)
             return
-        self.last = event.index
-        self.counters.add("coordinator.events")
         if isinstance(event, Other):
             self.counters.add("coordinator.unknown")
         else:
-            self.guard.run("event", self.apply, event)
+            try:
+                self.apply(event)
+            except Exception as trouble:
+                # It is asked for once more before its number is used up: a drain may stand in it.
+                self.guard.note("event", trouble)
+                if self.failed != event.index:
+                    self.failed = event.index
+                    raise BadLine("an event could not be taken in") from trouble
+        self.last = event.index
+        self.counters.add("coordinator.events")
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 
 import orjson
@@ -11,10 +12,15 @@
 from ..ground import STATES
 
 LONGEST_LINE = 1 << 20      # a whole list stands on one line
+NEVER = 1 << 53             # no Unix millisecond is as late
 
 
 class BadLine(Exception):
-    """A line that can't be read; what came before it still counts."""
+    """A line that can't be used; what came before it still counts."""
+
+
+class Garbled(BadLine):
+    """A line that can't be read; what stands behind it is given to who asks on."""
 
 
 @dataclass(slots=True)
@@ -30,14 +36,17 @@
 
 @dataclass(slots=True)
 class ListChange:
+    """`unclear`: places that it names and whose entries can't be read."""
+
     index: int
     whole: bool
     members: list[Member]
+    unclear: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Purge:
-    """Of one object, or of a group where `thing` is 0."""
+    """Of one object, or of a group where `thing` is 0. An unreadable moment counts as now."""
 
     index: int
     thing: int
@@ -83,19 +92,35 @@
 def _content(index: int, value: dict) -> ListChange | Purge | Other:
     if "endpoints" in value:
         told = value["endpoints"]
-        members = [Member(str(one["id"]), address(one["addr"]), one["zone"], one["kind"],
-                          int(one.get("cell") or 0), one["state"], int(one.get("started_ms") or 0))
-                   for one in told["servers"]]
-        if not all(one.state in STATES for one in members):
-            raise ValueError("no state")
-        return ListChange(index, bool(told.get("full")), members)
+        change = ListChange(index, bool(told.get("full")), [])
+        for one in told["servers"]:
+            try:
+                change.members.append(_member(one))
+            except (ValueError, KeyError, TypeError, AttributeError):
+                # Guards against one entry that takes the drains of all the others along.
+                if isinstance(one, dict) and isinstance(one.get("id"), str):
+                    change.unclear.append(one["id"])
+        if told["servers"] and not change.members and not change.unclear:
+            raise ValueError("a list of nothing that can be read")
+        return change
     if "evict" in value:
         told = value["evict"]
         thing, group = int(told.get("ref") or "0", 16), int(told.get("shard") or 0)
-        return Purge(index, thing, group, int(told["unix_ms"]))
+        if not thing and "shard" not in told:
+            raise ValueError("a purge of nothing")
+        at = told.get("unix_ms")
+        return Purge(index, thing, group, at if type(at) is int and 0 <= at < NEVER else NEVER)
     return Other(index)
 
 
+def _member(one: dict) -> Member:
+    member = Member(str(one["id"]), address(one["addr"]), one["zone"], one["kind"],
+                    int(one.get("cell") or 0), one["state"], int(one.get("started_ms") or 0))
+    if member.state not in STATES or not 0 <= member.started_ms < NEVER:
+        raise ValueError("no state, or no start")
+    return member
+
+
 def encode_follow(last: int) -> bytes:
     return b"follow %d\n" % last
 
@@ -104,20 +129,28 @@
     """Cuts a stream of bytes into events."""
 
     def __init__(self) -> None:
-        self.buffer = bytearray()
+        self.buffer, self.lines = bytearray(), deque[bytearray]()
+        self.endless = False        # amid a line that is too long to be one
 
     def feed(self, data: bytes) -> Iterator[Event]:
-        """Gives each event as it is read, so that what stands before a bad line still counts."""
+        """Gives each event as it is read, so that what stands before a bad line still counts, and what stands
+        behind it to the next call."""
         self.buffer += data
-        *lines, rest = self.buffer.split(b"\n")
-        if len(rest) > LONGEST_LINE:
-            raise BadLine("a line without end")
-        self.buffer = rest
-        for line in lines:
-            if not line.strip():
+        *lines, self.buffer = self.buffer.split(b"\n")
+        if lines and self.endless:
+            self.endless = False
+            del lines[0]
+        self.lines.extend(lines)
+        while self.lines:
+            if not (line := self.lines.popleft()).strip():
                 continue
             try:
                 value = orjson.loads(line)
-                yield Beat(value) if type(value) is int else event(value)
+                one = Beat(value) if type(value) is int else event(value)
             except (ValueError, KeyError, TypeError) as trouble:
-                raise BadLine("not an event") from trouble
+                raise Garbled("not an event") from trouble
+            yield one
+        if len(self.buffer) > LONGEST_LINE:
+            told, self.endless, self.buffer = self.endless, True, bytearray()
+            if not told:
+                raise Garbled("a line without end")
