The end of a launch takes no other on its connection along, and none goes astray

Cause, each forced over loopback first: - Caches._release closed a shared connection when a launch on it was given up half written (turn locked): all others on it were reset, and may have run. The message is written out and undone right behind; nothing new is put on such a line, so nothing waits for its turn to write any more; the line ends with the last flight on it, so the wait has an end. - _open used a connection that came up to where a place was: with an address that changed meanwhile the errand went to whoever has that address now; with a new start, to a line nobody can tell from one to the process before. - Room.take of a reader whose connection was closed kept its place in the queue: smaller bodies behind it waited though there was room; and one that was taken out of the queue did not let the next one in. - An answer amid its own message left the line idle with bytes of it still to be written. Checked, holds, and its test stays: an answer and its undo cross, a second answer, a place gone while its connection comes up, a purge between the look at an own copy and its answer.

--- a/marbleglade/memory/room.py
+++ b/marbleglade/memory/room.py
@@ -26,6 +26,7 @@
                 self.give(size)
             else:
                 self.waiting.remove(turn)
+                self.give(0)            # who waited behind may fit
             raise
 
     def overdraw(self, size: int) -> None:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -14,7 +14,6 @@
 import gevent
 from gevent import socket
 from gevent.event import AsyncResult
-from gevent.lock import Semaphore
 
 from ..facade import Go
 from ..interface import Cache, Outcome, Retrieval, State
@@ -75,10 +74,12 @@
         self.sock, self.pool = sock, pool
         self.answers = Answers()
         self.flights: dict[str, Flight] = {}
-        self.turn = Semaphore()         # to write
+        self.pushing = False            # the rest of a message is being written that was not taken at once
+        self.behind = bytearray()       # what has to follow it
         self.undone: set[str] = set()   # given up here; their answers may still come and are dropped
         self.last = ""                  # answered last; another copy of that may follow and is dropped
         self.held = 0                   # room taken for the body under way
+        self.taking: gevent.Greenlet | None = None      # its reader, while that waits for room
         self.idle_since = 0
         self.closed = self.silent = False   # silent: an errand on it went unanswered, and nothing came since
 
@@ -186,8 +187,12 @@
 
     def _open(self, flight: Flight, cache: Cache, start: Callable[..., Ending | None],
               *told: object) -> Ending | None:
-        """Starts on a connection that has to come up first, or to be shared."""
+        """Starts on a connection that has to come up first, or to be shared. One to a place that moved or
+        began anew meanwhile leads to where it was, and to whoever has that address now."""
         line = self._line(cache, flight.id)
+        while isinstance(line, Line) and line.pool.stale and not flight.ended.ready():
+            self._close(line)
+            line = self._line(cache, flight.id)
         return start(flight, line, *told) if isinstance(line, Line) else Ending(line)
 
     def _start(self, flight: Flight, line: Line, ask: Ask, go: Go) -> Ending | None:
@@ -218,29 +223,32 @@
     def _send(self, line: Line, flight: Flight, data: bytes) -> Ending | None:
         flight.line, line.flights[flight.id] = line, flight
         self.counters.add("launch.sent")
-        sent, owned = 0, line.turn.acquire(blocking=False)
-        if owned:
-            try:
-                sent = send_now(line.sock, data)
-            except OSError:
-                line.turn.release()
-                self._close(line)
-                return Ending(Outcome.RESET)
-            if sent == len(data):
-                line.turn.release()
-                return None
-        gevent.spawn(self._push, line, memoryview(data)[sent:], owned)
-        return None
-
-    def _push(self, line: Line, data: memoryview, owned: bool) -> None:
-        """Writes what could not be written at once; the connection ends if it is given up amid it."""
+        return None if self._say(line, data) else Ending(Outcome.RESET)
+
+    def _say(self, line: Line, data: bytes) -> bool:
+        """Writes a message; what is not taken at once is written beside. False where the line has failed."""
+        if line.pushing:        # never a launch: none is put on such a line
+            line.behind += data
+            return True
         try:
-            if owned or line.turn.acquire():
+            sent = send_now(line.sock, data)
+        except OSError:
+            self._close(line)
+            return False
+        if sent < len(data):
+            line.pushing = True
+            gevent.spawn(self._push, line, memoryview(data)[sent:])
+        return True
+
+    def _push(self, line: Line, data: memoryview | bytearray) -> None:
+        """Writes the rest of a message, for as long as anything is out on the line at most."""
+        try:
+            while data and not line.closed:
                 line.sock.sendall(data)
+                data, line.behind = line.behind, bytearray()
         except OSError:
             self._close(line)
-        finally:
-            line.turn.release()
+        line.pushing = False
 
     def _idle(self, cache: Cache, id: str) -> Line | None:
         """The connection that was idle for the shortest time, of those that may carry this errand."""
@@ -297,7 +305,7 @@
         for line in list(itertools.islice(pool.lines, 4 * FEW)):
             del pool.lines[line]        # the others get their turn before it does again
             pool.lines[line] = None
-            if (id not in line.undone and id not in line.flights and id != line.last
+            if (id not in line.undone and id not in line.flights and id != line.last and not line.pushing
                     and len(line.flights) < self.streams > len(line.undone)):
                 lines.append(line)
                 if len(lines) == FEW:
@@ -325,7 +333,11 @@
                     self._answered(line, answer)
                 missing = line.answers.expected - line.held
                 if missing > 0:
-                    self.room.take(missing)
+                    line.taking = gevent.getcurrent()
+                    try:
+                        self.room.take(missing)
+                    finally:
+                        line.taking = None
                     if line.closed:
                         self.room.give(missing)
                         return
@@ -368,7 +380,7 @@
         line.idle_since = self.clock()
         if line.flights or line.closed:
             return
-        if line.pool.stale:
+        if line.pool.stale or line.pushing:     # answered amid its message: nobody waits for the rest of it
             self._close(line)
         else:
             line.pool.idle.setdefault(line)
@@ -382,18 +394,12 @@
         if line is None or line.flights.get(flight.id) is not flight:
             return
         del line.flights[flight.id]
-        if line.turn.locked():      # in the midst of a message to it nothing else can be said
-            self._close(line)
-            return
         self.counters.add("launch.undone")
         line.undone.add(flight.id)
         line.silent = True
-        undo = encode_undo(flight.id)
-        try:    # a machine that takes no more bytes must not hold up the answer
-            whole = send_now(line.sock, undo) == len(undo)
-        except OSError:
-            whole = False
-        if not whole or not line.flights:
+        # Half written, it is written out and undone behind that: others on the line go on.
+        self._say(line, encode_undo(flight.id))
+        if not line.flights:
             self._close(line)
 
     def _close(self, line: Line) -> None:
@@ -403,6 +409,8 @@
         self.count -= 1
         line.pool.lines.pop(line, None)
         line.pool.idle.pop(line, None)
+        if line.taking:         # what it waits for is wanted by nobody
+            line.taking.kill(block=False)
         self.room.give(line.held)
         line.held = 0
         line.sock.close()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -84,14 +84,15 @@
                                                for one in ids]))
         return [place.cache for place in self.places.by_id.values()]
 
-    def fly(self, wait=500, trace="t1", meanwhile=lambda go: None, cache=None, source=None, copy=""):
+    def fly(self, wait=500, trace="t1", meanwhile=lambda go: None, cache=None, source=None, copy="",
+            body=b""):
         """One launch as the pool sees it; gives its ending."""
         cache = cache or self.places.by_id["s1"].cache
         now = clock.now()
         one = Retrieval(self.around.ground.profiles[0], 9, 0, 4, 0.0, now, now + wait * MS)
         go = Go(Launch(one, cache, source or cache, now, wait * MS, 1), 0, False, False, False, False,
                 gevent.event.AsyncResult())
-        ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, copy, b"")
+        ask = Ask(1, one.profile, self.profile, trace, wait * MS, False, "9", 0, 4, copy, body)
         flight = gevent.spawn(self.caches.fly, ask, go)
         try:
             meanwhile(go)
