Absurd settings are named before anything listens; another deployment's file changes nothing

Cause: each setting of a front replaced in turn by nothing, null, 0, -1, a text, a list, an object, 1e300 and true (a probe of 700 cases against the reading, the decisions and three retrievals each). Six ended in an exception much later or in the first retrieval (Zone -1, a text for OneFlowKbPerS and AimStretch, no classes, Deadline 0); some 300 absurd ones were taken as they were (negative times, 0 descriptors, 1e300 ms). ground.Reader only asked for int or float, true included. Change: numbers are finite and within bounds, counts are whole, names can be spoken in a list of fields and stand once, a receipted profile has a window; limits and known of the configuration too. Without zones all places are near (all were far: every retrieval was pushed back). A connect without a bound in the settings has the longest client timeout.

--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from dataclasses import dataclass
 
 from .interface import Cache, Ground, Group, Profile, Repeat, Role, State
@@ -14,8 +16,14 @@
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
+# Far above any time (three years, in ms), count or rate that a deployment has: what exceeds it is absurd.
+MOST = 1e11
+LEAST_TIME = 1      # ms: no retrieval is agreed on, or waited for, under that
+SPOKEN = re.compile(r"[^\s,=]{1,128}")      # a name that can stand in a list of fields
+
+
 class Missing(ValueError):
-    """A setting that is needed is absent or of the wrong shape."""
+    """A setting that is needed is absent, of the wrong shape or absurd."""
 
 
 @dataclass(slots=True)
@@ -54,13 +62,41 @@
             raise Missing(f"setting {path or 'Options'} is no object")
         self.value, self.path = value, path
 
-    def need(self, key: str, kind: type | tuple[type, ...] = (int, float)):
+    def need(self, key: str, kind: type | tuple[type, ...]):
         if not isinstance(self.value.get(key), kind):
             raise Missing(f"setting {self.path}{key} is missing or malformed")
         return self.value[key]
 
-    def time(self, key: str) -> int:
-        return round(self.need(key) * 1e6)
+    def number(self, key: str, least: float = 0):
+        """A number that some deployment could have; guards against figures that stop a front much later."""
+        value = self.value.get(key)
+        if type(value) not in (int, float) or not math.isfinite(value) or not least <= value <= MOST:
+            raise Missing(f"setting {self.path}{key} is missing, malformed or absurd")
+        return value
+
+    def optional(self, key: str, other: float = 0, least: float = 0):
+        return self.number(key, least) if self.value.get(key) is not None else other
+
+    def whole(self, key: str, least: int = 0) -> int:
+        if type(value := self.number(key, least)) is not int and value != int(value):
+            raise Missing(f"setting {self.path}{key} is no whole number")
+        return int(value)
+
+    def optional_whole(self, key: str, other: int = 0, least: int = 0) -> int:
+        return self.whole(key, least) if self.value.get(key) is not None else other
+
+    def numbers(self, key: str, needed: bool = True) -> list:
+        values = self.need(key, list) if needed or self.value.get(key) is not None else []
+        return [Reader({key: one}, self.path).optional(key) for one in values]
+
+    def names(self, key: str) -> list[str]:
+        values = self.need(key, list) if self.value.get(key) is not None else []
+        if not all(isinstance(one, str) for one in values):
+            raise Missing(f"setting {self.path}{key} holds what is no name")
+        return values
+
+    def time(self, key: str, least: float = 0) -> int:
+        return round(self.number(key, least) * 1e6)
 
     def optional_time(self, key: str) -> int:
         return self.time(key) if self.value.get(key) is not None else 0
@@ -77,33 +113,40 @@
     top = Reader(settings, "")
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
     reports = top.value.get("Report") or {}
-    fresh, grace = own.need("MaxAge", list), own.need("GraceFor", list)
-    never_kept, zone = own.need("NeverKept", list), int(top.need("Zone"))
-    profiles, names = [], []
+    if not isinstance(reports, dict):
+        raise Missing("setting Report is no object")
+    fresh, grace = own.numbers("MaxAge"), own.numbers("GraceFor")
+    never_kept, zone = own.need("NeverKept", list), top.whole("Zone")
+    profiles: dict[str, Profile] = {}
     for place, value in enumerate(top.need("Classes", list)):
         one = Reader(value, f"Classes[{place}].")
         repeat, group = one.need("Repeat", str), one.value.get("Group", "all")
         if repeat not in REPEATS or group not in GROUPS:
             raise Missing(f"setting Classes[{place}].Repeat or Group is unknown")
-        names.append(str(one.value.get("Name", place)))
-        profiles.append(Profile(
-            agreed=one.time("Aim"), stretch=one.value.get("AimStretch") or 0.0,
-            client_timeout=one.time("Deadline"),
+        name = str(one.value.get("Name", place))
+        if not SPOKEN.fullmatch(name) or name in profiles:
+            raise Missing(f"setting Classes[{place}].Name can't be spoken, or is there twice: {name!r}")
+        profiles[name] = profile = Profile(
+            agreed=one.time("Aim", least=LEAST_TIME), stretch=one.optional("AimStretch"),
+            client_timeout=one.time("Deadline", least=LEAST_TIME),
             repeat=REPEATS[repeat], group=GROUPS[group],
             window=one.optional_time("KeyTtl"),
             fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
-            never_kept=bool(at(never_kept, place, False)), credit=float(one.value.get("Gain") or 1.0)))
+            never_kept=bool(at(never_kept, place, False)), credit=float(one.optional("Gain") or 1.0))
+        if profile.repeat is Repeat.RECEIPTED and not profile.window:
+            raise Missing(f"setting Classes[{place}].KeyTtl is missing, and repeats are dropped for no time")
+    if not profiles:
+        raise Missing("setting Classes is empty")
     ground = Ground(
-        profiles=profiles, seed=seed, zone=zone,
-        crew=max(1, at(own.value.get("CrewByZone") or [], zone, 1)),
-        pace_kb_s=own.value.get("OneFlowKbPerS") or 0.0,
-        resolution=top.time("Resolution"), cold_share=rules.need("ColdFrom"), cold_time=rules.time("Cold"),
-        cold_factor=rules.need("OverloadFactor"), fall_window=rules.time("Fall"),
-        parent_cold_share=own.value.get("UpperColdFrom") or 0.0,
-        parent_cold_time=own.optional_time("ParentWarmsIn"),
-        parent_factor=own.value.get("ParentBreaksAt") or 0.0,
-        origin_factor=own.value.get("OriginLimitFactor") or 0.0,
-        purge_time=own.optional_time("ClearedWithin"), most_launches=int(limits.need("MaxAttempts")),
+        profiles=list(profiles.values()), seed=seed, zone=zone,
+        crew=max(1, int(at(own.numbers("CrewByZone", needed=False), zone, 1))),
+        pace_kb_s=own.optional("OneFlowKbPerS"),
+        resolution=top.time("Resolution", least=1e-3), cold_share=rules.number("ColdFrom"),
+        cold_time=rules.time("Cold"), cold_factor=rules.number("OverloadFactor"),
+        fall_window=rules.time("Fall"), parent_cold_share=own.optional("UpperColdFrom"),
+        parent_cold_time=own.optional_time("ParentWarmsIn"), parent_factor=own.optional("ParentBreaksAt"),
+        origin_factor=own.optional("OriginLimitFactor"),
+        purge_time=own.optional_time("ClearedWithin"), most_launches=limits.whole("MaxAttempts", least=1),
         longest_retry_after=limits.optional_time("MaxRetryAfter"),
         may_call_off=bool(limits.need("Cancel", (bool, int))),
         retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
@@ -112,9 +155,11 @@
         own_width=own_width, must_ask=top.value.get("MembershipMode") == "ask",
         probing=bool(limits.value.get("Probing")) and reports.get("Via") == "probe"
         and "x1" in (reports.get("Names") or ()))
+    # Where the settings bound no connect, the longest client timeout does: every wait has an end.
+    longest = max(profile.client_timeout for profile in profiles.values())
     return Surroundings(
-        ground, dict(zip(names, profiles, strict=True)), int(own.value.get("ParentKind", -1)),
-        int(own.need("StoreKind")), list(top.value.get("Skus") or ()), list(top.value.get("Dcs") or ()),
-        limits.optional_time("ConnectTimeout"), limits.optional_time("IdleClose"),
-        int(limits.value.get("StreamsPerConn") or 1), int(limits.value.get("MaxOpen") or 0),
+        ground, profiles, own.optional_whole("ParentKind", -1, least=-1), own.whole("StoreKind", least=-1),
+        top.names("Skus"), top.names("Dcs"),
+        limits.optional_time("ConnectTimeout") or longest, limits.optional_time("IdleClose"),
+        limits.optional_whole("StreamsPerConn", 1) or 1, limits.optional_whole("MaxOpen"),
         rules.optional_time("AnswerSlack"), bool(limits.value.get("PeerMessages")))
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..ground import Missing, Surroundings, read_ground
+from ..ground import Missing, Reader, Surroundings, read_ground
 from ..wire.coordlines import ListChange, Other, Purge, address, event
 
 # What a running front can't change.
@@ -15,6 +15,9 @@
          "link_bytes_per_s")
 
 
+LEAST_SOCKETS = 16      # with fewer some part of a front would have none
+
+
 class Unfit(Exception):
     """The configuration is absent, unreadable or lacks something; says what."""
 
@@ -34,6 +37,7 @@
     known: list[ListChange | Purge]
     around: Surroundings
     fixed: dict[str, bytes]
+    kin: bytes
 
 
 @dataclass(slots=True)
@@ -45,6 +49,18 @@
     peers: list[tuple[str, int]] | None
     peers_all: tuple[str, int] | None
     fixed: dict[str, bytes]
+    kin: bytes
+
+
+def kin(told: dict) -> bytes:
+    """What makes two configurations ones of the same deployment: what its profiles, zones and kinds are
+    called; empty where the settings do not say."""
+    settings = told.get("settings")
+    classes = settings.get("Classes") if isinstance(settings, dict) else None
+    if not isinstance(classes, list):
+        return b""
+    names = [one.get("Name") if isinstance(one, dict) else one for one in classes]
+    return orjson.dumps([names, settings.get("Dcs"), settings.get("Skus")])
 
 
 def fixed(told: dict) -> dict[str, bytes]:
@@ -77,7 +93,7 @@
         peers_all = address(told["peers_all"]) if told.get("peers_all") else None
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
-    return Renewal(coordinator, known, peers, peers_all, fixed(told))
+    return Renewal(coordinator, known, peers, peers_all, fixed(told), kin(told))
 
 
 def read(environ: Mapping[str, str]) -> Assignment:
@@ -89,17 +105,19 @@
         field = "seed"
         seed = int(str(told["seed"]), 16)
         field = "flow_bytes_per_s or link_bytes_per_s"
-        pace, link = (int(told.get(one) or 0) for one in ("flow_bytes_per_s", "link_bytes_per_s"))
+        rates = Reader(told, "")
+        pace, link = (rates.optional_whole(one) for one in ("flow_bytes_per_s", "link_bytes_per_s"))
         field = "settings"
         around = read_ground(told["settings"], seed, link / pace if pace else 0.0)
         field = "limits"
-        memory, descriptors = int(told["limits"]["memory_mb"]), int(told["limits"]["sockets"])
+        limits = Reader(told["limits"], "limits.")
+        memory, descriptors = limits.whole("memory_mb", least=1), limits.whole("sockets", LEAST_SOCKETS)
         field = "listen"
         listen = address(told["listen"])
         field = "coordinator"
         coordinator = address(told["coordinator"])
         field = "known"
-        last = int(told["known"]["index"])
+        last = Reader(told["known"], "known.").whole("index")
         known = [one for one in map(event, told["known"]["updates"]) if not isinstance(one, Other)]
         field = "peers"
         peers = [address(one) for one in told.get("peers") or ()]
@@ -111,4 +129,4 @@
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
     return Assignment(str(told["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
-                      peers, peers_all, last, known, around, fixed(told))
+                      peers, peers_all, last, known, around, fixed(told), kin(told))
--- a/marbleglade/life/renewal.py
+++ b/marbleglade/life/renewal.py
@@ -13,9 +13,10 @@
 class Renewals:
     """Takes over what can change; what can't is named in the log, and the front goes on as it was."""
 
-    def __init__(self, environ: Mapping[str, str], fixed: dict[str, bytes], follower: Follower,
+    def __init__(self, environ: Mapping[str, str], fixed: dict[str, bytes], kin: bytes, follower: Follower,
                  peers: Peers | None, log: Log) -> None:
-        self.environ, self.fixed, self.follower, self.peers, self.log = environ, fixed, follower, peers, log
+        self.environ, self.fixed, self.kin = environ, fixed, kin
+        self.follower, self.peers, self.log = follower, peers, log
 
     def renew(self) -> None:
         try:
@@ -24,6 +25,11 @@
             self.log.counters.add("renewal.unfit")
             self.log.say("renewal", unfit=str(trouble))
             return
+        if told.kin and told.kin != self.kin:
+            # Guards against one customer's file in another's place: its list would empty the front.
+            self.log.counters.add("renewal.another")
+            self.log.say("renewal", unfit="the file is of another deployment: nothing is taken from it")
+            return
         self.log.counters.add("renewal.taken")
         if self.peers and told.peers:
             self.peers.renew(told.peers, told.peers_all)
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -83,7 +83,7 @@
         if fleet:
             guard.run("fleet", fleet.leave)
 
-    renewals = Renewals(os.environ, told.fixed, follower, peers, log)
+    renewals = Renewals(os.environ, told.fixed, told.kin, follower, peers, log)
 
     def renew() -> None:
         guard.run("renewal", renewals.renew)
--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -69,7 +69,9 @@
                 place.started_ms = member.started_ms
                 cache.born = self.from_unix_ms(member.started_ms) if member.started_ms else 0
             place.address, cache.role, cache.cell = member.address, self.role(member.kind), member.cell
-            cache.zone = self.around.zones.index(member.zone) if member.zone in self.around.zones else -1
+            zones = self.around.zones       # where none are told, all places are near
+            cache.zone = (self.around.ground.zone if not zones else
+                          zones.index(member.zone) if member.zone in zones else -1)
             cache.state = STATES[member.state]
             if cache.state is State.ACTIVE and self.resting and self.rests(member.id, member.started_ms):
                 cache.state = State.LEAVING
