The mark of a receipted retrieval goes across to the region that drops its repeats

Cause: the front now passes a client's mark on to its caches; a carry to another region had no field for it, nor did errands at a gateway's door of a place, so a repeat could not be told from a first launch there. Carry.mark (a new field, which older gateways ignore), Errands reads it. Two tests fail without it. Also: what the last call meets, three cases, which hold.

--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -230,7 +230,7 @@
         ask = Ask(message.number, profile, message.profile, message.trace,
                   min(message.within_ms * MS, profile.client_timeout), message.again, f"{message.thing:016x}",
                   message.part, message.group, message.copy, body, message.oldest_ms * MS,
-                  tuple(message.passed))
+                  tuple(message.passed), message.mark)
         if message.HasField("had") and (reply := self._kept(message, ask)):
             self.counters.add("carried.from_book")
             self._answered(account, entry, reply)
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -173,7 +173,7 @@
             number=carry.number, trace=ask.trace, profile=ask.profile_name, thing=int(ask.thing, 16),
             part=ask.part, group=ask.group, within_ms=max(1, left // MS),
             oldest_ms=self._oldest(link, ask, go), copy=ask.copy, again=ask.again,
-            passed=[*ask.passed, self.home], body=len(ask.body))
+            passed=[*ask.passed, self.home], body=len(ask.body), mark=ask.mark)
         if part and self.account:
             frame.had.CopyFrom(Had(tag=part.tag, issued_ms=part.issued_ms, bytes=len(part.data)))
         self.counters.add("carry.sent")
--- a/marbleglade/wire/errands.py
+++ b/marbleglade/wire/errands.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .cachelines import LONGEST_LINE, NUMBER, BadLine, Errand
-from .resp import HEX16, LONGEST_OBJECT
+from .resp import HEX16, LONGEST_OBJECT, MARK
 
 ID = re.compile(r"[!-+\--~]{1,64}")
 WORD = re.compile(r"[!-+\--<>-~]{1,64}")
@@ -101,16 +101,18 @@
 def _errand(id: str, fields: dict[str, str], body: bytes) -> Errand | None:
     numbers = [fields.get(name, other) for name, other in
                (("nth", ""), ("max", ""), ("prio", "0"), ("within", "0"))]
-    profile, thing, copy = (fields.get(name, "") for name in ("profile", "thing", "mine"))
+    profile, thing, copy, mark = (fields.get(name, "") for name in ("profile", "thing", "mine", "replay"))
     how = fields["f"].split("+") if fields.get("f") else []
     if (not all(map(NUMBER.fullmatch, numbers)) or not WORD.fullmatch(profile)
             or not HEX16.fullmatch(thing.encode()) or (copy and not HEX16.fullmatch(copy.encode()))
+            or (mark and not MARK.fullmatch(mark.encode()))
             or any(one not in HOW for one in how)):
         return None
     part, within, rank, age = map(int, numbers)
     if not within or rank > 3 or part >= 1 << 31:
         return None
     return Errand(id, profile, thing, part, within, fields.get("miss", ""), rank, age, copy=copy, body=body,
+                  mark=mark,
                   **{HOW[one]: True for one in how})
 
 
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -108,7 +108,8 @@
         else:
             self.counters.add("place.errands")
             ask = Ask(0, profile, errand.profile, errand.id, errand.within * MS, False, errand.thing,
-                      errand.part, self.unknown, errand.copy, errand.body, errand.age * MS)
+                      errand.part, self.unknown, errand.copy, errand.body, errand.age * MS,
+                      mark=errand.mark)
             harmless = profile.repeat is Repeat.PURE
             journey = visitor.open[errand.id] = self.crossing.take(ask)
             if reply := self.crossing.answer_now(ask, journey):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -278,6 +278,29 @@
     assert stop.last_call == last_call * MS
 
 
+@pytest.mark.parametrize("at", ["connection", "cache", "its time"])
+def test_the_last_call_answers_whatever_it_meets(world, gate, at):  # noqa: F811
+    """A launch whose connection is coming up, one that hangs, and one whose time runs out just then."""
+    if at != "connection":
+        gate.set()
+    sock = world.client()
+    sock.sendall(ask(world, 7, patience=30 if at == "its time" else 1000))
+    until(lambda: world.caches.aloft)
+    if at != "connection":
+        world.server.heard(1)
+    if at == "its time":
+        time.sleep(0.04)        # nobody has his turn: both are due at once
+    world.facade.last_call()
+    world.facade.last_call()
+    got = sock.recv(4096)
+    assert got.startswith(b"*4\r\n$1\r\n7\r\n$4\r\nfull\r\n")
+    gate.set()
+    until(lambda: not len(world.facade.open) and not world.clients.owed)
+    gevent.sleep(0.01)
+    assert silent(sock) and len([one for one in world.server.said if one.startswith("do")]) == (
+        at != "connection")
+
+
 @pytest.fixture
 def held(tmp_path):
     """The program in the midst of its start: it waits for its file, a pipe that is written by `say`."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,7 +3,8 @@
 import gevent
 import pytest
 
-from marbleglade.standins.places import Visit
+from marbleglade.standins.clients import Client
+from marbleglade.standins.places import Place, Visit
 from marbleglade.standins.world import group_of, version_of
 
 from .conftest import LINK, Two, until
@@ -52,6 +53,22 @@
     visit.close()
 
 
+@pytest.mark.parametrize("door", ["client", "place"])
+def test_the_mark_of_a_receipted_retrieval_goes_across_to_where_repeats_are_dropped(two, monkeypatch, door):
+    marks, said, thing, mark = [], Place._said, WEST | 4, "a31c3d6cffc90fc47fc97a47e35d8a29"
+    monkeypatch.setattr(Place, "_said", lambda place, asked: (
+        marks.append(getattr(asked, "mark", None)), said(place, asked))[1])
+    if door == "client":
+        fields = (f"trace={1:016x},patience=1500,entity={thing:016x},block=0,family={group_of(thing)},"
+                  f"nonce={mark}")
+        two.client().say(next(Client.traces), b"ASK", b"votes", fields.encode(), b"", wait=2)
+    else:
+        visit = Visit(("127.0.0.1", two.east.ports["east-1"][1]))
+        visit.ask("votes", f"{thing:016x}", 0, 1500, mark=mark)
+        visit.close()
+    assert marks == [mark]
+
+
 def asking(client, thing, **how):
     return gevent.spawn(ask, client, thing, patience=2900, **how)
 
