--- a/tests/test_script.py
+++ b/tests/test_script.py
@@ -144,6 +144,10 @@
                 conn.ours = True        # it sends nothing more, and may be closed once all is answered
                 conn.send(garbage)
 
+    def asks(self, count):
+        for _ in range(count):
+            self.ask()
+
     def leave(self, how):
         conns = [one for one in self.conns if one.owed and not one.closed and not one.ours]
         if not conns:
@@ -201,9 +205,14 @@
                     socket.create_connection(self.door).close()
                     return True
             until(up, seconds=20, every=0.02)
-            for _ in range(STEPS):
+            for step in range(STEPS):
                 self.step()
                 gevent.sleep(0.02 * chance(self.seed, f"pause {self.count}"))
+                if step % (STEPS // 3) == 0:        # many leave at once, right after they asked
+                    self.asks(12)
+                    for how in ("close", "nevermind", "reset", "close", "nevermind"):
+                        self.leave(how)
+            self.asks(12)
             self.process.send_signal(signal.SIGTERM)
             end = time.monotonic() + 0.35
             while time.monotonic() < end:
@@ -295,6 +304,7 @@
 from marbleglade.wire.caches import Caches
 line = Caches._line
 Facade.part = Facade.leave = lambda self, retrieval: None
+Caches._idle = lambda self, *told: None
 Caches._line = lambda self, *told: (gevent.sleep(0.45), line(self, *told))[1]
 """,
     "after its cache was to drain": """
@@ -307,12 +317,13 @@
 Places.apply = deaf
 """,
     "no answer": """
-from marbleglade.life.stop import Stop, STILL_COME
-Stop.over = lambda self, now, owed: bool(self.asked_at) and now - self.asked_at > STILL_COME // 2
+from marbleglade.life.stop import Stop
+Stop.over = lambda self, now, owed: bool(self.asked_at)
 """,
     "an effect twice": """
-from marbleglade.interface import Launch
-Launch.ran = False
+from marbleglade.wire.cachelines import Errand
+encode = Errand.encode
+Errand.encode = lambda self: encode(self) * 2
 """,
 }
 
