--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,6 +24,18 @@
 from marbleglade.standins.clients import Client
 from marbleglade.standins.regions import StandInRegions
 
+# Tests that know no sockets and no real time: they may run beside those that do and take a core of their own.
+TIMELESS = {"test_protocols", "test_disk", "test_codecs", "test_choice", "test_work",
+            "test_hearsay", "test_fleet", "test_wire"}
+
+
+def pytest_collection_modifyitems(items):
+    """Two lines of tests, each in its order: what goes by the clock never has another such test beside it."""
+    for item in items:
+        timeless = item.module.__name__.rpartition(".")[2] in TIMELESS
+        item.add_marker(pytest.mark.xdist_group("timeless" if timeless else "by the clock"))
+
+
 MS = 1_000_000
 ERA = 1_000_000 * MS
 OPTIONS = {
