--- a/marbleglade/life/log.py
+++ b/marbleglade/life/log.py
@@ -1,4 +1,5 @@
-"""The log: one JSON line an event on standard error; a line that would block is dropped and counted."""
+"""The log: one JSON line an event on standard error. A line that would block is dropped and counted; one
+that can only be begun goes on ahead of the next."""
 
 from __future__ import annotations
 
@@ -16,6 +17,7 @@
     def __init__(self, name: str, counters: Counters, debug: bool = False, sink: int | None = None) -> None:
         self.name, self.counters, self.debug_on = name, counters, debug
         self.sink = sys.stderr.fileno() if sink is None else sink
+        self.rest = bytearray()     # of the line that was begun
 
     def say(self, event: str, **told: object) -> None:
         line = orjson.dumps({"at": time.time_ns() // 1_000_000, "front": self.name, "event": event} | told,
@@ -23,14 +25,24 @@
         self.write(line)
 
     def write(self, line: bytes) -> None:
-        """Passes a line on where that needs no waiting; else it is counted as dropped."""
-        try:
-            # A pipe that is ready takes a short line whole, so this never waits for its reader.
-            if select.select([], [self.sink], [], 0)[1] and os.write(self.sink, line) == len(line):
+        """Passes a line on as far as that needs no waiting; one that can't be begun is counted as dropped."""
+        self._push()
+        if not self.rest:
+            self.rest += line
+            self._push()
+            if len(self.rest) < len(line):
                 return
+            self.rest.clear()
+        self.counters.add("log.dropped")
+
+    def _push(self) -> None:
+        """Guards against a long line, such as the counters with all places, on a pipe that nobody empties: it
+        takes a piece at once, and would hold the whole front up with the rest."""
+        try:
+            while self.rest and select.select([], [self.sink], [], 0)[1]:
+                del self.rest[:os.write(self.sink, self.rest[:select.PIPE_BUF])]
         except OSError:
             pass
-        self.counters.add("log.dropped")
 
     def debug(self, event: str, **told: object) -> None:
         if self.debug_on:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -1,7 +1,9 @@
 """Start, stop, and what a front tells about itself; and the whole program as a process."""
 
+import fcntl
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -25,6 +27,18 @@
 S = 1000 * MS
 
 
+@pytest.fixture
+def timed():
+    """Ends what holds the whole process up: a time-out of greenlets would wait with it."""
+    def over(*_):
+        raise TimeoutError("held up")
+    old = signal.signal(signal.SIGALRM, over)
+    signal.setitimer(signal.ITIMER_REAL, 5)
+    yield
+    signal.setitimer(signal.ITIMER_REAL, 0)
+    signal.signal(signal.SIGALRM, old)
+
+
 def told(**changes):
     first = {"index": 1, "endpoints": {"version": 1, "full": True, "servers": [
         {"id": one, "addr": "127.0.0.1:9", "zone": zone, "kind": kind, "cell": 0, "state": "active",
@@ -105,6 +119,23 @@
     assert counters.table() == {"log.dropped": 1}
 
 
+def test_a_long_line_on_a_pipe_that_nobody_empties_holds_nothing_up(timed):
+    """As the counters with two hundred places: longer than what a pipe that is ready takes at once."""
+    read, write = os.pipe()
+    fcntl.fcntl(write, fcntl.F_SETPIPE_SZ, 4 * select.PIPE_BUF)
+    counters = Counters()
+    log = Log("n1", counters, sink=write)
+    log.say("counters", places=["x" * 100] * 1000)
+    log.say("dropped")
+    assert counters.table() == {"log.dropped": 1}
+    got = b""
+    while not got.endswith(b'"last"}\n'):       # what was begun goes on whole, ahead of the next line
+        got += os.read(read, 1 << 16)
+        log.say("last")
+    first, *more = map(orjson.loads, got.splitlines())
+    assert len(first["places"]) == 1000 and more and {one["event"] for one in more} == {"last"}
+
+
 def test_room_is_given_in_turn_and_never_lost():
     room, got = Room(100), []
     room.take(80)
