Connections that end just then: none is used again, none held back, none over the limit

Cause, found by reading the ends once more, each forced over loopback or with a socket that never waits: - Caches._idle took a connection whose end or reset lay unread since its reader had had no turn: the launch broke off on it, an effectful one for good. It is looked at first. `chunks` gives the others their turn every 32 reads, on all connections and for datagrams. - The same kept Follower from timing out on a coordinator that never stops and says nothing new: the time of whole lines is looked at itself now.

--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -10,7 +10,7 @@
 
 from ..life import clock
 from ..life.guard import Guard
-from ..wire.sockets import SCRATCH, send_now
+from ..wire.sockets import chunks, send_now
 from .frames import BadFrame, Frames, encode, encode_chunk
 from .link_pb2 import Beat, Credit
 from .windows import CHUNK, Outbox, Overrun
@@ -135,13 +135,9 @@
         """Reads until the end; says in `why` what that was."""
         try:
             self.sock.settimeout(None)
-            while not self.closed:
-                size = self.sock.recv_into(SCRATCH)
-                if not size:
-                    self.close("closed")
-                    return
+            for data in chunks(self.sock):
                 self.heard = clock.now()
-                for kind, message in self.frames.feed(SCRATCH[:size]):
+                for kind, message in self.frames.feed(data):
                     if kind == "credit":
                         self.outbox.credit(message.number, message.bytes, self.heard)
                         self._wake()
@@ -154,6 +150,7 @@
                     hear(message)
                     if self.closed:
                         return
+            self.close("closed")
         except (BadFrame, Overrun) as trouble:
             self.close(f"bad: {trouble}")
         except OSError:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -22,7 +22,7 @@
 from ..memory.room import Room
 from .cachelines import PROBED, Answer, Answers, BadLine, Errand, encode_look, encode_undo
 from .resp import Ask
-from .sockets import SCRATCH, send_now
+from .sockets import chunks, ended, send_now
 
 OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
             "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
@@ -214,10 +214,16 @@
             source="" if source is cache else place.id, rank=launch.rank,
             age=oldest(ask, go), join=go.join, held_only=go.held_only,
             renew=go.renew, copy=ask.copy, body=ask.body, mark=ask.mark)
-        go.begun = True
-        return self._send(line, flight, errand.encode())
+        ending = self._send(line, flight, errand.encode())
+        go.begun = ending is None       # a connection that had ended took not a byte: it never ran
+        return ending
 
     def _start_look(self, flight: Flight, line: Line) -> Ending | None:
+        if flight.ended.ready():
+            # Nobody waits for it any more. Guards against a connection that stays busy for good where it is
+            # never answered, since who would give the probe up has done so.
+            self._rest(line)
+            return None
         return self._send(line, flight, encode_look(flight.id))
 
     def _send(self, line: Line, flight: Flight, data: bytes) -> Ending | None:
@@ -253,14 +259,16 @@
     def _idle(self, cache: Cache, id: str) -> Line | None:
         """The connection that was idle for the shortest time, of those that may carry this errand."""
         pool = self.pools.get(cache)
-        amid, found = [], None
+        useless, found = [], None
         for line in reversed(pool.idle) if pool else ():
-            if line.answers.amid:       # more than belongs to it is coming in: no further use
-                amid.append(line)
+            # More than belongs to it is coming in, or the other side has just ended it and its reader had no
+            # turn since. Guards against launches that break off on it, effectful ones for good.
+            if line.answers.amid or ended(line.sock):
+                useless.append(line)
             elif id not in line.undone and id != line.last:
                 found = line
                 break
-        for line in amid:
+        for line in useless:
             self._close(line)
         if found:
             del pool.idle[found]
@@ -328,8 +336,8 @@
 
     def _read(self, line: Line) -> None:
         try:
-            while size := line.sock.recv_into(SCRATCH):
-                for answer in line.answers.feed(SCRATCH[:size]):
+            for data in chunks(line.sock):
+                for answer in line.answers.feed(data):
                     self._answered(line, answer)
                 missing = line.answers.expected - line.held
                 if missing > 0:
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -16,7 +16,7 @@
 from ..life.guard import Guard
 from ..memory.traces import Traces
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
-from .sockets import SCRATCH, send_now, unread
+from .sockets import SCRATCH, TURN, chunks, send_now, unread
 
 MOST_OPEN = 32      # the protocol's bound on one connection
 # The protocol's clients close what is idle after 4 s. One that says nothing, or does not finish what it
@@ -24,7 +24,6 @@
 IDLE = 4_000_000_000
 UNFINISHED = IDLE // 2
 LINGER = UNFINISHED // 8    # how long who was said goodbye to may take to read it and to close
-TURN = MOST_OPEN    # messages of one connection that are looked at before others get their turn
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -103,10 +102,13 @@
         self.clients[client] = None
         self.counters.add("client.accepted")
         gevent.spawn(self._read, client)
-        if len(self.clients) > self.most:
-            # Over the clients' share: who never sent anything whole makes room, then who never asked, then
-            # who was idle longest, and only then who has just come and had no time to ask.
+        if len(self.clients) + len(self.parting) > self.most:
+            # Over the clients' share: who was said goodbye to makes room, then who never sent anything whole,
+            # then who never asked, then who was idle longest, and only then who has just come and had no time
+            # to ask.
             self.counters.add("client.over_share")
+            if self.parting:        # it was given its answers, and holds a descriptor until it closes
+                return self._close(next(iter(self.parting)))
             just = self.clock() - UNFINISHED // 8
             idle = sorted((one for one in self.clients if not one.owed), key=lambda one: (
                 not one.whole and one.born > just, one.whole, one.asked, one.last))
@@ -127,11 +129,11 @@
 
     def _read(self, client: Client) -> None:
         try:
-            while size := client.sock.recv_into(SCRATCH):
+            for data in chunks(client.sock):
                 if client.ended:        # only its end counts any more
                     continue
                 try:
-                    self._take_in(client, SCRATCH[:size])
+                    self._take_in(client, data)
                 except BadFrame:
                     # It can't be followed further. What it asked for before is answered first.
                     self.counters.add("client.bad_frame")
@@ -366,8 +368,6 @@
         if client in self.clients:
             del self.clients[client]
             self.parting[client] = self.clock() + LINGER
-            if len(self.parting) > max(1, self.most // 4):
-                self._close(next(iter(self.parting)))
         try:
             client.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -11,8 +11,8 @@
 from ..life import clock
 from ..life.guard import Guard
 from .coordlines import BadLine, Beat, Event, Events, Garbled, ListChange, Other, Purge, encode_follow
+from .sockets import chunks
 
-CHUNK = 1 << 16
 BEAT = 1.0          # seconds: the protocol promises a line as often
 SILENT = 2 * BEAT   # of whole lines: bytes alone are no sign of life
 
@@ -64,19 +64,21 @@
             sock.sendall(encode_follow(self.last))
             self.counters.add("coordinator.connected")
             events, heard = Events(), clock.now()
-            while True:
-                sock.settimeout(max(self.silent - (clock.now() - heard) / 1e9, 1e-3))
-                if not (data := sock.recv(CHUNK)):
-                    return
+            sock.settimeout(self.silent)
+            for data in chunks(sock):
                 for event in self._read(events, data):
                     self._heard(event)
                     if event.index >= self.last:    # who tells old numbers alone has fallen behind
                         heard = self.heard_at = clock.now()
+                # Guards against bytes that come all the time and say nothing, on which no read ever waits.
+                if (left := self.silent - (clock.now() - heard) / 1e9) <= 0:
+                    raise TimeoutError("nothing but old numbers, or no whole line")
+                sock.settimeout(left)
         finally:
             self.sock = None
             sock.close()
 
-    def _read(self, events: Events, data: bytes) -> Iterator[Event]:
+    def _read(self, events: Events, data: bytes | memoryview) -> Iterator[Event]:
         """A line that can't be read is asked for anew, but only once: the same may come again for ever, and
         what stands behind it would never be heard."""
         while True:
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 import zlib
 from collections.abc import Callable
 
+import gevent
 from gevent import socket
 
 from ..fleet.hearsay import Hearsay
 from ..life import clock
 from ..life.guard import Guard
 from .datagrams import LONGEST, Answer, Ask, Hint, Message, decode, encode
+from .sockets import TURN
 
 
 class Peers:
@@ -70,7 +73,9 @@
             self.sock.settimeout(None)
 
     def run(self) -> None:
-        while True:
+        for count in itertools.count(1):
+            if not count % TURN:    # a flood, or a socket in trouble, must not hold up all else
+                gevent.sleep(0)
             try:
                 data, sender = self.sock.recvfrom(LONGEST + 1)
             except OSError:     # a peer that is gone may answer so
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -18,7 +18,7 @@
 from .cachelines import BadLine, Errand
 from .errands import Asked, Errands, Look, Odd, Undo, encode
 from .resp import Ask
-from .sockets import SCRATCH, accepted
+from .sockets import accepted, chunks
 
 MOST_OPEN = 256     # errands of one connection
 MS = 1_000_000
@@ -64,9 +64,9 @@
 
     def _read(self, visitor: Visitor) -> None:
         try:
-            while size := visitor.sock.recv_into(SCRATCH):
+            for data in chunks(visitor.sock):
                 visitor.last = clock.now()
-                for asked in visitor.errands.feed(SCRATCH[:size]):
+                for asked in visitor.errands.feed(data):
                     if visitor.closed:
                         return
                     self._heard(visitor, asked)
--- a/marbleglade/wire/sockets.py
+++ b/marbleglade/wire/sockets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterator
 
 import gevent
 from gevent import socket
 
 SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
+TURN = 32       # reads of one connection, or messages, before others get their turn
 
 
 def accepted(listener: socket.socket, pause: float, failed: Callable[[], None]) -> Iterator[socket.socket]:
@@ -20,6 +22,31 @@
             gevent.sleep(pause)
 
 
+def chunks(sock: socket.socket) -> Iterator[memoryview]:
+    """What comes on a connection, until it ends. Guards against who sends as fast as it is read: a read that
+    finds something never waits, and so nobody else would run, not even who would close it."""
+    for count in itertools.count(1):
+        if not (size := sock.recv_into(SCRATCH)):
+            return
+        yield SCRATCH[:size]
+        if not count % TURN:
+            gevent.sleep(0)
+
+
+def ended(sock: socket.socket) -> bool:
+    """True where the other side has ended or reset the connection, though nobody has read it; never waits."""
+    patience = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(patience)
+
+
 def unread(sock: socket.socket) -> bool:
     """True while bytes that came lie unread, never waits; an end alone is none."""
     patience = sock.gettimeout()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,7 @@
 
 from marbleglade.choice import Choice
 from marbleglade.facade import End, Facade, Go
+from marbleglade.gateway.connection import Connection
 from marbleglade.ground import Missing, read_ground
 from marbleglade.interface import NEVER_RAN, Held, Outcome, Repeat, Retrieval, State
 from marbleglade.life import assignment, clock
@@ -28,12 +29,17 @@
 from marbleglade.memory.copies import Copy
 from marbleglade.memory.places import Places
 from marbleglade.standins.regions import free_port
+from marbleglade.wire import caches as caches_wire
+from marbleglade.wire import coordinator as coordinator_wire
+from marbleglade.wire.caches import Line, Pool
+from marbleglade.wire.clients import Client
 from marbleglade.wire.coordinator import Follower
 from marbleglade.wire.coordlines import ListChange, Member
+from marbleglade.wire.peers import Peers
 
 from . import test_life
 from .conftest import MS, OPTIONS, WAIT, Paper, Server, front, full, until, words  # noqa: F401  (the fixtures)
-from .test_connections import ask, serve, world  # noqa: F401
+from .test_connections import answering, ask, serve, world  # noqa: F401
 from .test_life import program, told  # noqa: F401
 
 TRACE = b"9b1f03aa5c7e2d41"
@@ -230,7 +236,8 @@
     stop = Stop(2500 * MS)
     stop.ask(0)
     assert not stop.over(1000 * MS, len(world.facade.open) or world.clients.owed)
-    assert read(sock, 60_000).endswith(b"x\r\n") or sock.recv(100)
+    whole = words(b"7", b"ok", b"", b"x" * 60_000)
+    assert read(sock, len(whole)) == whole
     until(lambda: not world.clients.owed)
 
 
@@ -271,6 +278,20 @@
     until(lambda: not world.clients.parting)
 
 
+def test_all_who_are_said_goodbye_to_at_once_may_read_on(world):  # noqa: F811
+    """Each of them has a moment for it, however many there are: a close over what crosses it is a reset."""
+    own(world, 2_000)
+    socks = [world.client() for _ in range(3)]
+    for sock in socks:
+        sock.sendall(ask(world, 7, f"{socks.index(sock):016x}"))
+    until(lambda: world.counters.counts["answer.ok"] == 3 and not world.clients.owed)
+    for sock in socks:
+        sock.sendall(words(b"STATUS", b"9", b"") * 50)
+    world.clients.farewell()
+    assert len(world.clients.parting) == 3      # nobody was closed over it
+    assert [read(sock, 1 << 16) for sock in socks] == [words(b"7", b"ok", b"", b"x" * 2_000)] * 3
+
+
 @pytest.mark.parametrize("timeout, last_call", [(5000, 3400), (2000, 2500), (300, 900), (50, 700)])
 def test_the_last_call_leaves_time_to_write_answers(timeout, last_call):
     # Killed no sooner than the longest timeout (3 s at most) and 0.7 s after SIGTERM.
@@ -408,7 +429,9 @@
     world.server.heard(1)
     sock.sendall(words(b"NEVERMIND", b"8"))
     assert world.server.heard(2) == "undo 0000000000000008"
-    assert read(sock, 60_000) and client.flushing is None or read(sock, 100)
+    assert client.flushing
+    whole = words(b"7", b"ok", b"", b"x" * 60_000)
+    assert read(sock, len(whole)) == whole
 
 
 def test_pushbacks_in_a_long_overload_end_no_connection(world):  # noqa: F811
@@ -447,6 +470,96 @@
     assert not world.clients.parting
 
 
+def test_who_was_said_goodbye_to_counts_among_the_clients_connections(world):  # noqa: F811
+    """Each of them holds a descriptor: beside a full share of others they would go over the limit."""
+    for bad in range(4):
+        sock = world.client()
+        sock.sendall(b"garbage\r\n")
+        assert sock.recv(10) == b""
+        assert len(world.clients.clients) + len(world.clients.parting) == min(bad + 1, 3)
+    socks = [world.client() for _ in range(3)]
+    for sock in socks:
+        sock.sendall(words(b"STATUS", b"8", b""))
+        assert sock.recv(4096) == words(b"8", b"yes", b"", b"")
+    assert len(world.clients.clients) == 3 and not world.clients.parting
+    assert world.counters.counts["client.over_share"] == 4
+
+
+class Endless:
+    """A connection on which the next bytes are always there; it ends after so many reads."""
+
+    def __init__(self, data=b"x", reads=1000):
+        self.data, self.left, self.others, self.since, self.longest = data, reads, 0, 0, 0
+        self.other = gevent.spawn(self.turn)
+
+    def turn(self):
+        while self.left > 0:
+            self.longest, self.since = max(self.longest, self.since), 0
+            gevent.sleep(0)
+
+    def recv_into(self, buffer):
+        self.left, self.since = self.left - 1, self.since + 1
+        self.longest = max(self.longest, self.since)
+        if self.left <= 0:
+            return 0
+        buffer[:len(self.data)] = self.data
+        return len(self.data)
+
+    def recvfrom(self, size):
+        if not self.recv_into(bytearray(size)):
+            raise gevent.GreenletExit
+        return self.data, ("127.0.0.1", 9)
+
+    def sendall(self, data):
+        pass
+
+    settimeout = connect = sendall
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("who", ["garbage", "part", "cache", "peer", "link"])
+def test_who_sends_as_fast_as_it_is_read_lets_the_others_have_their_turn(world, who):  # noqa: F811
+    flood = Endless(b"t9 SHED - 0\r\n\r\n" if who == "cache" else b"$" if who == "part" else b"x")
+    gevent.sleep(0)
+    if who == "cache":
+        pool = world.caches.pools.setdefault(world.places.by_id["s1"].cache, Pool())
+        world.caches._read(Line(flood, pool))
+    elif who == "peer":
+        peers = Peers(("127.0.0.1", 0), [], 7, None, None, None, world.guard)
+        peers.sock.close()
+        peers.sock = flood
+        gevent.spawn(peers.run).join(WAIT)
+    elif who == "link":
+        one = Connection.__new__(Connection)
+        one.sock, one.closed, one.frames = flood, False, type("Frames", (), {"feed": lambda self, data: []})()
+        one.counters, one.heard, one.outbox = world.counters, 0, None
+        one.close = lambda why: None
+        one.run()
+    else:
+        client = Client(flood, clock.now)
+        client.ended = who == "garbage"
+        if who == "part":
+            world.clients._take_in = lambda client, data: None
+        world.clients._read(client)
+    assert flood.left <= 0 and flood.longest <= 32
+
+
+@pytest.mark.parametrize("line", [b"3\n", b"x"])
+def test_a_coordinator_that_never_stops_and_says_nothing_new_is_as_good_as_silent(
+        world, monkeypatch, line):  # noqa: F811
+    """No read on it ever waits, so that no time-out of a read tells."""
+    flood = Endless(line, 1 << 40)
+    there = type("There", (), {"AF_INET": 0, "SOCK_STREAM": 0, "socket": lambda self, *told: flood})()
+    monkeypatch.setattr(coordinator_wire, "socket", there)
+    follower = Follower(("127.0.0.1", 9), 4, world.front.follow, world.guard, silent=0.1)
+    flood.left = 300_000        # some seconds of it
+    with pytest.raises(TimeoutError):
+        follower._follow()
+    flood.left = 0
+
+
 def test_a_large_answer_waits_where_room_is_short_and_takes_no_other_along(world):  # noqa: F811
     world.room.size = world.room.free = 1 << 20
     sock, client = slow_reader(world)
@@ -479,8 +592,8 @@
     busy.sendall(ask(world, 7))
     world.server.heard(1)
     busy.sendall(part)
-    assert idle.recv(10) == b"" or True
-    until(lambda: world.counters.counts["client.no_room"] == 1)
+    assert idle.recv(10) == b""
+    assert world.counters.counts["client.no_room"] == 1
     world.server.socks[0].sendall(full(TRACE + b" HIT - 1\r\nx\r\n"))
     assert busy.recv(4096) == words(b"7", b"ok", b"", b"x")
 
@@ -718,6 +831,46 @@
     assert len(kept.get(timeout=WAIT).answer.body) == 300 and world.room.free == 100
 
 
+def test_a_probe_whose_connection_comes_up_too_late_leaves_it_to_others(world, gate):  # noqa: F811
+    cache = world.places.by_id["s1"].cache
+    assert world.caches.look(cache, 20 * MS) == {}
+    gate.set()
+    until(lambda: world.caches.count == 1)
+    gevent.sleep(0.01)
+    assert len(world.caches.pools[cache].idle) == 1 and not world.server.said
+
+
+def rested(world):  # noqa: F811
+    """A launch was answered; its connection rests."""
+    assert world.fly(trace="t1", meanwhile=answering(world, b"t1 HIT - 1\r\nx\r\n")).answer.body == b"x"
+    (line,) = world.caches.pools[world.places.by_id["s1"].cache].idle
+    return line, world.server.socks[0]
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_connection_that_has_just_ended_is_not_used_again(world, how):  # noqa: F811
+    line, far = rested(world)
+    if how == "reset":
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        os.close(far.detach())
+    else:
+        far.shutdown(socket.SHUT_WR)
+    # Nobody has had his turn since: its reader does not know.
+    ending = world.fly(trace="t2", meanwhile=answering(world, b"t2 HIT - 1\r\ny\r\n", 1, 2))
+    assert ending.outcome is Outcome.OK and ending.answer.body == b"y" and line.closed
+
+
+def test_a_launch_of_which_the_connection_took_no_byte_is_known_not_to_have_run(world, monkeypatch):  # noqa: F811
+    """It ends between the look at it and the write."""
+    line, far = rested(world)
+    monkeypatch.setattr(caches_wire, "ended", lambda sock: False)
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    os.close(far.detach())
+    gone = []
+    assert world.fly(trace="t2", meanwhile=gone.append).outcome is Outcome.RESET
+    assert gone[0].begun is False and len(world.server.said) == 1
+
+
 def test_an_answer_and_its_undo_cross_and_a_second_answer_is_dropped(world):  # noqa: F811
     sock = world.client()
     sock.sendall(ask(world, 7))
