A purge holds for what was out or waited when it was told, however long that takes

Cause, both forced over loopback: purges were remembered for twice the time in which caches are rid of what was purged, and retrievals may be open for longer (ClearedWithin 6 s, a profile of 12 s; 100 ms and 2.5 s in the tests). - Front.keep filed an answer that was asked for before the purge and came after it was forgotten as a copy of the front's own, and gave it out afterwards. Checked, holds: an answer under way at the purge is passed on to who asked before it, as the rule counts from the send.

--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -15,7 +15,7 @@
 from ..front import Front
 from ..memory.copies import Copies
 from ..memory.places import Places
-from ..memory.purges import Purges
+from ..memory.purges import Purges, lasting
 from ..memory.room import Room
 from ..wire.caches import Caches
 from ..wire.clients import LINGER, Clients
@@ -42,7 +42,7 @@
     # are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors
     # for clients and half for connections to caches. The rest is for the process itself and for a margin.
     room = Room(told.memory // 6)
-    places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
+    places, purges = Places(around, clock.from_unix_ms), Purges(lasting(ground))
     facade = Facade(ground, Choice, clock.now, around.most_open, counters,
                     lambda text: log.say("note", text=text))
     caches = Caches(places.by_cache, room, told.descriptors // 2, around.connect_timeout, around.idle_close,
--- a/marbleglade/memory/copies.py
+++ b/marbleglade/memory/copies.py
@@ -10,6 +10,11 @@
 NEAR = 1_000_000    # ns: a copy given out in the millisecond of a purge counts as older
 
 
+def meant(thing: int, group: int, object: int, of: int) -> bool:
+    """Whether a purge of an object or, where that is 0, of a group is one of this object of that group."""
+    return object == thing or (not thing and of in (group, UNKNOWN))
+
+
 @dataclass(slots=True, eq=False)
 class Copy:
     body: bytes
@@ -44,7 +49,7 @@
     def purge(self, thing: int, group: int, at: int) -> None:
         """Drops what is older than a purge of an object or, where that is 0, of a group."""
         for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR
-                    and (key[0] == thing or (not thing and copy.group in (group, UNKNOWN)))]:
+                    and meant(thing, group, key[0], copy.group)]:
             self._drop(key)
 
     def older(self, at: int) -> None:
--- a/marbleglade/memory/purges.py
+++ b/marbleglade/memory/purges.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from ..interface import Ground
+
 UNKNOWN = 256       # a group that was not told: any group's purge may be meant
 
 
+def lasting(ground: Ground) -> int:
+    """How long a purge may be met, in nanoseconds: by copies that still lie about, and by the answers to what
+    went out before it was told, which may come as late as a client waits."""
+    longest = max(profile.client_timeout for profile in ground.profiles)
+    return ground.purge_time + max(ground.purge_time, longest)
+
+
 class Purges:
     def __init__(self, lasting: int) -> None:
         self.lasting = lasting
