The script's checker sees purges: the front keeps own copies, answers say when they were given out

Until now the checker's answers were alike whatever their age, and the front in the script kept no copies, so a purge that did not hold went unseen. Caches say in the body when they gave it out; nothing asked 0.3 s after a purge was told may be older than that. A purge comes before each of the three crowds of leaves. A sixth seeded fault (purges touch nothing) is found by its name.

--- a/tests/test_script.py
+++ b/tests/test_script.py
@@ -2,8 +2,8 @@
 
 Asks, NEVERMINDs, closes, resets, garbage, list events, purges, SIGHUP and at the end SIGTERM, while caches
 answer, turn away, say nothing, break off. The checker wants one whole answer in time, or a connection closed
-that owed none, nothing after, no launch after a leave or a drain, no effect twice. It is shown seeded
-faults, too.
+that owed none, nothing after, no launch after a leave or drain, no effect twice, nothing from before a purge
+(the front keeps copies of its own). It is shown seeded faults, too.
 """
 
 import json
@@ -32,12 +32,18 @@
 SETTINGS = OPTIONS | {
     "Classes": [one | {"Aim": 150.0, "Deadline": 900.0} for one in (
         OPTIONS["Classes"][0], OPTIONS["Classes"][0] | {"Name": "step", "Repeat": "single_shot"})],
-    "Specifics": OPTIONS["Specifics"] | {"NeverKept": [False, True], "MaxAge": [0.0, 0.0]}}
+    "Specifics": OPTIONS["Specifics"] | {"NeverKept": [False, True], "MaxAge": [0.0, 0.0],
+                                          "ClearedWithin": 400.0}}
 SLACK = 0.3         # seconds: the operators' figure for launches after a leave, and a drain with its grace
 LATE = 0.5          # seconds after its time: a retrieval answered later is lost
 STEPS = 110
 
 
+def copy(thing, issued):
+    """What a cache gives: of which object it is, and when it was given out."""
+    return f"{thing * 40} {issued}".encode()
+
+
 class Cache(Place):
     """Does by chance what a cache may do, and notes what came."""
 
@@ -49,9 +55,10 @@
         if not isinstance(asked, Errand):
             return super()._answer(sock, turn, asked, open_)
         self.note("do", self.id, asked.id)
-        draw, body = chance(self.seed, f"{self.id} {asked.id}"), asked.thing.encode() * 40
+        draw, issued = chance(self.seed, f"{self.id} {asked.id}"), str(time.time_ns() // 10**6)
+        body = copy(asked.thing, issued)
         gevent.sleep(0.03 * chance(self.seed, f"wait {asked.id}"))
-        word, fields = "HIT", {"entity": "4be0c1927d55a6f3", "issued": str(time.time_ns() // 10**6)}
+        word, fields = "HIT", {"entity": "4be0c1927d55a6f3", "issued": issued}
         with suppress(OSError):
             if draw < 0.12:         # says nothing, ever
                 return
@@ -116,6 +123,7 @@
         known = {"index": 0, "updates": [{"index": 0, "endpoints": {"full": True, "servers": servers}}]}
         self.path.write_text(json.dumps(told(
             listen=":".join(map(str, self.door)), settings=SETTINGS, known=known,
+            flow_bytes_per_s=10**6, link_bytes_per_s=10**8,
             coordinator=":".join(map(str, self.coordinators[which].address)))))
 
     def draw(self, most):
@@ -181,6 +189,12 @@
                      started_ms=time.time_ns() // 10**6 - 60_000 if back else 0)
         self.note("back" if back else "drained", cache.id)
 
+    def purge(self):
+        moment = time.time_ns() // 10**6
+        for one in self.coordinators:
+            one.purge(0, 3, moment)
+        self.note("purged", moment)
+
     def step(self):
         draw = self.draw(100)
         if draw < 70:
@@ -190,8 +204,7 @@
         elif draw < 89:
             self.tell(self.draw(3))
         elif draw < 92:
-            for one in self.coordinators:
-                one.purge(0, 3, time.time_ns() // 10**6)
+            self.purge()
         elif draw < 95:
             self.ask(garbage=b"no such word\r\n")
         elif draw < 97:
@@ -209,6 +222,7 @@
                 self.step()
                 gevent.sleep(0.02 * chance(self.seed, f"pause {self.count}"))
                 if step % (STEPS // 3) == 0:        # many leave at once, right after they asked
+                    self.purge()
                     self.asks(12)
                     for how in ("close", "nevermind", "reset", "close", "nevermind"):
                         self.leave(how)
@@ -231,7 +245,7 @@
 def found(record):
     """What must not be: one line each."""
     asks, left, answers, faults, drained, ran = {}, {}, {}, [], {}, {}
-    traces = {}
+    traces, purges = {}, []
     for at, kind, *what in record:
         if kind == "ask":
             number, tag, trace, *more = what
@@ -242,6 +256,8 @@
             drained[what[0]] = at
         elif kind == "back":
             drained.pop(what[0], None)
+        elif kind == "purged":
+            purges.append((at, what[0]))
         elif kind == "answer":
             answers.setdefault((what[0], what[1]), []).append((at, *what[2:]))
         elif kind == "garbled":
@@ -271,8 +287,11 @@
         at, word, body = said[0]
         if at > min(left.get(trace, at) + SLACK, asked + patience + LATE):
             faults.append(f"an answer after {at - asked:.2f} s")
-        if word not in ("ok", "full", "fault") or (body != thing.encode() * 40 if word == "ok" else body):
+        _, _, issued = body.decode("latin-1").partition(" ")
+        if word not in ("ok", "full", "fault") or (body != copy(thing, issued) if word == "ok" else body):
             faults.append("an answer that no cache gave")
+        elif word == "ok" and any(told + SLACK < asked and int(issued) < of for told, of in purges):
+            faults.append("an answer from before a purge")
         if word == "full" and profile == "step" and ran.get(trace):
             faults.append("a pushback of what may have run")
     for key, (_, trace, *_) in asks.items():
@@ -319,6 +338,12 @@
     "no answer": """
 from marbleglade.life.stop import Stop
 Stop.over = lambda self, now, owed: bool(self.asked_at)
+""",
+    "from before a purge": """
+from marbleglade.choice import Choice
+from marbleglade.memory.copies import Copies
+Copies.purge = lambda self, *told: None
+Choice.age_limit = lambda self, *told: 0
 """,
     "an effect twice": """
 from marbleglade.wire.cachelines import Errand
@@ -343,6 +368,8 @@
     ([(1.0, "drained", "s1"), (1.4, "do", "s1", "t")], "0.40 s after its cache"),
     ([(1.0, "do", "s1", "t"), (1.1, "do", "s2", "t")], "effect twice"),
     ([(1.0, "do", "s1", "t"), (1.1, "answer", 0, 7, "full", b"")], "may have run"),
+    ([(0.6, "purged", 600), (1.1, "answer", 0, 7, "ok", copy("9", 599))], "before a purge"),
+    ([(1.1, "answer", 0, 7, "ok", copy("8", 599))], "no cache gave"),
     ([(1.0, "do", "s1", "u")], "nobody asked")])
 def test_what_the_checker_says_of_a_record(more, fault):
     record = [(1.0, "ask", 0, 7, "t", 0.3, "step", "9"), *more]
@@ -352,5 +379,5 @@
 def test_the_checker_says_nothing_of_what_may_be():
     assert not found([(1.0, "ask", 0, 7, "t", 0.3, "step", "9"), (1.0, "do", "s1", "t"),
                       (1.1, "turned", "s1", "t"), (1.2, "do", "s2", "t"),
-                      (1.3, "answer", 0, 7, "ok", b"9" * 40)])
+                      (1.3, "answer", 0, 7, "ok", copy("9", 599)), (0.8, "purged", 800)])
     assert not found([(1.0, "ask", 0, 7, "t", 0.3, "page", "9"), (1.1, "leave", "t"), (1.2, "do", "s1", "t")])
