--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -148,7 +148,8 @@
                                env=os.environ | {"GW_CONFIG": str(tmp_path / "c.json")})
     try:
         path = Path(f"/proc/{process.pid}/cmdline")
-        until(lambda: path.read_bytes().split(b"\0")[1:2] != [b"-c"], every=0)     # the shell is no more
+        # The shell is no more; amid an exec the line is empty, the shell's own too.
+        until(lambda: path.read_bytes().split(b"\0")[1:2] == [b"-O"], every=0)
         process.send_signal(sent)
         assert coordinator.heard(1) == "follow 2"
         process.terminate()
