Own copies are given where the front's own link is not told; an odd group is named

One transfer at a time is taken to fit then. - a Group that is a list or an object ended in a TypeError; it was refused, but named as the whole settings.

--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -121,8 +121,9 @@
     for place, value in enumerate(top.need("Classes", list)):
         one = Reader(value, f"Classes[{place}].")
         repeat, group = one.need("Repeat", str), one.value.get("Group", "all")
-        if repeat not in REPEATS or group not in GROUPS:
-            raise Missing(f"setting Classes[{place}].Repeat or Group is unknown")
+        for field, said, known in (("Repeat", repeat, REPEATS), ("Group", group, GROUPS)):
+            if not isinstance(said, str) or said not in known:
+                raise Missing(f"setting Classes[{place}].{field} is unknown")
         name = str(one.value.get("Name", place))
         if not SPOKEN.fullmatch(name) or name in profiles:
             raise Missing(f"setting Classes[{place}].Name can't be spoken, or is there twice: {name!r}")
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -108,7 +108,8 @@
         rates = Reader(told, "")
         pace, link = (rates.optional_whole(one) for one in ("flow_bytes_per_s", "link_bytes_per_s"))
         field = "settings"
-        around = read_ground(told["settings"], seed, link / pace if pace else 0.0)
+        # Where its own link is not told, one transfer at a time is all that is known to fit.
+        around = read_ground(told["settings"], seed, (link or pace) / pace if pace else 0.0)
         field = "limits"
         limits = Reader(told["limits"], "limits.")
         memory, descriptors = limits.whole("memory_mb", least=1), limits.whole("sockets", LEAST_SOCKETS)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -104,7 +104,7 @@
     *((ONE + (key,), value, f"Classes[0].{key}") for key, value in (
         ("Deadline", 0), ("Deadline", -5), ("Deadline", 1e300), ("Deadline", GONE), ("Aim", 0), ("Aim", True),
         ("AimStretch", "x"), ("AimStretch", -1), ("Gain", []), ("KeyTtl", -1), ("Repeat", "maybe"),
-        ("Name", ""), ("Name", "a,b"), ("Name", "a b"), ("Name", "a=b"))),
+        ("Group", []), ("Name", ""), ("Name", "a,b"), ("Name", "a b"), ("Name", "a=b"))),
     *((("Limits", key), value, f"Limits.{key}") for key, value in (
         ("MaxAttempts", 0), ("MaxAttempts", 2.5), ("ConnectTimeout", -1), ("MaxOpen", -1),
         ("StreamsPerConn", {}))), (("Resolution",), 0, "Resolution"),
@@ -171,6 +171,19 @@
     assert not len(facade.open)
 
 
+@pytest.mark.parametrize("link, width", [
+    ({}, 1.0), ({"link_bytes_per_s": 0}, 1.0), ({"link_bytes_per_s": None}, 1.0),
+    ({"link_bytes_per_s": 4000}, 4.0), ({"link_bytes_per_s": 500}, 0.5)])
+def test_own_copies_are_given_where_the_fronts_own_link_is_not_told(tmp_path, link, width):
+    """What one transfer runs at is told, what all share is not: a copy was kept, each ask for it failed."""
+    (tmp_path / "c.json").write_text(json.dumps(told(flow_bytes_per_s=1000, **link)))
+    ground = assignment.read({"GW_CONFIG": str(tmp_path / "c.json")}).around.ground
+    assert ground.own_width == width
+    one = Paper(own_width=ground.own_width, fresh=60_000 * MS)
+    one.ask(held=Held(MS, one.clock, None))
+    assert one.said[-1][0] == "settle"
+
+
 def test_a_file_of_another_deployment_changes_nothing_and_is_named(program, tmp_path):  # noqa: F811
     process, door, cache, coordinator = program
     file, other = tmp_path / "c.json", Server()
