One look at what a connection holds next serves for its end and for what lies unread

ended and unread each took the socket's patience, peeked and gave it back; both ask _peek now. Endless of the tests loses a field that nothing read and a bound that was overwritten at once.

--- a/marbleglade/wire/sockets.py
+++ b/marbleglade/wire/sockets.py
@@ -33,30 +33,28 @@
             gevent.sleep(0)
 
 
-def ended(sock: socket.socket) -> bool:
-    """True where the other side has ended or reset the connection, though nobody has read it; never waits."""
+def _peek(sock: socket.socket) -> bytes | None:
+    """What comes next, without taking it or waiting: nothing at the end, None where nothing has come yet."""
     patience = sock.gettimeout()
     sock.settimeout(0.0)
     try:
-        return not sock.recv(1, socket.MSG_PEEK)
+        return sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return False
-    except OSError:
-        return True
+        return None
+    except OSError:     # a reset, or closed here: as good as the end
+        return b""
     finally:
         sock.settimeout(patience)
 
 
+def ended(sock: socket.socket) -> bool:
+    """True where the other side has ended or reset the connection, though nobody has read it; never waits."""
+    return _peek(sock) == b""
+
+
 def unread(sock: socket.socket) -> bool:
     """True while bytes that came lie unread, never waits; an end alone is none."""
-    patience = sock.gettimeout()
-    sock.settimeout(0.0)
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-    finally:
-        sock.settimeout(patience)
+    return bool(_peek(sock))
 
 
 def send_now(sock: socket.socket, data: bytes) -> int:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -521,8 +521,8 @@
     """A connection on which the next bytes are always there; it ends after so many reads."""
 
     def __init__(self, data=b"x", reads=1000):
-        self.data, self.left, self.others, self.since, self.longest = data, reads, 0, 0, 0
-        self.other = gevent.spawn(self.turn)
+        self.data, self.left, self.since, self.longest = data, reads, 0, 0
+        gevent.spawn(self.turn)
 
     def turn(self):
         while self.left > 0:
@@ -582,11 +582,10 @@
 def test_a_coordinator_that_never_stops_and_says_nothing_new_is_as_good_as_silent(
         world, monkeypatch, line):  # noqa: F811
     """No read on it ever waits, so that no time-out of a read tells."""
-    flood = Endless(line, 1 << 40)
+    flood = Endless(line, 300_000)      # some seconds of it
     there = type("There", (), {"AF_INET": 0, "SOCK_STREAM": 0, "socket": lambda self, *told: flood})()
     monkeypatch.setattr(coordinator_wire, "socket", there)
     follower = Follower(("127.0.0.1", 9), 4, world.front.follow, world.guard, silent=0.1)
-    flood.left = 300_000        # some seconds of it
     with pytest.raises(TimeoutError):
         follower._follow()
     flood.left = 0
