--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 lint: build
 	.venv/bin/ruff check marbleglade tests benchmarks
+	.venv/bin/ruff format --check marbleglade tests benchmarks
 
 # One front, told by the file that CONFIG names: make run CONFIG=front.json
 run: build
--- a/benchmarks/logs.py
+++ b/benchmarks/logs.py
@@ -17,8 +17,17 @@
     """Microseconds of processor time of a line such as each launch brings in debug."""
     start = time.process_time_ns()
     for number in range(count):
-        log.say("launch", trace="9b1f03aa5c7e2d41", profile="menu-pages", cache="s-00c41f7a", source="s-1",
-                outcome="OK", took_us=number, rank=1, bytes=8000)
+        log.say(
+            "launch",
+            trace="9b1f03aa5c7e2d41",
+            profile="menu-pages",
+            cache="s-00c41f7a",
+            source="s-1",
+            outcome="OK",
+            took_us=number,
+            rank=1,
+            bytes=8000,
+        )
     return (time.process_time_ns() - start) / count / 1000
 
 
--- a/benchmarks/skewed.py
+++ b/benchmarks/skewed.py
@@ -8,8 +8,9 @@
 if __name__ == "__main__":
     offset, drift, began, *words = sys.argv[1:]
     region = RegionClock(float(offset), float(drift))
-    region.start = int(began)       # one clock for all processes of the region
+    region.start = int(began)  # one clock for all processes of the region
     clock.unix_ns = region
     sys.argv = ["marbleglade", *words]
     from marbleglade.__main__ import main
+
     sys.exit(main())
--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -10,7 +10,7 @@
     """The front that the environment tells of; 0 at its planned end, 2 where the configuration is unfit."""
     from .life import early
 
-    early.note()        # first of all: the rest takes a while to load
+    early.note()  # first of all: the rest takes a while to load
     from .life import assignment, service
 
     try:
--- a/marbleglade/command/disk.py
+++ b/marbleglade/command/disk.py
@@ -73,10 +73,16 @@
     with _tier(place) as tier:
         parts = _parts(tier, None)
         held = sum(tier.lengths.values())
-        told = {"parts": len(parts), "objects": len({thing for thing, _, _ in parts}),
-                "live_bytes": sum(entry[2] for _, _, entry in parts), "segment_bytes": held,
-                "segments": len(tier.lengths), "purges": len(tier.objects) + len(tier.groups),
-                "last_event": tier.number, "recovered": tier.counts["recovered"]}
+        told = {
+            "parts": len(parts),
+            "objects": len({thing for thing, _, _ in parts}),
+            "live_bytes": sum(entry[2] for _, _, entry in parts),
+            "segment_bytes": held,
+            "segments": len(tier.lengths),
+            "purges": len(tier.objects) + len(tier.groups),
+            "last_event": tier.number,
+            "recovered": tier.counts["recovered"],
+        }
     if as_json:
         click.echo(json.dumps(told))
     else:
--- a/marbleglade/command/fleet.py
+++ b/marbleglade/command/fleet.py
@@ -31,12 +31,15 @@
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
 def show(logs: tuple[str, ...]) -> None:
     """Show from fronts' LOGs what each last believed: who is alive, who holds the duty, its part."""
+
     def told_by(one: dict) -> dict:
         return one.get("fleet", {}) if one["event"] == "counters" else one if one["event"] in SHOWN else {}
 
     last = last_words(logs, told_by)
     for front, told in sorted(last.items()):
         duty = told.get("duty") or {"term": told.get("term"), "by": told.get("by"), "mine": told.get("mine")}
-        click.echo(f"{front:12} at {told['at']} alive {told.get('alive', '?')} of {told.get('of', '?')} "
-                   f"not alive {told.get('not_alive', [])} duty term {duty['term']} by {duty['by']}"
-                   f"{' (this one)' if duty['mine'] else ''} part {told.get('part')} lent {told.get('lent')}")
+        click.echo(
+            f"{front:12} at {told['at']} alive {told.get('alive', '?')} of {told.get('of', '?')} "
+            f"not alive {told.get('not_alive', [])} duty term {duty['term']} by {duty['by']}"
+            f"{' (this one)' if duty['mine'] else ''} part {told.get('part')} lent {told.get('lent')}"
+        )
--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -13,7 +13,7 @@
 
 from .. import __version__
 
-UNFIT = 2       # the deployment, the configuration or the words can't be used
+UNFIT = 2  # the deployment, the configuration or the words can't be used
 
 
 def give_up(faults: Iterable[str]) -> NoReturn:
@@ -32,7 +32,7 @@
                 one = json.loads(line)
                 front, told = one["front"], told_by(one)
             except (ValueError, KeyError, TypeError):
-                continue        # a line that a kill cut short, or another program's
+                continue  # a line that a kill cut short, or another program's
             if told:
                 last.setdefault(front, {}).update(told | {"at": one.get("at", 0)})
     return last
@@ -156,8 +156,9 @@
     except ValueError:
         raise click.BadParameter("not 16 hex digits", param_hint="OBJECT") from None
     names = [one.name for one in told.regions]
-    home = home or next((region.name for region in told.regions
-                         for one in region.gateways if one.name == told.self), names[0])
+    home = home or next(
+        (region.name for region in told.regions for one in region.gateways if one.name == told.self), names[0]
+    )
     if home not in names:
         raise click.BadParameter(f"no region is named {home}", param_hint="--from")
     routes = Routes(home, [one for one in names if one != home], rules(told.routes), 1, 1)
--- a/marbleglade/command/work.py
+++ b/marbleglade/command/work.py
@@ -36,19 +36,28 @@
     """Name all faults of FILE, an order of work; print what is in force where there is none."""
     order, raw = _read(file)
     kinds = Counter(one.kind.name.lower() for one in order.machines)
-    click.echo(f"{len(order.machines)} machines: "
-               + (", ".join(f"{count} {kind}" for kind, count in sorted(kinds.items())) or "none"))
+    click.echo(
+        f"{len(order.machines)} machines: "
+        + (", ".join(f"{count} {kind}" for kind, count in sorted(kinds.items())) or "none")
+    )
     for cap in order.caps:
         click.echo(f"at most {cap}")
-    click.echo(f"floor {order.floor:g}, a front is emptied in {order.deadline_ms} ms, {len(raw)} bytes travel"
-               + (", withdrawn" if order.withdrawn else ""))
+    click.echo(
+        f"floor {order.floor:g}, a front is emptied in {order.deadline_ms} ms, {len(raw)} bytes travel"
+        + (", withdrawn" if order.withdrawn else "")
+    )
 
 
 @work.command()
 @click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--fleet", "described", type=click.Path(exists=True, dir_okay=False), required=True,
-              help="JSON: {\"fronts\": 9, \"places\": [{\"id\", \"kind\", \"zone\", \"pace\"}], "
-                   "\"load\": {\"cache\": 0.4}, \"near\": [[\"box1\", \"box2\"]]}")
+@click.option(
+    "--fleet",
+    "described",
+    type=click.Path(exists=True, dir_okay=False),
+    required=True,
+    help='JSON: {"fronts": 9, "places": [{"id", "kind", "zone", "pace"}], '
+    '"load": {"cache": 0.4}, "near": [["box1", "box2"]]}',
+)
 @click.option("--takes-ms", type=click.IntRange(1), help="How long each takes; by default as it may.")
 @click.option("--warms-ms", type=click.IntRange(0), default=WARMS_MS, show_default=True)
 def plan(file: str, described: str, takes_ms: int | None, warms_ms: int) -> None:
@@ -63,8 +72,10 @@
     first = orders.settle(order, scene)
     steps, never = orders.plan(order, scene, lambda one: takes_ms or one.takes_ms, warms_ms)
     for step in steps:
-        click.echo(f"{step.at_ms / 1000:9.1f} s  {step.name:16} back at {step.back_ms / 1000:.1f} s"
-                   + (f"  (before that: {first.why[step.name]})" if step.name in first.why else ""))
+        click.echo(
+            f"{step.at_ms / 1000:9.1f} s  {step.name:16} back at {step.back_ms / 1000:.1f} s"
+            + (f"  (before that: {first.why[step.name]})" if step.name in first.why else "")
+        )
     for name, why in sorted(never.items()):
         click.echo(f"    never    {name:16} {why}")
     if steps:
@@ -95,15 +106,18 @@
 @click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
 def show(logs: tuple[str, ...]) -> None:
     """Show from fronts' LOGs who keeps the table, who is out, who is next and why not yet."""
+
     def told_by(one: dict) -> dict:
         return one.get("work", {}) if one["event"] == "counters" else one if one["event"] in SHOWN else {}
 
     last = last_words(logs, told_by)
     for front, told in sorted(last.items()):
-        click.echo(f"{front:12} at {told['at']} {told.get('stage', 'serving'):9} keeper {told.get('by', '?')}"
-                   f"{' (this one)' if told.get('keeper') else ''} term {told.get('term', '?')} "
-                   f"out {told.get('out', [])} done {told.get('done', 0)}"
-                   f"{' finished' if told.get('finished') else ''}")
+        click.echo(
+            f"{front:12} at {told['at']} {told.get('stage', 'serving'):9} keeper {told.get('by', '?')}"
+            f"{' (this one)' if told.get('keeper') else ''} term {told.get('term', '?')} "
+            f"out {told.get('out', [])} done {told.get('done', 0)}"
+            f"{' finished' if told.get('finished') else ''}"
+        )
         if told.get("keeper"):
             for name, why in told.get("waiting", {}).items():
                 click.echo(f"{'':12} {name}: {why}")
--- a/marbleglade/deployment/reading.py
+++ b/marbleglade/deployment/reading.py
@@ -15,29 +15,75 @@
 from .deployment_pb2 import Deployment
 
 PREFIX = re.compile(r"[0-9a-f]{0,16}")
-LONGEST = 1 << 20       # bytes of a file
+LONGEST = 1 << 20  # bytes of a file
 # What an absent field means; the schema's comments say the same.
 DEFAULTS = {
-    "limits": {"memory": 192 << 20, "descriptors": 1024, "most_launches": 4, "most_open": 0,
-               "longest_pause_ms": 500.0, "pace": 0.0, "width": 0.0, "connect_ms": 400.0,
-               "idle_ms": 30_000.0},
-    "rules": {"cold_share": 0.2, "cold_ms": 10_000.0, "cold_factor": 3.0, "fall_ms": 1000.0,
-              "clear_ms": 6000.0, "heard_ratio": 2.0},
-    "link": {"beat_ms": 100.0, "silent_ms": 400.0, "drift_ppm": 500.0, "book_carries": 1 << 14,
-             "book_bytes": 32 << 20, "book": True},
+    "limits": {
+        "memory": 192 << 20,
+        "descriptors": 1024,
+        "most_launches": 4,
+        "most_open": 0,
+        "longest_pause_ms": 500.0,
+        "pace": 0.0,
+        "width": 0.0,
+        "connect_ms": 400.0,
+        "idle_ms": 30_000.0,
+    },
+    "rules": {
+        "cold_share": 0.2,
+        "cold_ms": 10_000.0,
+        "cold_factor": 3.0,
+        "fall_ms": 1000.0,
+        "clear_ms": 6000.0,
+        "heard_ratio": 2.0,
+    },
+    "link": {
+        "beat_ms": 100.0,
+        "silent_ms": 400.0,
+        "drift_ppm": 500.0,
+        "book_carries": 1 << 14,
+        "book_bytes": 32 << 20,
+        "book": True,
+    },
 }
 # Least and most of each figure.
 BOUNDS = {
-    "limits": {"memory": (8 << 20, 1 << 40), "descriptors": (64, 1 << 20), "most_launches": (1, 16),
-               "most_open": (0, 1 << 20), "longest_pause_ms": (0, 60_000), "pace": (0, 1e12),
-               "width": (0, 1e6), "connect_ms": (1, 60_000), "idle_ms": (10, 3_600_000)},
-    "rules": {"cold_share": (0.001, 1), "cold_ms": (0, 3_600_000), "cold_factor": (1, 100),
-              "fall_ms": (1, 600_000), "clear_ms": (1, 3_600_000), "heard_ratio": (0, 10_000)},
-    "link": {"beat_ms": (10, 10_000), "silent_ms": (30, 60_000), "drift_ppm": (0, 100_000),
-             "book_carries": (1, 1 << 22), "book_bytes": (0, 1 << 40), "book": (0, 1)},
+    "limits": {
+        "memory": (8 << 20, 1 << 40),
+        "descriptors": (64, 1 << 20),
+        "most_launches": (1, 16),
+        "most_open": (0, 1 << 20),
+        "longest_pause_ms": (0, 60_000),
+        "pace": (0, 1e12),
+        "width": (0, 1e6),
+        "connect_ms": (1, 60_000),
+        "idle_ms": (10, 3_600_000),
+    },
+    "rules": {
+        "cold_share": (0.001, 1),
+        "cold_ms": (0, 3_600_000),
+        "cold_factor": (1, 100),
+        "fall_ms": (1, 600_000),
+        "clear_ms": (1, 3_600_000),
+        "heard_ratio": (0, 10_000),
+    },
+    "link": {
+        "beat_ms": (10, 10_000),
+        "silent_ms": (30, 60_000),
+        "drift_ppm": (0, 100_000),
+        "book_carries": (1, 1 << 22),
+        "book_bytes": (0, 1 << 40),
+        "book": (0, 1),
+    },
+}
+PROFILE = {
+    "agreed_ms": (1, 3_600_000),
+    "stretch": (0, 100),
+    "client_timeout_ms": (1, 3_600_000),
+    "window_ms": (0, 3_600_000),
+    "fresh_ms": (0, 1e10),
+    "grace_ms": (0, 1e10),
 }
-PROFILE = {"agreed_ms": (1, 3_600_000), "stretch": (0, 100), "client_timeout_ms": (1, 3_600_000),
-           "window_ms": (0, 3_600_000), "fresh_ms": (0, 1e10), "grace_ms": (0, 1e10)}
 
 
 class Unfit(Exception):
@@ -62,7 +108,7 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """"host:port" as a pair; ValueError where it is none."""
+    """ "host:port" as a pair; ValueError where it is none."""
     port = text.rpartition(":")[2]
     if not port.isascii() or not port.isdigit():
         raise ValueError(f"{text!r} has no port")
@@ -90,7 +136,7 @@
 
 def _within(path: str, value: float, bounds: tuple[float, float]) -> Iterator[str]:
     least, most = bounds
-    if not least <= value <= most:      # also what is no number
+    if not least <= value <= most:  # also what is no number
         yield f"{path}: {value:g} is not within {least:g} and {most:g}"
 
 
--- a/marbleglade/disk/files.py
+++ b/marbleglade/disk/files.py
@@ -36,8 +36,11 @@
 
     def list(self) -> dict[int, int]:
         """Each segment's number and length."""
-        return {int(one.name[:10]): one.stat().st_size for one in self.folder.glob("*.seg")
-                if one.name[:10].isdigit()}
+        return {
+            int(one.name[:10]): one.stat().st_size
+            for one in self.folder.glob("*.seg")
+            if one.name[:10].isdigit()
+        }
 
     def write(self, number: int, at: int, data: bytes) -> None:
         fd, sent = self._fd(number), 0
--- a/marbleglade/disk/index.py
+++ b/marbleglade/disk/index.py
@@ -11,7 +11,7 @@
 import lmdb
 
 FORM = 1
-ENTRY = struct.Struct("<IIIHQQ")       # segment, place, size, group, tag, issued
+ENTRY = struct.Struct("<IIIHQQ")  # segment, place, size, group, tag, issued
 KEY = struct.Struct(">QI")
 MARK = struct.Struct("<Q")
 
@@ -23,8 +23,9 @@
 class Index:
     def __init__(self, place: str, most: int = 1 << 32) -> None:
         self.env = lmdb.open(f"{place}/index", map_size=most, max_dbs=3, readahead=False)
-        self.entries, self.marks, self.facts = (self.env.open_db(name) for name in (
-            b"entries", b"marks", b"facts"))
+        self.entries, self.marks, self.facts = (
+            self.env.open_db(name) for name in (b"entries", b"marks", b"facts")
+        )
         form = self.fact("form")
         if form > FORM:
             self.env.close()
@@ -44,8 +45,9 @@
             value = txn.get(KEY.pack(thing, part))
             return ENTRY.unpack(value) if value else None
 
-    def all(self, thing: int | None = None,
-            after: tuple[int, int] | None = None) -> Iterator[tuple[int, int, tuple]]:
+    def all(
+        self, thing: int | None = None, after: tuple[int, int] | None = None
+    ) -> Iterator[tuple[int, int, tuple]]:
         """All entries, those behind one, or those of one object: thing, part, and what `get` gives."""
         start = KEY.pack(*after) + b"\0" if after else KEY.pack(thing or 0, 0)
         with self.env.begin(db=self.entries) as txn, txn.cursor() as cursor:
@@ -61,11 +63,19 @@
         """Purges: "object" or "group", which, and in what Unix millisecond."""
         with self.env.begin(db=self.marks) as txn, txn.cursor() as cursor:
             for key, value in cursor:
-                yield ("object" if key[:1] == b"o" else "group", int.from_bytes(key[1:], "big"),
-                       MARK.unpack(value)[0])
+                yield (
+                    "object" if key[:1] == b"o" else "group",
+                    int.from_bytes(key[1:], "big"),
+                    MARK.unpack(value)[0],
+                )
 
-    def commit(self, put: Iterable[tuple[int, int, tuple]] = (), drop: Iterable[tuple[int, int]] = (),
-               marks: Iterable[tuple[str, int, int]] = (), facts: dict[str, int] | None = None) -> None:
+    def commit(
+        self,
+        put: Iterable[tuple[int, int, tuple]] = (),
+        drop: Iterable[tuple[int, int]] = (),
+        marks: Iterable[tuple[str, int, int]] = (),
+        facts: dict[str, int] | None = None,
+    ) -> None:
         """All of it or nothing, and synced before this returns."""
         with self.env.begin(write=True) as txn:
             for thing, part in drop:
--- a/marbleglade/disk/records.py
+++ b/marbleglade/disk/records.py
@@ -15,7 +15,7 @@
 HEAD = struct.Struct("<4sBBHQIIQQQQQ")
 MAGIC, FORM, PART = b"mgdt", 1, 1
 ALIGN = 8
-LONGEST = (1 << 24) - 1     # bytes of a body
+LONGEST = (1 << 24) - 1  # bytes of a body
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +29,7 @@
     issued_ms: int
     size: int
     check: int
-    serial: int         # rising with each record of a tier: of two for one part the later one counts
+    serial: int  # rising with each record of a tier: of two for one part the later one counts
 
 
 def length(size: int) -> int:
@@ -42,8 +42,20 @@
 
 
 def encode(head: Head, body: bytes) -> bytes:
-    data = HEAD.pack(MAGIC, FORM, PART, head.group, head.thing, head.part, head.size, head.tag,
-                     head.issued_ms, head.check, head.serial, 0)
+    data = HEAD.pack(
+        MAGIC,
+        FORM,
+        PART,
+        head.group,
+        head.thing,
+        head.part,
+        head.size,
+        head.tag,
+        head.issued_ms,
+        head.check,
+        head.serial,
+        0,
+    )
     data = data[:-8] + check_of(data[:-8]).to_bytes(8, "little")
     return data + body + bytes(length(head.size) - HEAD.size - head.size)
 
@@ -53,23 +65,26 @@
     if len(data) < HEAD.size:
         return None
     magic, form, kind, group, thing, part, size, tag, issued, check, serial, sealed = HEAD.unpack_from(data)
-    if (magic, form, kind) != (MAGIC, FORM, PART) or size > LONGEST or check_of(
-            bytes(data[:HEAD.size - 8])) != sealed:
+    if (
+        (magic, form, kind) != (MAGIC, FORM, PART)
+        or size > LONGEST
+        or check_of(bytes(data[: HEAD.size - 8])) != sealed
+    ):
         return None
     return Head(thing, part, group, tag, issued, size, check, serial)
 
 
 def body_of(head: Head, data: bytes) -> bytes | None:
     """The body behind a head; None where it does not prove whole."""
-    body = data[HEAD.size:HEAD.size + head.size]
+    body = data[HEAD.size : HEAD.size + head.size]
     return body if len(body) == head.size and check_of(body) == head.check else None
 
 
 def scan(data: bytes, start: int = 0) -> Iterator[tuple[int, Head]]:
     """The whole records from `start` on, with their places, up to the first that is not."""
     at = start
-    while head := decode(data[at:at + HEAD.size]):
-        whole = data[at:at + length(head.size)]
+    while head := decode(data[at : at + HEAD.size]):
+        whole = data[at : at + length(head.size)]
         if len(whole) < length(head.size) or body_of(head, whole) is None:
             return
         yield at, head
--- a/marbleglade/disk/shelf.py
+++ b/marbleglade/disk/shelf.py
@@ -11,13 +11,13 @@
 from .sketch import Sketch
 from .table import Table
 
-SIZES = (1 << 24) - 1   # of a part; its number stands above
-SAMPLE = 48             # entries among which the least worth is displaced
-HABIT = 0.5             # by how much the first of the parts is worth more than a late one
-PARTS = 20              # the most that an object usually has
-LINGER = 0.5            # uses of the whole shelf, by its entries, after which worth is down to a quarter
-FEW = 512               # a shelf with less counts as having so many
-CHANCE = 0.2            # of being asked for, of what was not lately, in uses
+SIZES = (1 << 24) - 1  # of a part; its number stands above
+SAMPLE = 48  # entries among which the least worth is displaced
+HABIT = 0.5  # by how much the first of the parts is worth more than a late one
+PARTS = 20  # the most that an object usually has
+LINGER = 0.5  # uses of the whole shelf, by its entries, after which worth is down to a quarter
+FEW = 512  # a shelf with less counts as having so many
+CHANCE = 0.2  # of being asked for, of what was not lately, in uses
 
 
 class Shelf:
@@ -27,7 +27,7 @@
         self.size, self.seed, self.count = size, seed, 0
         self.sketch, self.table = Sketch(things), Table()
         self.live = self.now = 0
-        self.segments: dict[int, int] = {}      # live bytes of each
+        self.segments: dict[int, int] = {}  # live bytes of each
 
     def chance(self) -> int:
         self.count += 1
@@ -53,17 +53,21 @@
         if size > self.size:
             return None
         need, gone, mine = self.live + size - self.size, [], self.worth(key, size, self.now, part)
-        lost = 0.0      # what goes must be worth less, all together, than what comes
+        lost = 0.0  # what goes must be worth less, all together, than what comes
         while need > 0:
-            sample = [one for one in self.table.sample(self.chance(), SAMPLE)
-                      if one[0] not in gone and one[0] != key]
+            sample = [
+                one
+                for one in self.table.sample(self.chance(), SAMPLE)
+                if one[0] not in gone and one[0] != key
+            ]
             if not sample:
                 return None
             worth, other, its_size = min(
                 (self.worth(its, packed & SIZES, used, packed >> 24), its, packed & SIZES)
-                for its, _, packed, used in sample)
-            lost += worth * its_size ** 0.5
-            if lost > mine * size ** 0.5:
+                for its, _, packed, used in sample
+            )
+            lost += worth * its_size**0.5
+            if lost > mine * size**0.5:
                 return None
             gone.append(other)
             need -= its_size
@@ -126,5 +130,8 @@
 
 def emptiest(segments: dict[int, int], lengths: dict[int, int], current: int) -> int | None:
     """The segment to free next: most of it is dead; of several the oldest. None: no other is left."""
-    return min((one for one in lengths if one != current),
-               key=lambda one: (segments.get(one, 0) / max(1, lengths[one]), one), default=None)
+    return min(
+        (one for one in lengths if one != current),
+        key=lambda one: (segments.get(one, 0) / max(1, lengths[one]), one),
+        default=None,
+    )
--- a/marbleglade/disk/sketch.py
+++ b/marbleglade/disk/sketch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-MOST = 15           # of one counter
+MOST = 15  # of one counter
 ROWS = 4
 SPREAD = (0x9E3779B97F4A7C15, 0xC2B2AE3D27D4EB4F, 0x165667B19E3779F9, 0x27D4EB2F165667C5)
 MASK = (1 << 64) - 1
@@ -18,8 +18,10 @@
 
     def _places(self, key: int) -> list[int]:
         shift = 64 - self.bits
-        return [((key * spread & MASK) ^ (key * spread >> 29 & MASK)) * spread % (1 << 64) >> shift
-                for spread in SPREAD]
+        return [
+            ((key * spread & MASK) ^ (key * spread >> 29 & MASK)) * spread % (1 << 64) >> shift
+            for spread in SPREAD
+        ]
 
     def use(self, key: int) -> int:
         """Counts one use; gives how many there were lately, this one included."""
@@ -27,7 +29,7 @@
         least = min(row[place] for row, place in zip(self.rows, places, strict=True))
         if least < MOST:
             for row, place in zip(self.rows, places, strict=True):
-                if row[place] == least:     # only the lowest: the others count something else too
+                if row[place] == least:  # only the lowest: the others count something else too
                     row[place] += 1
         self.uses += 1
         if self.uses >= self.period:
--- a/marbleglade/disk/table.py
+++ b/marbleglade/disk/table.py
@@ -67,7 +67,7 @@
             return False
         self.count -= 1
         after = slot
-        while True:         # what was pushed on by this one moves back
+        while True:  # what was pushed on by this one moves back
             after = after + 1 & self.mask
             if not self.keys[after]:
                 break
--- a/marbleglade/disk/tier.py
+++ b/marbleglade/disk/tier.py
@@ -20,12 +20,23 @@
 from .shelf import Budget, Shelf, emptiest
 from .table import key_of
 
-POINTS = ("append", "appended", "synced", "committed", "rewriting", "rewritten", "removed", "marking",
-          "marked", "recovering", "recovered")
-SEGMENTS = 32           # that a full tier has, or more
-SLACK = 1.25            # room of the segments over that of live parts
+POINTS = (
+    "append",
+    "appended",
+    "synced",
+    "committed",
+    "rewriting",
+    "rewritten",
+    "removed",
+    "marking",
+    "marked",
+    "recovering",
+    "recovered",
+)
+SEGMENTS = 32  # that a full tier has, or more
+SLACK = 1.25  # room of the segments over that of live parts
 MOST_MARKS = 1 << 16
-MOST_LOOSE = 1 << 12    # entries that may be dropped between two checkpoints
+MOST_LOOSE = 1 << 12  # entries that may be dropped between two checkpoints
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,19 +52,27 @@
 class Tier:
     """`size`: bytes of live parts; `late`: bytes that may be written between two checkpoints."""
 
-    def __init__(self, files: Files, index: Index, size: int, budget: Budget, seed: int = 1, late: int = 0,
-                 point: Callable[[str], None] = lambda name: None) -> None:
+    def __init__(
+        self,
+        files: Files,
+        index: Index,
+        size: int,
+        budget: Budget,
+        seed: int = 1,
+        late: int = 0,
+        point: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self.files, self.index, self.size, self.budget, self.point = files, index, size, budget, point
         self.late = late or max(1 << 16, size // 64)
         self.segment_size = max(1 << 16, int(size * SLACK) // SEGMENTS)
         self.shelf = Shelf(size, seed, max(1 << 10, size // 8192))
         self.lengths: dict[int, int] = {}
         self.current = self.end = self.serial = self.unsaved = self.before = 0
-        self.objects: dict[int, int] = {}       # purges of objects, Unix milliseconds
+        self.objects: dict[int, int] = {}  # purges of objects, Unix milliseconds
         self.groups: dict[int, int] = {}
-        self.put_since: dict[tuple[int, int], tuple] = {}       # entries that no commit holds yet
+        self.put_since: dict[tuple[int, int], tuple] = {}  # entries that no commit holds yet
         self.dropped_since: dict[tuple[int, int], None] = {}
-        self.loaded, self.loading = False, None     # which entry was read last
+        self.loaded, self.loading = False, None  # which entry was read last
         self.counts = {"torn": 0, "wrong": 0, "purged": 0, "recovered": 0, "dropped": 0, "refused": 0}
         self._recover()
 
@@ -83,7 +102,7 @@
         elif self.current not in self.lengths:
             self.current, self.end = max(*self.lengths, segment) + 1, 0
         self.counts["recovered"] = len(self.put_since)
-        self._open_next()       # nothing is written behind what may be torn
+        self._open_next()  # nothing is written behind what may be torn
         self.checkpoint()
         for number in [one for one, size in self.lengths.items() if not size and one != self.current]:
             self.files.remove(number)
@@ -135,7 +154,7 @@
         head = decode(data)
         body = body_of(head, data) if head else None
         if body is None or (head.thing, head.part, head.tag, head.issued_ms) != (thing, part, tag, issued):
-            self.counts["wrong"] += 1       # flipped bits, or not what was written here
+            self.counts["wrong"] += 1  # flipped bits, or not what was written here
             self._forget(thing, part)
             return None
         return Found(body, f"{tag:016x}", issued, group)
@@ -154,8 +173,11 @@
         """Keeps a part if it earns its place. True once it is written, though not yet synced."""
         key = key_of(thing, part)
         known = self._entry(thing, part)
-        if len(body) > min(LONGEST, self.segment_size) or self._purged(thing, group, issued_ms) or (
-                known and known[5] >= issued_ms):
+        if (
+            len(body) > min(LONGEST, self.segment_size)
+            or self._purged(thing, group, issued_ms)
+            or (known and known[5] >= issued_ms)
+        ):
             return False
         if known and known[4] != int(tag, 16):
             self.changed(thing, issued_ms)
@@ -176,8 +198,9 @@
     def changed(self, thing: int, issued_ms: int) -> None:
         """Another tag came: the other parts of the old copy go before one of the new is given."""
         parts = {part for one, part, entry in self.index.all(thing) if entry[5] < issued_ms}
-        parts |= {part for (one, part), entry in self.put_since.items()
-                  if one == thing and entry[5] < issued_ms}
+        parts |= {
+            part for (one, part), entry in self.put_since.items() if one == thing and entry[5] < issued_ms
+        }
         for part in parts:
             self._forget(thing, part)
 
@@ -192,7 +215,7 @@
         marks, which, kind = (self.objects, thing, "object") if thing else (self.groups, group, "group")
         at_ms = max(at_ms, marks.get(which, 0))
         facts = {"number": number} if number else {}
-        if which not in marks and len(marks) >= MOST_MARKS:     # the bound: all as old counts as purged
+        if which not in marks and len(marks) >= MOST_MARKS:  # the bound: all as old counts as purged
             self.before = max(self.before, min(marks.values()))
             facts["before"] = self.before
         marks[which] = at_ms
@@ -220,8 +243,11 @@
         self.point("committed")
 
     def _commit(self) -> None:
-        self.index.commit([(*key, entry) for key, entry in self.put_since.items()], list(self.dropped_since),
-                          facts={"segment": self.current, "place": self.end, "serial": self.serial})
+        self.index.commit(
+            [(*key, entry) for key, entry in self.put_since.items()],
+            list(self.dropped_since),
+            facts={"segment": self.current, "place": self.end, "serial": self.serial},
+        )
         self.put_since.clear()
         self.dropped_since.clear()
 
@@ -289,7 +315,7 @@
                 return
             self.point("rewriting")
             self._rewrite(number)
-            self.checkpoint()       # nothing names the segment any more before it goes
+            self.checkpoint()  # nothing names the segment any more before it goes
             self.point("rewritten")
             self.files.remove(number)
             del self.lengths[number]
@@ -300,13 +326,21 @@
         data = self.files.read(number, 0, self.lengths[number])
         kept = self.budget.rewrite(self.shelf.segments.get(number, 0))
         at = 0
-        while head := decode(data[at:at + HEAD.size]):
+        while head := decode(data[at : at + HEAD.size]):
             entry = self._entry(head.thing, head.part)
             if entry and entry[:2] == (number, at):
-                body = body_of(head, data[at:at + length(head.size)])
+                body = body_of(head, data[at : at + length(head.size)])
                 if kept and body is not None and not self._purged(head.thing, head.group, head.issued_ms):
-                    again = Head(head.thing, head.part, head.group, head.tag, head.issued_ms, head.size,
-                                 head.check, self.serial + 1)
+                    again = Head(
+                        head.thing,
+                        head.part,
+                        head.group,
+                        head.tag,
+                        head.issued_ms,
+                        head.size,
+                        head.check,
+                        self.serial + 1,
+                    )
                     if self.end + length(head.size) > self.segment_size:
                         self.checkpoint()
                         self._open_next()
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -25,7 +25,7 @@
     SETTLED = 0
     PUSHED_BACK = 1
     BROKEN_OFF = 2
-    GONE = 3        # the client has left; nobody is owed an answer
+    GONE = 3  # the client has left; nobody is owed an answer
 
 
 @dataclass(slots=True)
@@ -34,7 +34,7 @@
 
     end: End
     retry_after: int = 0
-    own: bool = False       # settled with the copy that the front holds
+    own: bool = False  # settled with the copy that the front holds
 
 
 @dataclass(slots=True, eq=False)
@@ -46,17 +46,23 @@
     join: bool
     renew: bool
     held_only: bool
-    keep: bool          # what comes is worth a copy of the front's own
+    keep: bool  # what comes is worth a copy of the front's own
     ended: AsyncResult
-    begun: bool = True      # it may have reached its cache; who carries it out says when it has not
+    begun: bool = True  # it may have reached its cache; who carries it out says when it has not
 
 
 class Facade:
     """Hosts the decisions of one instance."""
 
-    def __init__(self, ground: Ground, decide: Callable[[Ground, Facade], Decisions],
-                 clock: Callable[[], int], most_open: int, counters: Counters,
-                 note: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        ground: Ground,
+        decide: Callable[[Ground, Facade], Decisions],
+        clock: Callable[[], int],
+        most_open: int,
+        counters: Counters,
+        note: Callable[[str], None],
+    ) -> None:
         self.clock, self.counters, self.note_down = clock, counters, note
         self.open = Open(most_open)
         self.probes: SimpleQueue = SimpleQueue()
@@ -85,7 +91,7 @@
         """Blocks until there is a launch to make or the last word."""
         case = self.open.cases.get(retrieval)
         if case is None:
-            if retrieval.over:      # its client left before it was looked at
+            if retrieval.over:  # its client left before it was looked at
                 return Final(End.GONE)
             if final := self.first(retrieval):
                 return final
@@ -151,7 +157,7 @@
                 self.report(go, Outcome.CALLED_OFF)
         finally:
             self.open.drop(retrieval)
-            retrieval.launches = []     # nothing points back: it goes at once, without the collector
+            retrieval.launches = []  # nothing points back: it goes at once, without the collector
 
     def last_call(self) -> None:
         """The front stops and can wait no longer: the decisions give up whatever is still open."""
@@ -207,9 +213,19 @@
     def now(self) -> int:
         return self.moment if self.inside else self.clock()
 
-    def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
-               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False,
-               keep: bool = False) -> Launch:
+    def launch(
+        self,
+        retrieval: Retrieval,
+        cache: Cache,
+        source: Cache,
+        within: int,
+        rank: int = 0,
+        age: int = 0,
+        join: bool = False,
+        renew: bool = False,
+        held_only: bool = False,
+        keep: bool = False,
+    ) -> Launch:
         launch = Launch(retrieval, cache, source, self.now(), within, rank)
         case = self.open.cases[retrieval]
         retrieval.launches.append(launch)
--- a/marbleglade/fleet/drain.py
+++ b/marbleglade/fleet/drain.py
@@ -9,20 +9,20 @@
 from dataclasses import dataclass
 from enum import Enum
 
-QUIET = 1 / 10      # of the deadline, in which nothing was asked for: its clients have left it
+QUIET = 1 / 10  # of the deadline, in which nothing was asked for: its clients have left it
 
 
 class Stage(Enum):
     SERVING = "serving"
-    EMPTYING = "emptying"   # says that it goes, and serves what still comes
-    EMPTY = "empty"         # pushes back whatever comes; it may be worked on
+    EMPTYING = "emptying"  # says that it goes, and serves what still comes
+    EMPTY = "empty"  # pushes back whatever comes; it may be worked on
 
 
 @dataclass(slots=True)
 class Drain:
     stage: Stage = Stage.SERVING
-    since: int = 0          # when it was asked to go
-    last: int = 0           # when something was last asked for
+    since: int = 0  # when it was asked to go
+    last: int = 0  # when something was last asked for
     taken: int = 0
 
     def turn(self, goes: bool, deadline: int, taken: int, open: int, now: int) -> bool:
@@ -36,7 +36,8 @@
         if taken != self.taken or open:
             self.last, self.taken = now, taken
         if self.stage is Stage.EMPTYING and (
-                now - self.since >= deadline or now - self.last >= deadline * QUIET):
+            now - self.since >= deadline or now - self.last >= deadline * QUIET
+        ):
             self.stage = Stage.EMPTY
             return True
         return False
--- a/marbleglade/fleet/duties.py
+++ b/marbleglade/fleet/duties.py
@@ -14,10 +14,10 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-LEASE = 3       # periods of silence after which a duty is taken over
-TRIERS = 8      # fronts that try a shut place, by expectation
-TURN = 8        # views after which others try it
-FURTHEST = 1 << 20      # a term that jumps further ahead than this is not believed
+LEASE = 3  # periods of silence after which a duty is taken over
+TRIERS = 8  # fronts that try a shut place, by expectation
+TURN = 8  # views after which others try it
+FURTHEST = 1 << 20  # a term that jumps further ahead than this is not believed
 
 
 @lru_cache(1 << 14)
@@ -27,8 +27,9 @@
     return (int.from_bytes(digest) + 1) / (2**64 + 1)
 
 
-def holder(duty: bytes, members: Iterable[int], weight: Callable[[int], float] = lambda number: 1.0
-           ) -> int | None:
+def holder(
+    duty: bytes, members: Iterable[int], weight: Callable[[int], float] = lambda number: 1.0
+) -> int | None:
     """Who holds it: each by its weight, and hardly any changes hands when members come or go."""
     best, first = math.inf, None
     for number in members:
@@ -50,7 +51,7 @@
 
     def __init__(self, name: bytes, own: int, period: int, now: int) -> None:
         self.name, self.own, self.period = name, own, period
-        self.term, self.by, self.heard = 0, -1, now     # the latest term, whose it is, when it last spoke
+        self.term, self.by, self.heard = 0, -1, now  # the latest term, whose it is, when it last spoke
         self.mine = False
 
     def turn(self, first: bool, now: int) -> bool:
--- a/marbleglade/fleet/grants.py
+++ b/marbleglade/fleet/grants.py
@@ -22,11 +22,11 @@
 from .order import MOST_OUT
 
 # Parts of a lease.
-RENEW = 1 / 6       # between two words of a keeper; what changed is told at once
-FRESH = 1 / 3       # as old the majority's word may be for what a keeper says to count
-STAYS = 1 / 2       # so long a front stays out after it last asked whether it may
-CALM = 1 / 3        # so long after a keeper spoke no other is voted for
-STAMPS = 64         # words remembered until they are answered
+RENEW = 1 / 6  # between two words of a keeper; what changed is told at once
+FRESH = 1 / 3  # as old the majority's word may be for what a keeper says to count
+STAYS = 1 / 2  # so long a front stays out after it last asked whether it may
+CALM = 1 / 3  # so long after a keeper spoke no other is voted for
+STAMPS = 64  # words remembered until they are answered
 FURTHEST = 1 << 20  # a term that jumps further ahead than this is not believed
 
 
@@ -37,8 +37,8 @@
     machine: int
     start_ms: int
     number: int
-    age_ms: int = 0         # how long it is out
-    back: bool = False      # it is called back
+    age_ms: int = 0  # how long it is out
+    back: bool = False  # it is called back
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,8 +49,8 @@
 @dataclass(slots=True, frozen=True)
 class Vote:
     term: int
-    held: tuple[int, int, int]      # term, keeper and version that the table is of
-    entries: tuple[Entry, ...]      # of a term other than the one claimed: no vote, but the latest term known
+    held: tuple[int, int, int]  # term, keeper and version that the table is of
+    entries: tuple[Entry, ...]  # of a term other than the one claimed: no vote, but the latest term known
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,17 +60,17 @@
     term: int
     version: int
     committed: int
-    stamp: int              # the keeper's number of this word
-    echo: int               # the last stamp that came from whom this goes to
-    entries: tuple[Entry, ...] | None       # None: as that member has it
+    stamp: int  # the keeper's number of this word
+    echo: int  # the last stamp that came from whom this goes to
+    entries: tuple[Entry, ...] | None  # None: as that member has it
 
 
 @dataclass(slots=True, frozen=True)
 class Held:
     term: int
-    version: int            # that it has; 0: not this table
-    stamp: int              # of the word that this answers
-    word: int               # this front's own stamp
+    version: int  # that it has; 0: not this table
+    stamp: int  # of the word that this answers
+    word: int  # this front's own stamp
 
 
 Grantgram = Claim | Vote | Hold | Held
@@ -81,42 +81,42 @@
     """A machine in the table."""
 
     start_ms: int
-    number: int             # the version it came with
-    since: int              # when it went
-    back: int = 0           # the version that calls it back
+    number: int  # the version it came with
+    since: int  # when it went
+    back: int = 0  # the version that calls it back
     back_at: int = 0
 
 
 @dataclass(slots=True)
 class Ack:
     version: int = 0
-    at: int = -1            # when the word was sent that this member answered last
+    at: int = -1  # when the word was sent that this member answered last
     word: int = 0
-    stamp: int = 0          # that word's
+    stamp: int = 0  # that word's
 
 
 @dataclass(slots=True)
 class Grants:
     own: int
-    count: int              # members that are listed, whether alive or not
+    count: int  # members that are listed, whether alive or not
     lease: int
     now: InitVar[int]
-    term: int = 0           # the latest that this front voted for or heard, and whose it is
+    term: int = 0  # the latest that this front voted for or heard, and whose it is
     by: int = -1
-    heard: int = 0          # when that keeper spoke last
+    heard: int = 0  # when that keeper spoke last
     leading: bool = False
     table: dict[int, Gone] = field(default_factory=dict)
-    sure: dict[int, int] = field(default_factory=dict)      # as of when each counted as let go, to this front
+    sure: dict[int, int] = field(default_factory=dict)  # as of when each counted as let go, to this front
     version: int = 0
     committed: int = 0
-    held: tuple[int, int, int] = (0, -1, 0)     # term, keeper and version that the table is of
+    held: tuple[int, int, int] = (0, -1, 0)  # term, keeper and version that the table is of
     votes: dict[int, Vote] = field(default_factory=dict)
     acks: dict[int, Ack] = field(default_factory=dict)
-    stamps: dict[int, int] = field(default_factory=dict)    # when each word was sent
+    stamps: dict[int, int] = field(default_factory=dict)  # when each word was sent
     stamp: int = 0
     due: int = 0
-    backed: int = -1        # the keeper's: as of when a majority stood behind its table
-    mute: int = 0           # until then it votes for nobody and takes nothing in
+    backed: int = -1  # the keeper's: as of when a majority stood behind its table
+    mute: int = 0  # until then it votes for nobody and takes nothing in
 
     def __post_init__(self, now: int) -> None:
         self.mute, self.heard, self.due = now + self.lease, now, now
@@ -126,8 +126,13 @@
     def may_stay_out(self, machine: int, start_ms: int, now: int) -> bool:
         """True while that front, which is this one and began then, is let go and may believe it."""
         gone = self.table.get(machine)
-        return (gone is not None and gone.start_ms == start_ms and not gone.back and machine in self.sure
-                and now - self.sure[machine] < self.lease * STAYS)
+        return (
+            gone is not None
+            and gone.start_ms == start_ms
+            and not gone.back
+            and machine in self.sure
+            and now - self.sure[machine] < self.lease * STAYS
+        )
 
     def out(self) -> dict[int, Gone]:
         """What a majority let go, by key."""
@@ -198,8 +203,10 @@
         self.leading = False
 
     def entries(self, now: int) -> tuple[Entry, ...]:
-        return tuple(Entry(machine, gone.start_ms, gone.number, max(0, now - gone.since) // 1_000_000,
-                           bool(gone.back)) for machine, gone in sorted(self.table.items()))
+        return tuple(
+            Entry(machine, gone.start_ms, gone.number, max(0, now - gone.since) // 1_000_000, bool(gone.back))
+            for machine, gone in sorted(self.table.items())
+        )
 
     def _changed(self, now: int) -> None:
         """All are told at once."""
@@ -216,23 +223,31 @@
 
     def _hold(self, to: int, now: int) -> Hold:
         ack = self.acks.setdefault(to, Ack())
-        return Hold(self.term, self.version, self.committed if self.rules(now) else 0, self._said(now),
-                    ack.word, None if ack.version == self.version else self.entries(now))
+        return Hold(
+            self.term,
+            self.version,
+            self.committed if self.rules(now) else 0,
+            self._said(now),
+            ack.word,
+            None if ack.version == self.version else self.entries(now),
+        )
 
     def _chosen(self, now: int) -> None:
         if self.leading or len(self.votes) * 2 <= self.count:
             return
         # The latest table among those of a majority holds all that was ever let go and counted.
         latest = max(self.votes.values(), key=lambda one: one.held)
-        self.table = {one.machine: Gone(one.start_ms, 1, now - one.age_ms * 1_000_000, int(one.back), now)
-                      for one in latest.entries}
+        self.table = {
+            one.machine: Gone(one.start_ms, 1, now - one.age_ms * 1_000_000, int(one.back), now)
+            for one in latest.entries
+        }
         self.version, self.committed, self.backed = 1, 0, -1
         self.leading, self.acks, self.votes, self.heard = True, {}, {}, now
         self._changed(now)
 
     def _count(self, now: int) -> None:
         """Up to which version a majority has the table, and as of when."""
-        need = self.count // 2      # beside this front itself
+        need = self.count // 2  # beside this front itself
         if need == 0:
             self.committed, self.backed = self.version, now
         elif len(self.acks) >= need:
@@ -257,11 +272,11 @@
         elif self.leading and message.term == self.term and message.stamp in self.stamps:
             ack, before = self.acks.setdefault(sender, Ack()), self.committed
             ack.at = max(ack.at, self.stamps[message.stamp])
-            if message.stamp >= ack.stamp:      # one that began anew has it no more
+            if message.stamp >= ack.stamp:  # one that began anew has it no more
                 ack.stamp, ack.version, ack.word = message.stamp, message.version, message.word
             self._count(now)
             if self.committed > before:
-                self.due = now      # who waits for it is told at once
+                self.due = now  # who waits for it is told at once
         return []
 
     def _voted(self, sender: int, vote: Vote, now: int) -> None:
@@ -271,7 +286,7 @@
             self.votes[sender] = vote
             self._chosen(now)
         elif self.term < vote.term < self.term + FURTHEST:
-            self._follow(vote.term, -1)     # others are further; the next claim is above theirs
+            self._follow(vote.term, -1)  # others are further; the next claim is above theirs
 
     def _claimed(self, sender: int, claim: Claim, now: int) -> list[Out]:
         if now < self.mute:
@@ -280,7 +295,7 @@
             return [Out(sender, Vote(self.term, self.held, ()))] if claim.term < self.term else []
         led = self.rules(now) if self.leading else self.by >= 0 and now - self.heard < self.lease * CALM
         if led and self.by != sender:
-            if self.leading:        # some are further, and would heed no word of this term: it is chosen anew
+            if self.leading:  # some are further, and would heed no word of this term: it is chosen anew
                 self._follow(claim.term, self.own)
                 self.due = now
             return []
@@ -301,10 +316,15 @@
         has = self.held == (told.term, sender, told.version)
         if told.entries is not None and told.version >= self.version:
             self.version, self.held = told.version, (told.term, sender, told.version)
-            self.table = {one.machine: Gone(one.start_ms, one.number, now - one.age_ms * 1_000_000,
-                                            int(one.back)) for one in told.entries}
-            self.sure = {machine: at for machine, at in self.sure.items()
-                         if machine in self.table and not self.table[machine].back}
+            self.table = {
+                one.machine: Gone(one.start_ms, one.number, now - one.age_ms * 1_000_000, int(one.back))
+                for one in told.entries
+            }
+            self.sure = {
+                machine: at
+                for machine, at in self.sure.items()
+                if machine in self.table and not self.table[machine].back
+            }
             has = True
         if has:
             self.committed = max(self.committed, min(told.committed, self.version))
--- a/marbleglade/fleet/hearsay.py
+++ b/marbleglade/fleet/hearsay.py
@@ -17,14 +17,14 @@
 from ..wire.coordlines import Purge
 from ..wire.datagrams import MOST_PARTS, Answer, Ask, Hint, parts
 
-MOST = 512          # facts kept; the oldest goes first
-OPEN = 8            # asks that may be unanswered at once
+MOST = 512  # facts kept; the oldest goes first
+OPEN = 8  # asks that may be unanswered at once
 # Ratios to the coordinator's beat.
-SILENT = 1.25       # no whole line for so long is a reason to ask
-AGAIN = 0.25        # then a peer is asked each so many beats until one answered,
-FOLLOW_UP = 0.5     # and each so many from then on, or once so many rounds went unanswered:
+SILENT = 1.25  # no whole line for so long is a reason to ask
+AGAIN = 0.25  # then a peer is asked each so many beats until one answered,
+FOLLOW_UP = 0.5  # and each so many from then on, or once so many rounds went unanswered:
 PATIENCE = 16
-WIDTH = 3           # peers in one round, where the last two went unanswered
+WIDTH = 3  # peers in one round, where the last two went unanswered
 NOW_AND_THEN = 2.5  # without any reason; well under what a coordinator may be late by
 
 
@@ -40,12 +40,12 @@
     def __init__(self, beat: int, lasting: int, now: int) -> None:
         """`beat`: ns between two lines of the coordinator; `lasting`: ns for which a fact may be needed."""
         self.beat, self.lasting = beat, lasting
-        self.facts: OrderedDict[tuple[object, ...], tuple[int, Hint]] = OrderedDict()   # with when told
-        self.whole_from = now           # of what was told since then nothing was given up
-        self.known_to = now             # all that was told by then is known here
-        self.spoke = now                # the coordinator's last whole line
+        self.facts: OrderedDict[tuple[object, ...], tuple[int, Hint]] = OrderedDict()  # with when told
+        self.whole_from = now  # of what was told since then nothing was given up
+        self.known_to = now  # all that was told by then is known here
+        self.spoke = now  # the coordinator's last whole line
         self.open: OrderedDict[int, tuple[int, dict[int, Answer]]] = OrderedDict()  # when, and parts
-        self.count, self.asked_at, self.unanswered = 0, now, 0      # the last in rounds
+        self.count, self.asked_at, self.unanswered = 0, now, 0  # the last in rounds
 
     # What this front is told itself.
 
@@ -117,7 +117,7 @@
         whole_ms = min(max(0, now - self.known_to) // 1_000_000 + 1, 0xFFFF_FFFF)
         cut = parts(facts)
         whole = since >= self.whole_from and len(cut) <= MOST_PARTS
-        return [Answer(ask.number, whole_ms, place, len(cut) if whole else 0, some)
-                for place, some in enumerate(cut[-MOST_PARTS:])]
-
-
+        return [
+            Answer(ask.number, whole_ms, place, len(cut) if whole else 0, some)
+            for place, some in enumerate(cut[-MOST_PARTS:])
+        ]
--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -19,16 +19,16 @@
 from .draws import scattered
 
 # Ratios to the period of a probe.
-ANSWER = 1 / 3          # a direct answer is due then; then others are asked to try
-LEAST, MOST = 2, 6      # a suspicion lasts so long at least and at most, times the size in tens
-SLEPT = 2               # a timer that came so late says more of this front than of others
-INDIRECT = 3            # fronts asked to try, and suspicions by others that bear one out
-WORST = 4               # how far this front's own health goes down
-TOLD = 3                # an update is passed on so many times the logarithm of the fleet
-UPDATES = 10            # in one datagram
-NEW = 16                # so long a front that began again is told who is there and who is gone
-GONE_EACH = 4           # in so many turns one front that is held to be gone is asked instead
-AHEAD_MS = 60_000       # a start that is further ahead of the clock is no start
+ANSWER = 1 / 3  # a direct answer is due then; then others are asked to try
+LEAST, MOST = 2, 6  # a suspicion lasts so long at least and at most, times the size in tens
+SLEPT = 2  # a timer that came so late says more of this front than of others
+INDIRECT = 3  # fronts asked to try, and suspicions by others that bear one out
+WORST = 4  # how far this front's own health goes down
+TOLD = 3  # an update is passed on so many times the logarithm of the fleet
+UPDATES = 10  # in one datagram
+NEW = 16  # so long a front that began again is told who is there and who is gone
+GONE_EACH = 4  # in so many turns one front that is held to be gone is asked instead
+AHEAD_MS = 60_000  # a start that is further ahead of the clock is no start
 
 
 class Status(IntEnum):
@@ -87,9 +87,9 @@
 @dataclass(slots=True)
 class Member:
     status: Status = Status.ALIVE
-    start: int = 0          # 0: nothing was heard of it yet
+    start: int = 0  # 0: nothing was heard of it yet
     round: int = 0
-    until: int = 0          # when a suspicion runs out
+    until: int = 0  # when a suspicion runs out
     begun: int = 0
     by: set[int] = field(default_factory=set)
 
@@ -102,8 +102,8 @@
 class Probe:
     target: int
     sent: int
-    asked: bool = False             # others were asked to try
-    back: tuple[int, int] | None = None     # whom and under which number to tell, where it was asked for
+    asked: bool = False  # others were asked to try
+    back: tuple[int, int] | None = None  # whom and under which number to tell, where it was asked for
 
 
 class Members:
@@ -118,8 +118,8 @@
         self.born_ms = start_ms
         self.probes: dict[int, Probe] = {}
         self.order: list[int] = []
-        self.news: dict[int, list] = {}     # by number: times left, and the update
-        self.version = 0                    # changes with the set of those believed alive
+        self.news: dict[int, list] = {}  # by number: times left, and the update
+        self.version = 0  # changes with the set of those believed alive
         self.leaving = False
         self.told(self.say_self())
 
@@ -183,8 +183,9 @@
             known = [number for number, other in self.all.items() if other.start and number not in told]
             gone = [number for number in known if self.all[number].status > Status.SUSPECT]
             picked = self.pick(gone, UPDATES - len(some))
-            picked += self.pick([number for number in known if number not in picked],
-                                UPDATES - len(some) - len(picked))
+            picked += self.pick(
+                [number for number in known if number not in picked], UPDATES - len(some) - len(picked)
+            )
             for number in picked:
                 other = self.all[number]
                 some.append(Update(number, other.status, other.start, other.round, self.own))
@@ -298,10 +299,13 @@
         if update.number == self.own:
             self.answer_for_self(update)
             return
-        if update.status is Status.SUSPECT and one.status is Status.SUSPECT and (
-                (update.start, update.round) == (one.start, one.round)):
+        if (
+            update.status is Status.SUSPECT
+            and one.status is Status.SUSPECT
+            and ((update.start, update.round) == (one.start, one.round))
+        ):
             if update.by not in one.by and len(one.by) <= INDIRECT:
-                one.by.add(update.by)       # borne out by another
+                one.by.add(update.by)  # borne out by another
                 self.told(update)
                 one.until = min(one.until, one.begun + self.lasting(len(one.by) - 1))
             return
@@ -326,7 +330,7 @@
         if self.leaving or update.status is Status.ALIVE:
             return
         if update.rank <= self.me.rank:
-            if self.own not in self.news:       # an old word: who has it has not heard the later one
+            if self.own not in self.news:  # an old word: who has it has not heard the later one
                 self.told(self.say_self())
             return
         self.me.start, self.me.round = update.start, update.round + 1
--- a/marbleglade/fleet/order.py
+++ b/marbleglade/fleet/order.py
@@ -17,8 +17,8 @@
 
 from ..interface import name_of
 
-FULL = 0.8          # of what those that serve can carry; above it nothing more goes out
-MOST_OUT = 10       # machines out at once, whatever an order allows: a table of them fits a datagram
+FULL = 0.8  # of what those that serve can carry; above it nothing more goes out
+MOST_OUT = 10  # machines out at once, whatever an order allows: a table of them fits a datagram
 
 
 def front_name(number: int) -> str:
@@ -39,8 +39,8 @@
     name: str
     kind: Kind
     zone: str = ""
-    takes_ms: int = 60_000          # how long it may be out
-    after: tuple[str, ...] = ()     # machines that have to be done and warm before
+    takes_ms: int = 60_000  # how long it may be out
+    after: tuple[str, ...] = ()  # machines that have to be done and warm before
 
     @property
     def key(self) -> int:
@@ -66,11 +66,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Order:
-    asked_ms: int                   # when it was written; a later one replaces an earlier one
+    asked_ms: int  # when it was written; a later one replaces an earlier one
     machines: tuple[Machine, ...] = ()
     caps: tuple[Cap, ...] = ()
-    floor: float = 0.5              # part of each kind in each zone that serves at any time
-    deadline_ms: int = 10_000       # in which a front is emptied
+    floor: float = 0.5  # part of each kind in each zone that serves at any time
+    deadline_ms: int = 10_000  # in which a front is emptied
     withdrawn: bool = False
 
 
@@ -87,25 +87,25 @@
 @dataclass(slots=True)
 class Out:
     since_ms: int
-    start_ms: int           # its start when it went out
+    start_ms: int  # its start when it went out
 
 
 @dataclass(slots=True)
 class Scene:
     now_ms: int
-    seen: dict[str, Sight]                              # all machines that are listed, in the order or not
-    groups: dict[str, tuple[Kind, str]]                 # of each of them, its kind and zone
+    seen: dict[str, Sight]  # all machines that are listed, in the order or not
+    groups: dict[str, tuple[Kind, str]]  # of each of them, its kind and zone
     out: dict[str, Out] = field(default_factory=dict)
-    load: dict[Kind, float] = field(default_factory=dict)   # of what those that serve could carry
-    near: frozenset[frozenset[str]] = frozenset()       # places next to each other in the hash of hot objects
+    load: dict[Kind, float] = field(default_factory=dict)  # of what those that serve could carry
+    near: frozenset[frozenset[str]] = frozenset()  # places next to each other in the hash of hot objects
 
 
 @dataclass(slots=True)
 class Settled:
-    next: list[str] = field(default_factory=list)       # go out now
-    back: list[str] = field(default_factory=list)       # come back now
+    next: list[str] = field(default_factory=list)  # go out now
+    back: list[str] = field(default_factory=list)  # come back now
     done: list[str] = field(default_factory=list)
-    why: dict[str, str] = field(default_factory=dict)   # of each that waits
+    why: dict[str, str] = field(default_factory=dict)  # of each that waits
     halted: dict[Kind, str] = field(default_factory=dict)
 
     @property
@@ -138,8 +138,10 @@
         return settled
     done, by_name = set(settled.done), {one.name: one for one in order.machines}
     # Who serves worst first; among equals the order of their names' hash, the same at all fronts.
-    waiting = sorted((one for one in order.machines if one.name not in done and not resting(scene, one.name)),
-                     key=lambda one: (-round(_pace(scene, one), 1), one.key))
+    waiting = sorted(
+        (one for one in order.machines if one.name not in done and not resting(scene, one.name)),
+        key=lambda one: (-round(_pace(scene, one), 1), one.key),
+    )
     for one in waiting:
         if why := _why_not(order, scene, settled, tally, done, by_name, one):
             settled.why[one.name] = why
@@ -211,8 +213,14 @@
     """Fronts that are out and still run come back where an order was withdrawn or leaves them out, or where
     what serves is too little now, the last to go first."""
     known = {one.name for one in order.machines}
-    fronts = [name for name in scene.out if resting(scene, name) and name in scene.seen
-              and scene.seen[name].up and scene.groups.get(name, (None,))[0] is Kind.FRONT]
+    fronts = [
+        name
+        for name in scene.out
+        if resting(scene, name)
+        and name in scene.seen
+        and scene.seen[name].up
+        and scene.groups.get(name, (None,))[0] is Kind.FRONT
+    ]
     for name in sorted(fronts, key=lambda name: -scene.out[name].since_ms):
         kind, zone = scene.groups[name]
         if order.withdrawn or name not in known or _short(order, scene, tally, kind, zone, 0):
@@ -220,8 +228,15 @@
             tally.comes(name)
 
 
-def _why_not(order: Order, scene: Scene, settled: Settled, tally: Tally, done: set[str],
-             by_name: dict[str, Machine], one: Machine) -> str:
+def _why_not(
+    order: Order,
+    scene: Scene,
+    settled: Settled,
+    tally: Tally,
+    done: set[str],
+    by_name: dict[str, Machine],
+    one: Machine,
+) -> str:
     """What speaks against it now; "" if nothing does."""
     away = tally.names
     if one.name not in scene.seen:
@@ -265,15 +280,20 @@
     back_ms: int
 
 
-def plan(order: Order, scene: Scene, takes_ms: Callable[[Machine], int], warms_ms: int,
-         longest_ms: int = 7 * 24 * 3600_000) -> tuple[list[Step], dict[str, str]]:
+def plan(
+    order: Order,
+    scene: Scene,
+    takes_ms: Callable[[Machine], int],
+    warms_ms: int,
+    longest_ms: int = 7 * 24 * 3600_000,
+) -> tuple[list[Step], dict[str, str]]:
     """The order that would be settled if each machine took so long and then warmed up for `warms_ms`; and why
     what is left never goes."""
     steps: list[Step] = []
     by_name = {one.name: one for one in order.machines}
     began, now = scene.now_ms, scene.now_ms
     scene = replace(scene, seen=dict(scene.seen), out=dict(scene.out))
-    due: list[tuple[int, str, bool]] = []       # when, what, whether warm
+    due: list[tuple[int, str, bool]] = []  # when, what, whether warm
     while now - began <= longest_ms:
         scene.now_ms = now
         settled = settle(order, scene)
--- a/marbleglade/fleet/reading.py
+++ b/marbleglade/fleet/reading.py
@@ -12,7 +12,7 @@
 
 BEAT_MS = 1000
 BOUNDS = {"beat_ms": (100, 10_000)}
-LONGEST = 1 << 16       # bytes of a file
+LONGEST = 1 << 16  # bytes of a file
 
 
 @dataclass(slots=True)
--- a/marbleglade/fleet/shares.py
+++ b/marbleglade/fleet/shares.py
@@ -7,11 +7,11 @@
 
 from .views import View
 
-LEND = 4            # a front may borrow so many times its part while others leave theirs unused
-FEWEST = 1 / 8      # and is left so much of it while all together use more than theirs
-ALONE = 8           # times the usual part of the load at which a front saves up as much as one alone
-SPREAD = 3          # usual pauses more that the returns of what waits are spread over, at most
-AGES = 4            # periods without a view after which a share has aged all the way to its own traffic
+LEND = 4  # a front may borrow so many times its part while others leave theirs unused
+FEWEST = 1 / 8  # and is left so much of it while all together use more than theirs
+ALONE = 8  # times the usual part of the load at which a front saves up as much as one alone
+SPREAD = 3  # usual pauses more that the returns of what waits are spread over, at most
+AGES = 4  # periods without a view after which a share has aged all the way to its own traffic
 
 
 def part(own: int, view: View) -> float:
--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/shell.py
@@ -16,14 +16,23 @@
 
 
 class Shell:
-    def __init__(self, name: str, beat: int, facade: Facade, front: Front, peers: Peers,
-                 say: Callable[..., None], work: str = "") -> None:
+    def __init__(
+        self,
+        name: str,
+        beat: int,
+        facade: Facade,
+        front: Front,
+        peers: Peers,
+        say: Callable[..., None],
+        work: str = "",
+    ) -> None:
         self.facade, self.front, self.peers, self.say = facade, front, peers, say
         own = peers.order.index(peers.listen)
         start_ms = clock.unix_ns() // 1_000_000
         seed = facade.decisions.ground.seed ^ zlib.crc32(name.encode())
-        self.together = Together(own, len(peers.order), start_ms, facade.decisions.ground, beat,
-                                 clock.now(), seed)
+        self.together = Together(
+            own, len(peers.order), start_ms, facade.decisions.ground, beat, clock.now(), seed
+        )
         self.filed: object = None
         self.version = self.term = -1
         self.work = None
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -28,22 +28,23 @@
 )
 
 VIEWS = b"views"
-EVERYONE = -1       # a receiver: all fronts
+EVERYONE = -1  # a receiver: all fronts
 
 
 class Together:
-    def __init__(self, own: int, count: int, start_ms: int, ground: Ground, beat: int, now: int,
-                 seed: int) -> None:
+    def __init__(
+        self, own: int, count: int, start_ms: int, ground: Ground, beat: int, now: int, seed: int
+    ) -> None:
         self.own, self.ground, self.period = own, ground, beat // 2
         self.members = Members(own, count, start_ms, beat, now, seed)
         self.duty = Duty(VIEWS, own, self.period, now)
         self.gatherer = Gatherer(self.period, ground.probing)
         self.sums, self.due = Sums(), now
-        self.seq = start_ms << 16       # grows over restarts too
+        self.seq = start_ms << 16  # grows over restarts too
         self.view: View | None = None
         self.view_at = 0
         self.own_load = 0
-        self.resting = False        # out for work: what it does for all passes to others
+        self.resting = False  # out for work: what it does for all passes to others
         self.fleet: Fleet | None = None
 
     def turn(self, now: int, seen: Callable[[], Seen], crowd: Callable[[], Crowd | None]) -> list[Out]:
@@ -72,17 +73,28 @@
         return None if to == self.own else to
 
     def report(self, seen: Seen, crowd: Crowd | None) -> Report:
-        self.sums.period({"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers,
-                          "pushed": seen.pushed} | {
-            (key, place): figure for key, pair in seen.links.items() for place, figure in enumerate(pair)})
+        self.sums.period(
+            {"asked": seen.asked, "firsts": seen.firsts, "furthers": seen.furthers, "pushed": seen.pushed}
+            | {(key, place): figure for key, pair in seen.links.items() for place, figure in enumerate(pair)}
+        )
         load, *counts = (self.sums.sum(name) for name in ("asked", "firsts", "furthers", "pushed"))
         self.own_load = load // 1_000_000
         self.seq += 1
-        links = {key: pair for key in seen.links if (pair := tuple(
-            self.sums.sum((key, place)) // 1_000_000 for place in (0, 1)))[0]}
-        return Report(self.seq, self.ground.zone, self.own_load, *counts,
-                        links, {self.ground.zone: crowd} if crowd else {}, seen.shut[:PLACES],
-                        seen.answered[:ANSWERED])
+        links = {
+            key: pair
+            for key in seen.links
+            if (pair := tuple(self.sums.sum((key, place)) // 1_000_000 for place in (0, 1)))[0]
+        }
+        return Report(
+            self.seq,
+            self.ground.zone,
+            self.own_load,
+            *counts,
+            links,
+            {self.ground.zone: crowd} if crowd else {},
+            seen.shut[:PLACES],
+            seen.answered[:ANSWERED],
+        )
 
     def take(self, sender: int, message: Fleetgram, now: int) -> list[Out]:
         """A datagram from a listed front. A new view stands in `fleet` from then on."""
@@ -102,13 +114,21 @@
         crowd = view.crowds.get(self.ground.zone)
         own, lending = part(self.own_load, view), lent(view, FURTHER_SHARE)
         self.fleet = Fleet(
-            now + YOUNG * self.period, own, lending,
+            now + YOUNG * self.period,
+            own,
+            lending,
             {key: (max(1.0, slow), evidence) for key, (slow, evidence) in paces.items()},
             {place: one.by for place, one in view.shut.items()},
-            frozenset(place for place, one in view.shut.items()
-                      if one.trier == self.own or tries(place, one.by, self.own, view.seq)),
+            frozenset(
+                place
+                for place, one in view.shut.items()
+                if one.trier == self.own or tries(place, one.by, self.own, view.seq)
+            ),
             frozenset(view.answered),
-            bool(crowd and crowd.prober == self.own), saves(own, view.fronts, lending), waits(view))
+            bool(crowd and crowd.prober == self.own),
+            saves(own, view.fronts, lending),
+            waits(view),
+        )
 
     def age(self, now: int) -> None:
         """Cut off, it keeps to its last share of further launches, which ages towards what it has alone. All
@@ -119,8 +139,17 @@
         alone = ALONE / max(1, view.fronts)
         own = aged(part(self.own_load, view), alone, since, self.period)
         lending = aged(lent(view, FURTHER_SHARE), 1.0, since, self.period)
-        self.fleet = Fleet(now + self.period * 3 // 2, own, lending, {}, {}, frozenset(), frozenset(), True,
-                           saves(own, view.fronts, lending))
+        self.fleet = Fleet(
+            now + self.period * 3 // 2,
+            own,
+            lending,
+            {},
+            {},
+            frozenset(),
+            frozenset(),
+            True,
+            saves(own, view.fronts, lending),
+        )
 
     def crowd(self) -> tuple[float, int] | None:
         """The own location's load as the fleet knows it, and when it was reported."""
@@ -132,11 +161,15 @@
     def survey(self, now: int) -> dict[str, object]:
         """For the log: who is alive, who holds what, whose part is what."""
         alive = self.members.alive()
-        return {"alive": len(alive), "of": len(self.members.all), "health": self.members.health,
-                "not_alive": sorted(set(self.members.all) - set(alive))[:32],
-                "duty": {"term": self.duty.term, "by": self.duty.by, "mine": self.duty.mine},
-                "view_ms": (now - self.view_at) // 1_000_000 if self.view else None,
-                "part": round(self.fleet.part, 4) if self.fleet else None,
-                "lent": round(self.fleet.lent, 2) if self.fleet else None,
-                "waits": round(self.fleet.waits, 3) if self.fleet else None,
-                "span_ms": SPAN * self.period // 1_000_000}
+        return {
+            "alive": len(alive),
+            "of": len(self.members.all),
+            "health": self.members.health,
+            "not_alive": sorted(set(self.members.all) - set(alive))[:32],
+            "duty": {"term": self.duty.term, "by": self.duty.by, "mine": self.duty.mine},
+            "view_ms": (now - self.view_at) // 1_000_000 if self.view else None,
+            "part": round(self.fleet.part, 4) if self.fleet else None,
+            "lent": round(self.fleet.lent, 2) if self.fleet else None,
+            "waits": round(self.fleet.waits, 3) if self.fleet else None,
+            "span_ms": SPAN * self.period // 1_000_000,
+        }
--- a/marbleglade/fleet/views.py
+++ b/marbleglade/fleet/views.py
@@ -15,16 +15,16 @@
 
 from .duties import holder
 
-NOBODY = 65535      # no front has this number
-OLD_MS = 65535      # no load report came
-YOUNG = 3           # periods for which a report, and a view, may be used
-SPAN = 4            # periods that the sums in a report cover
-CUT = 16            # one front in so many is left out at either end
-HEAVY = 4           # so many times the usual evidence of a front count at most
-PLACES = 8          # places in a report or a view
-ANSWERED = 6        # of them, those that answered again
-LINKS = 9           # links in a report or a view
-CROWDS = 6          # locations in a report or a view
+NOBODY = 65535  # no front has this number
+OLD_MS = 65535  # no load report came
+YOUNG = 3  # periods for which a report, and a view, may be used
+SPAN = 4  # periods that the sums in a report cover
+CUT = 16  # one front in so many is left out at either end
+HEAVY = 4  # so many times the usual evidence of a front count at most
+PLACES = 8  # places in a report or a view
+ANSWERED = 6  # of them, those that answered again
+LINKS = 9  # links in a report or a view
+CROWDS = 6  # locations in a report or a view
 
 
 @dataclass(slots=True)
@@ -54,9 +54,9 @@
     """
 
     seq: int
-    zone: int = 0           # where the front stands
-    load: int = 0           # sending time asked for, ms
-    firsts: int = 0         # first launches, further ones, and retrievals pushed back
+    zone: int = 0  # where the front stands
+    load: int = 0  # sending time asked for, ms
+    firsts: int = 0  # first launches, further ones, and retrievals pushed back
     furthers: int = 0
     pushed: int = 0
     links: dict[int, tuple[int, int]] = field(default_factory=dict)
@@ -91,8 +91,12 @@
 
     def period(self, counters: dict[object, int]) -> None:
         # One that went back counts anew: its place began again.
-        self.lately.append({name: now - before if now >= (before := self.before.get(name, 0)) else now
-                            for name, now in counters.items()})
+        self.lately.append(
+            {
+                name: now - before if now >= (before := self.before.get(name, 0)) else now
+                for name, now in counters.items()
+            }
+        )
         self.before = dict(counters)
 
     def sum(self, name: object) -> int:
@@ -103,8 +107,8 @@
     """The holder's part: the latest report of each front, and their sum."""
 
     def __init__(self, period: int, probed: bool = False) -> None:
-        self.period, self.probed = period, probed   # `probed`: loads are had by probes alone
-        self.reports: dict[int, tuple[int, Report]] = {}    # by front: when it came
+        self.period, self.probed = period, probed  # `probed`: loads are had by probes alone
+        self.reports: dict[int, tuple[int, Report]] = {}  # by front: when it came
         self.seq = 0
 
     def take(self, sender: int, report: Report, now: int) -> bool:
@@ -116,8 +120,9 @@
         return True
 
     def view(self, term: int, now: int) -> View:
-        self.reports = {sender: one for sender, one in self.reports.items()
-                        if now - one[0] < YOUNG * self.period}
+        self.reports = {
+            sender: one for sender, one in self.reports.items() if now - one[0] < YOUNG * self.period
+        }
         young = list(self.reports.values())
         reports = [report for _, report in young]
         self.seq += 1
@@ -162,8 +167,9 @@
     seen = [(done, spent) for done, spent in seen if done > 0]
     if len(seen) > 2:
         most = HEAVY * median(done for done, _ in seen)
-        seen = [(done, spent) if done <= most else (int(most), int(spent * most / done))
-                for done, spent in seen]
+        seen = [
+            (done, spent) if done <= most else (int(most), int(spent * most / done)) for done, spent in seen
+        ]
     seen.sort(key=lambda one: one[1] / one[0])
     cut = max(len(seen) // CUT, len(seen) > 4)
     if cut:
--- a/marbleglade/fleet/workfile.py
+++ b/marbleglade/fleet/workfile.py
@@ -15,10 +15,10 @@
 from .reading import LONGEST, outside, whole
 from .work_pb2 import Job, WorkOrder
 
-MOST = 2048             # machines
+MOST = 2048  # machines
 TAKES_MS, DEADLINE_MS, FLOOR = 60_000, 10_000, 0.5
 BOUNDS = {"takes_ms": (1_000, 86_400_000), "deadline_ms": (100, 600_000)}
-EARLIEST = 1_000_000_000_000    # Unix ms; seconds given by mistake lie under it
+EARLIEST = 1_000_000_000_000  # Unix ms; seconds given by mistake lie under it
 
 
 def machine_of(job: Job) -> str:
@@ -76,14 +76,26 @@
     if wrong := list(faults(told)):
         raise Unfit("; ".join(wrong))
     machines = tuple(
-        Machine(machine_of(job), Kind(job.kind or (Kind.FRONT if job.HasField("front") else Kind.CACHE)),
-                job.zone, job.takes_ms if job.HasField("takes_ms") else TAKES_MS, tuple(job.after))
-        for job in told.job)
+        Machine(
+            machine_of(job),
+            Kind(job.kind or (Kind.FRONT if job.HasField("front") else Kind.CACHE)),
+            job.zone,
+            job.takes_ms if job.HasField("takes_ms") else TAKES_MS,
+            tuple(job.after),
+        )
+        for job in told.job
+    )
     caps = tuple(Cap(one.most, Kind(one.kind) if one.kind else None, one.zone) for one in told.limit)
     if not caps:
         caps = tuple(Cap(1, kind) for kind in Kind)
-    return Order(told.asked_ms, machines, caps, told.floor if told.HasField("floor") else FLOOR,
-                 told.deadline_ms if told.HasField("deadline_ms") else DEADLINE_MS, told.withdrawn)
+    return Order(
+        told.asked_ms,
+        machines,
+        caps,
+        told.floor if told.HasField("floor") else FLOOR,
+        told.deadline_ms if told.HasField("deadline_ms") else DEADLINE_MS,
+        told.withdrawn,
+    )
 
 
 def packed(told: WorkOrder) -> bytes:
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -22,8 +22,8 @@
 from .workfile import received
 
 WORK = b"work"
-AHEAD_MS = 60_000       # an order written further ahead of the clock than this is none
-ASK = 1 / 24            # of a lease: between two asks for what lacks of an order
+AHEAD_MS = 60_000  # an order written further ahead of the clock than this is none
+ASK = 1 / 24  # of a lease: between two asks for what lacks of an order
 
 
 @dataclass(slots=True)
@@ -41,21 +41,22 @@
 
 
 class Works:
-    def __init__(self, own: int, members: Members, start_ms: int, lease: int, warms_ms: int,
-                 now: int) -> None:
+    def __init__(
+        self, own: int, members: Members, start_ms: int, lease: int, warms_ms: int, now: int
+    ) -> None:
         self.own, self.members, self.start_ms, self.born = own, members, start_ms, now
         self.lease, self.warms_ms = lease, warms_ms
         self.grants = Grants(own, len(members.all), lease, now)
         self.key = key_of(front_name(own))
         self.order: Order | None = None
         self.raw, self.digest = b"", 0
-        self.coming: tuple[Have, dict[int, bytes], int] | None = None   # its parts so far, and who has it
+        self.coming: tuple[Have, dict[int, bytes], int] | None = None  # its parts so far, and who has it
         self.asked = self.told = self.spread = now - lease
-        self.agrees = -1            # who said last that it has the same order
-        self.looked, self.keeps = now - lease, None     # when, and who is to keep the table
-        self.finished = 0           # of the order that is done with
+        self.agrees = -1  # who said last that it has the same order
+        self.looked, self.keeps = now - lease, None  # when, and who is to keep the table
+        self.finished = 0  # of the order that is done with
         self.settled = Settled()
-        self.resting: dict[int, int] = {}       # places out for work, by key: their start when they went
+        self.resting: dict[int, int] = {}  # places out for work, by key: their start when they went
         self.unfit = 0
 
     # The order in force.
@@ -93,8 +94,7 @@
     def turn(self, now: int, look: Callable[[], Look]) -> list[Out]:
         if len(self.members.all) != self.grants.count:
             self.grants.resize(len(self.members.all), now)
-        wanted = bool(self.grants.table) or (
-            self.order is not None and self.finished < self.order.asked_ms)
+        wanted = bool(self.grants.table) or (self.order is not None and self.finished < self.order.asked_ms)
         if not (wanted or self.grants.leading or self.coming):
             return []
         spoken = self.grants.by in self.members.all and now - self.grants.heard < self.lease
@@ -107,7 +107,7 @@
                 out += self.grants.turn(True, now)
         holds = [one.to for one in out if isinstance(one.message, Hold)]
         if self.order and holds and now - self.spread >= self.lease:
-            self.spread = now       # whoever began lately lacks it
+            self.spread = now  # whoever began lately lacks it
             out += [Out(to, self.have()) for to in holds]
         elif self.order and wanted and not self.grants.leading and now - self.told >= self.lease * RENEW:
             to = self.grants.by if spoken else first
@@ -130,8 +130,11 @@
             seen[name] = Sight(one.start, up, unix_ms - one.start >= self.warms_ms)
             groups[name] = Kind.FRONT, zones.get(name, "")
         names = {key_of(name): name for name in seen}
-        out = {names[key]: Gone(unix_ms - (now - gone.since) // 1_000_000, gone.start_ms)
-               for key, gone in self.grants.table.items() if key in names}
+        out = {
+            names[key]: Gone(unix_ms - (now - gone.since) // 1_000_000, gone.start_ms)
+            for key, gone in self.grants.table.items()
+            if key in names
+        }
         return Scene(unix_ms, seen, groups, out, look.load, look.near)
 
     def _settle(self, now: int, look: Look) -> None:
@@ -139,7 +142,7 @@
         grants, scene = self.grants, self.scene(now, look)
         numbers = {front_name(number): number for number in self.members.all} if scene.out else {}
         for key in set(grants.table) - {key_of(name) for name in scene.out}:
-            grants.forget(key, now)     # the coordinator lists it no more, so nobody uses it
+            grants.forget(key, now)  # the coordinator lists it no more, so nobody uses it
         for name, gone in list(scene.out.items()):
             heard = name in numbers and grants.heard_back(key_of(name), numbers[name], now)
             if heard or scene.seen[name].start_ms > gone.start_ms:
@@ -175,7 +178,7 @@
             return self._offered(sender, message, now)
         if isinstance(message, Want):
             begin = message.part * PART_BYTES
-            data = self.raw[begin:begin + PART_BYTES] if message.digest == self.digest else b""
+            data = self.raw[begin : begin + PART_BYTES] if message.digest == self.digest else b""
             return [Out(sender, Part(self.digest, message.part, data))] if data else []
         self._came(message, now)
         return self._ask(now)
@@ -187,10 +190,15 @@
         if not self.later(have.asked_ms, have.digest):
             # Who offers an earlier one lacks this one.
             return [Out(sender, self.have())] if self.grants.leading else []
-        possible = (0 < have.size <= MOST_PARTS * PART_BYTES
-                    and have.asked_ms <= self.unix_ms(now) + AHEAD_MS and have.digest != self.unfit)
-        if possible and (self.coming is None or (self.coming[0].asked_ms, self.coming[0].digest)
-                         <= (have.asked_ms, have.digest)):
+        possible = (
+            0 < have.size <= MOST_PARTS * PART_BYTES
+            and have.asked_ms <= self.unix_ms(now) + AHEAD_MS
+            and have.digest != self.unfit
+        )
+        if possible and (
+            self.coming is None
+            or (self.coming[0].asked_ms, self.coming[0].digest) <= (have.asked_ms, have.digest)
+        ):
             parts = self.coming[1] if self.coming and self.coming[0] == have else {}
             self.coming = have, parts, sender
         return self._ask(now)
@@ -213,7 +221,7 @@
             return
         parts[part.part] = part.data
         if len(parts) % 8 == 0:
-            self.asked = now - self.lease       # the next few need not wait
+            self.asked = now - self.lease  # the next few need not wait
         if len(parts) < count:
             return
         raw = b"".join(parts[place] for place in range(count))
@@ -224,16 +232,21 @@
                 raise Unfit("not what was offered")
             self.take_up(order, raw, now)
         except Unfit:
-            self.unfit = have.digest    # it is not asked for again
+            self.unfit = have.digest  # it is not asked for again
 
     def survey(self) -> dict[str, object]:
         """For the log: who keeps the table, what is out, what is next and why not yet."""
         names = {one.key: one.name for one in self.order.machines} if self.order else {}
-        return {"asked_ms": self.order.asked_ms if self.order else 0,
-                "finished": bool(self.order and self.finished >= self.order.asked_ms),
-                "term": self.grants.term, "by": self.grants.by, "keeper": self.grants.leading,
-                "out": sorted(names.get(key, f"{key:08x}") for key in self.grants.out()),
-                "done": len(self.settled.done),
-                "waiting": dict(list(self.settled.why.items())[:12]) if self.grants.leading else {},
-                "halted": {kind.name.lower(): why for kind, why in self.settled.halted.items()}
-                if self.grants.leading else {}}
+        return {
+            "asked_ms": self.order.asked_ms if self.order else 0,
+            "finished": bool(self.order and self.finished >= self.order.asked_ms),
+            "term": self.grants.term,
+            "by": self.grants.by,
+            "keeper": self.grants.leading,
+            "out": sorted(names.get(key, f"{key:08x}") for key in self.grants.out()),
+            "done": len(self.settled.done),
+            "waiting": dict(list(self.settled.why.items())[:12]) if self.grants.leading else {},
+            "halted": {kind.name.lower(): why for kind, why in self.settled.halted.items()}
+            if self.grants.leading
+            else {},
+        }
--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/workshell.py
@@ -19,15 +19,23 @@
 from .workfile import DEADLINE_MS, read
 from .works import Look, Works
 
-LEASE = 6       # beats of the fleet
-NEWS = ("asked_ms", "finished", "term", "by", "keeper", "out", "done", "halted")      # what is logged anew
-HOT = 16        # objects whose homes are looked at
+LEASE = 6  # beats of the fleet
+NEWS = ("asked_ms", "finished", "term", "by", "keeper", "out", "done", "halted")  # what is logged anew
+HOT = 16  # objects whose homes are looked at
 KINDS = {Role.CACHE: Kind.CACHE, Role.PARENT: Kind.PARENT}
 
 
 class Work:
-    def __init__(self, path: str, together: Together, start_ms: int, beat: int, facade: Facade, front: Front,
-                 say: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        path: str,
+        together: Together,
+        start_ms: int,
+        beat: int,
+        facade: Facade,
+        front: Front,
+        say: Callable[..., None],
+    ) -> None:
         self.path, self.facade, self.front, self.say = path, facade, front, say
         self.together, self.drain = together, Drain()
         warms_ms = facade.decisions.ground.cold_time // 1_000_000
@@ -98,7 +106,7 @@
         if self.drain.turn(goes, deadline, taken, len(self.facade.open), now):
             self.facade.last_call()
         if self.drain.stage is not stage:
-            self.together.resting = self.going      # its duties pass to others
+            self.together.resting = self.going  # its duties pass to others
             self.say("out", stage=self.drain.stage.value, open=len(self.facade.open))
 
     def look(self) -> Look:
@@ -111,11 +119,19 @@
             belief = cache.memory
             up = cache.state is State.ACTIVE and not (belief and belief.shut > now)
             zone = zones[cache.zone] if 0 <= cache.zone < len(zones) else ""
-            told.places[place.id] = kind, zone, Sight(
-                place.started_ms, up, not cache.born or now - cache.born >= ground.cold_time,
-                belief.link.slow(now) if belief else 1.0)
+            told.places[place.id] = (
+                kind,
+                zone,
+                Sight(
+                    place.started_ms,
+                    up,
+                    not cache.born or now - cache.born >= ground.cold_time,
+                    belief.link.slow(now) if belief else 1.0,
+                ),
+            )
         if load := self.front.crowd_seen():
             told.load[Kind.CACHE] = load[0]
-        told.near = neighbours(self.facade.decisions.homes(HOT),
-                               lambda caches: [one.mark.decode() for one in caches])
+        told.near = neighbours(
+            self.facade.decisions.homes(HOT), lambda caches: [one.mark.decode() for one in caches]
+        )
         return told
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -32,21 +32,29 @@
     retry_after: int = 0
     same: bool = False
     body: bytes = b""
-    tag: str = ""           # of the copy that was given, and the Unix millisecond at which it was given out
+    tag: str = ""  # of the copy that was given, and the Unix millisecond at which it was given out
     issued: int = 0
-    lacking: bool = False   # not settled, and the origin said last that there is no such object
-    ran: bool = False       # not settled, and something may have run
+    lacking: bool = False  # not settled, and the origin said last that there is no such object
+    ran: bool = False  # not settled, and something may have run
 
 
 ENDED = {end: f"retrieval.{end.name.lower()}" for end in End}
-SAME = 20       # the protocol's price of telling a client that its copy holds: one part in so many
+SAME = 20  # the protocol's price of telling a client that its copy holds: one part in so many
 
 
 class Front:
-    def __init__(self, facade: Facade, caches: Caches, places: Places, purges: Purges, copies: Copies,
-                 pace: int, guard: Guard) -> None:
+    def __init__(
+        self,
+        facade: Facade,
+        caches: Caches,
+        places: Places,
+        purges: Purges,
+        copies: Copies,
+        pace: int,
+        guard: Guard,
+    ) -> None:
         self.facade, self.caches, self.places, self.purges = facade, caches, places, purges
-        self.copies, self.pace = copies, pace       # bytes a second of one transfer; 0: no copies are kept
+        self.copies, self.pace = copies, pace  # bytes a second of one transfer; 0: no copies are kept
         self.guard, self.counters, self.log = guard, guard.counters, guard.log
         # Where fronts may send one another datagrams: files what others may ask for, and what holds no more.
         self.told: Callable[[Hint], None] = lambda fact: None
@@ -59,10 +67,19 @@
         now = clock.now()
         self.counters.add("retrieval.taken")
         if self.log.debug_on:
-            self.log.debug("taken", trace=ask.trace, profile=ask.profile_name, thing=ask.thing, part=ask.part,
-                           patience_us=ask.patience // 1000, again=ask.again, copy=ask.copy)
-        return Retrieval(ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience,
-                         ask.again)
+            self.log.debug(
+                "taken",
+                trace=ask.trace,
+                profile=ask.profile_name,
+                thing=ask.thing,
+                part=ask.part,
+                patience_us=ask.patience // 1000,
+                again=ask.again,
+                copy=ask.copy,
+            )
+        return Retrieval(
+            ask.profile, int(ask.thing, 16), ask.part, ask.group, 0.0, now, now + ask.patience, ask.again
+        )
 
     def hold(self, ask: Ask, retrieval: Retrieval) -> None:
         """Shows the decisions the front's own copy, if there is one. What is never kept has to run: guards
@@ -71,9 +88,13 @@
             return
         if copy := self.copies.get(retrieval.object, retrieval.part):
             same, work = bool(ask.copy) and copy.tag == ask.copy, len(copy.body) * 1_000_000_000 // self.pace
-            retrieval.held = Held(work // SAME if same else work, copy.issued,
-                                  Reply(
-                End.SETTLED, 0, same, b"" if same else copy.body, copy.tag, clock.to_unix_ms(copy.issued)))
+            retrieval.held = Held(
+                work // SAME if same else work,
+                copy.issued,
+                Reply(
+                    End.SETTLED, 0, same, b"" if same else copy.body, copy.tag, clock.to_unix_ms(copy.issued)
+                ),
+            )
 
     def keep(self, retrieval: Retrieval, ending: Ending) -> None:
         """Files what came as a copy of the front's own."""
@@ -138,8 +159,11 @@
                 else:
                     self.caches.drop(ending)
                 source = step.launch.source
-                lacking = (ending.outcome is Outcome.MISS and not step.held_only
-                           and (source.role is Role.ORIGIN or source is step.launch.cache))
+                lacking = (
+                    ending.outcome is Outcome.MISS
+                    and not step.held_only
+                    and (source.role is Role.ORIGIN or source is step.launch.cache)
+                )
                 self._note(ask, step, ending)
                 if ending.answer:
                     self.facade.probed(step.launch.cache, ending.answer.report())
@@ -164,8 +188,13 @@
     def _ended(self, ask: Ask, retrieval: Retrieval, reply: Reply) -> None:
         self.counters.add(ENDED[reply.end])
         if self.log.debug_on:
-            self.log.debug("ended", trace=ask.trace, end=reply.end.name, launches=len(retrieval.launches),
-                           took_us=(clock.now() - retrieval.taken) // 1000)
+            self.log.debug(
+                "ended",
+                trace=ask.trace,
+                end=reply.end.name,
+                launches=len(retrieval.launches),
+                took_us=(clock.now() - retrieval.taken) // 1000,
+            )
 
     def _reply(self, retrieval: Retrieval, final: Final, kept: Ending | None) -> Reply:
         if final.own and retrieval.held:
@@ -177,18 +206,25 @@
         if not self.counters.must(kept is not None, "settled_without_answer"):
             return Reply(End.BROKEN_OFF)
         told = kept.answer.fields
-        return Reply(End.SETTLED, 0, kept.bare, kept.answer.body, told.get("entity", ""),
-                     int(told.get("issued", 0)))
+        return Reply(
+            End.SETTLED, 0, kept.bare, kept.answer.body, told.get("entity", ""), int(told.get("issued", 0))
+        )
 
     def _note(self, ask: Ask, go: Go, ending: Ending) -> None:
         launch = go.launch
         self.counters.add(f"launch.{ending.outcome.name.lower()}")
         if self.log.debug_on:
-            self.log.debug("launch", trace=ask.trace, profile=ask.profile_name,
-                           cache=launch.cache.mark.decode(), source=launch.source.mark.decode(),
-                           outcome=ending.outcome.name,
-                           took_us=(clock.now() - launch.sent) // 1000, rank=launch.rank,
-                           bytes=len(ending.answer.body) if ending.answer else 0)
+            self.log.debug(
+                "launch",
+                trace=ask.trace,
+                profile=ask.profile_name,
+                cache=launch.cache.mark.decode(),
+                source=launch.source.mark.decode(),
+                outcome=ending.outcome.name,
+                took_us=(clock.now() - launch.sent) // 1000,
+                rank=launch.rank,
+                bytes=len(ending.answer.body) if ending.answer else 0,
+            )
 
     # What the coordinator tells.
 
@@ -235,8 +271,12 @@
         self.copies.purge(purge.thing, purge.group, at)
         # Guards against a copy that an open retrieval was shown and gets once the purge is forgotten.
         for one, case in self.facade.open.cases.items():
-            if not case.final and one.held and one.held.issued <= at + NEAR and meant(
-                    purge.thing, purge.group, one.object, one.group):
+            if (
+                not case.final
+                and one.held
+                and one.held.issued <= at + NEAR
+                and meant(purge.thing, purge.group, one.object, one.group)
+            ):
                 one.held = None
         self.facade.purged(purge.thing, purge.group, at)
         self.counters.add("purge.told")
@@ -246,11 +286,18 @@
         now, asked, seen = clock.now(), self.facade.out(), []
         for cache, place in self.places.by_cache.items():
             belief = cache.memory
-            seen.append({"place": place.id, "state": cache.state.name, "asked": asked.get(cache, 0),
-                         "believed": len(getattr(belief, "out", ())), "flights": self.caches.aloft[cache],
-                         "connections": self.caches.connections(cache),
-                         "report_ms": (now - cache.reported) // 1_000_000 if cache.reported else None,
-                         "shut_ms": max(0, getattr(belief, "shut", 0) - now) // 1_000_000})
+            seen.append(
+                {
+                    "place": place.id,
+                    "state": cache.state.name,
+                    "asked": asked.get(cache, 0),
+                    "believed": len(getattr(belief, "out", ())),
+                    "flights": self.caches.aloft[cache],
+                    "connections": self.caches.connections(cache),
+                    "report_ms": (now - cache.reported) // 1_000_000 if cache.reported else None,
+                    "shut_ms": max(0, getattr(belief, "shut", 0) - now) // 1_000_000,
+                }
+            )
         return seen
 
     def _last_reported(self) -> Cache | None:
--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/answerer.py
@@ -37,26 +37,37 @@
         self.account: Account | None = None
         self.connection: Connection | None = None
         self.region = ""
-        self.bodies: dict[int, tuple[Message, Inflow]] = {}     # carries whose own body is still coming
+        self.bodies: dict[int, tuple[Message, Inflow]] = {}  # carries whose own body is still coming
 
 
 class Work:
     """What runs for an entry of the book, and what its asker has of the answer."""
 
     def __init__(self, journey: Journey | None, had: Message | None, copy: tuple[int, int]) -> None:
-        self.journey, self.had, self.copy = journey, had, copy      # `copy`: the object's part
+        self.journey, self.had, self.copy = journey, had, copy  # `copy`: the object's part
 
 
 class Answerer:
     """`known`: the gateways that may come, with their regions. `deaf`: the coordinator is not heard."""
 
-    def __init__(self, home: str, gateway: str, start_ms: int, known: dict[str, str], silent: int,
-                 crossing: Crossing, book: Book, telling: Telling, deaf: Callable[[], bool], most: int,
-                 guard: Guard) -> None:
+    def __init__(
+        self,
+        home: str,
+        gateway: str,
+        start_ms: int,
+        known: dict[str, str],
+        silent: int,
+        crossing: Crossing,
+        book: Book,
+        telling: Telling,
+        deaf: Callable[[], bool],
+        most: int,
+        guard: Guard,
+    ) -> None:
         self.home, self.gateway, self.start_ms, self.known = home, gateway, start_ms, known
         self.silent, self.crossing, self.book, self.telling = silent, crossing, book, telling
         self.deaf, self.most, self.guard, self.counters = deaf, most, guard, guard.counters
-        self.peers: dict[str, Peer] = {}        # by gateway: the latest connection
+        self.peers: dict[str, Peer] = {}  # by gateway: the latest connection
         self.connections: set[Connection] = set()
         self.leaving = False
 
@@ -70,11 +81,18 @@
 
     def _serve(self, sock: socket.socket) -> None:
         peer = Peer()
-        hears = {"hello": self._hear_hello, "carry": self._hear_carry, "chunk": self._hear_chunk,
-                 "undo": self._hear_undo, "query": self._hear_query, "beat": self._hear_beat,
-                 "leaving": self._hear_leaving}
-        connection = peer.connection = Connection(sock, self.silent, self.guard, {
-            kind: partial(hear, peer) for kind, hear in hears.items()})
+        hears = {
+            "hello": self._hear_hello,
+            "carry": self._hear_carry,
+            "chunk": self._hear_chunk,
+            "undo": self._hear_undo,
+            "query": self._hear_query,
+            "beat": self._hear_beat,
+            "leaving": self._hear_leaving,
+        }
+        connection = peer.connection = Connection(
+            sock, self.silent, self.guard, {kind: partial(hear, peer) for kind, hear in hears.items()}
+        )
         self.connections.add(connection)
         try:
             connection.run()
@@ -83,8 +101,12 @@
             self.connections.discard(connection)
             if peer.account and self.peers.get(peer.account.gateway) is peer:
                 del self.peers[peer.account.gateway]
-                self.guard.log.say("link.gone", gateway=peer.account.gateway, why=connection.why,
-                                   kept=len(peer.account.entries))
+                self.guard.log.say(
+                    "link.gone",
+                    gateway=peer.account.gateway,
+                    why=connection.why,
+                    kept=len(peer.account.entries),
+                )
             self._incomplete(peer)
 
     def _incomplete(self, peer: Peer) -> None:
@@ -128,8 +150,9 @@
             why = "no such gateway there"
         else:
             known = self.peers.get(message.gateway)
-            account, ended = self.book.meet(message.gateway, message.start_ms, message.turn,
-                                            known is not None)
+            account, ended = self.book.meet(
+                message.gateway, message.start_ms, message.turn, known is not None
+            )
             for entry in ended:
                 self._stop(entry)
             if account is None:
@@ -137,7 +160,7 @@
         if why:
             self.counters.add("link.refused")
             peer.connection.say(refused=Refused(why=why))
-            peer.connection.hear = dict.fromkeys(frames.CHECKS, lambda message: None)   # whatever follows
+            peer.connection.hear = dict.fromkeys(frames.CHECKS, lambda message: None)  # whatever follows
             peer.connection.finish()
             return
         if known:
@@ -146,9 +169,18 @@
         peer.account, peer.region = account, message.region
         self.peers[message.gateway] = peer
         peer.connection.agree(message)
-        peer.connection.say(hello=Hello(
-            version=VERSION, region=self.home, gateway=self.gateway, start_ms=self.start_ms,
-            to_region=message.region, turn=message.turn, opening=OPENING, window=WINDOW))
+        peer.connection.say(
+            hello=Hello(
+                version=VERSION,
+                region=self.home,
+                gateway=self.gateway,
+                start_ms=self.start_ms,
+                to_region=message.region,
+                turn=message.turn,
+                opening=OPENING,
+                window=WINDOW,
+            )
+        )
         held = message.known_index if message.known_start_ms == self.start_ms else 0
         held = min(held, self.telling.index)
         for mark in self.telling.after(held):
@@ -157,11 +189,12 @@
         peer.connection.beat(self.deaf())
         if self.leaving:
             peer.connection.say(leaving=Leaving())
-        self.guard.log.say("link.taken", gateway=message.gateway, start_ms=message.start_ms,
-                           turn=message.turn)
+        self.guard.log.say(
+            "link.taken", gateway=message.gateway, start_ms=message.start_ms, turn=message.turn
+        )
 
     def _hear_beat(self, peer: Peer, message: Message) -> None:
-        if not message.echo_ns:         # its first: answered at once, so that the link is up sooner
+        if not message.echo_ns:  # its first: answered at once, so that the link is up sooner
             peer.connection.beat(self.deaf())
 
     def _hear_leaving(self, peer: Peer, message: Message) -> None:
@@ -171,20 +204,26 @@
         self.counters.add("carried.taken")
         if message.passed[-1] != peer.region:
             raise BadFrame("a carry of another region")
-        if self.leaving or self.book.full or self.crossing.refuse() or (
-                message.profile not in self.crossing.profiles):
+        if (
+            self.leaving
+            or self.book.full
+            or self.crossing.refuse()
+            or (message.profile not in self.crossing.profiles)
+        ):
             if not self.book.skip(peer.account, message.number):
                 raise BadFrame("a carry that was there before")
             self.counters.add("carried.turned_away")
             known = message.profile in self.crossing.profiles
-            peer.connection.say(head=Head(
-                number=message.number, word=Head.PUSHED_BACK if known else Head.BROKEN_OFF))
+            peer.connection.say(
+                head=Head(number=message.number, word=Head.PUSHED_BACK if known else Head.BROKEN_OFF)
+            )
             return
         entry = self.book.take(peer.account, message.number, clock.now() + 2 * message.within_ms * MS)
         if entry is None:
             raise BadFrame("a carry that was there before")
-        entry.work = Work(None, message.had if message.HasField("had") else None,
-                          (message.thing, message.part))
+        entry.work = Work(
+            None, message.had if message.HasField("had") else None, (message.thing, message.part)
+        )
         if message.body:
             inflow = Inflow(message.body, 0, OPENING)
             peer.bodies[message.number] = message, inflow
@@ -198,7 +237,7 @@
         if message.number not in peer.bodies:
             if message.number > peer.account.last:
                 raise BadFrame("a chunk of no carry")
-            return      # it was given up or turned away
+            return  # it was given up or turned away
         carry, inflow = peer.bodies[message.number]
         inflow.put(message.at, message.data)
         if inflow.whole:
@@ -227,10 +266,22 @@
 
     def _begin(self, account: Account, entry: Entry, message: Carry, body: bytes) -> None:
         profile = self.crossing.profiles[message.profile]
-        ask = Ask(message.number, profile, message.profile, message.trace,
-                  min(message.within_ms * MS, profile.client_timeout), message.again, f"{message.thing:016x}",
-                  message.part, message.group, message.copy, body, message.oldest_ms * MS,
-                  tuple(message.passed), message.mark)
+        ask = Ask(
+            message.number,
+            profile,
+            message.profile,
+            message.trace,
+            min(message.within_ms * MS, profile.client_timeout),
+            message.again,
+            f"{message.thing:016x}",
+            message.part,
+            message.group,
+            message.copy,
+            body,
+            message.oldest_ms * MS,
+            tuple(message.passed),
+            message.mark,
+        )
         if message.HasField("had") and (reply := self._kept(message, ask)):
             self.counters.add("carried.from_book")
             self._answered(account, entry, reply)
@@ -240,8 +291,14 @@
         if reply := self.crossing.answer_now(ask, journey):
             self._answered(account, entry, reply)
         else:
-            gevent.spawn_raw(self.guard.run, "carried", self.crossing.serve, ask, journey,
-                             partial(self._answered, account, entry))
+            gevent.spawn_raw(
+                self.guard.run,
+                "carried",
+                self.crossing.serve,
+                ask,
+                journey,
+                partial(self._answered, account, entry),
+            )
 
     def _kept(self, message: Carry, ask: Ask) -> Reply | None:
         """The very copy that a cut carry had begun to bring, if an answer with it is still kept."""
@@ -250,8 +307,13 @@
             return None
         purges = self.crossing.home.purges
         at = purges.latest(message.thing, message.group)
-        good = returns.still_good(reply.issued, clock.unix_ns() // MS, clock.to_unix_ms(at) if at else 0,
-                                  message.oldest_ms, ask.profile)
+        good = returns.still_good(
+            reply.issued,
+            clock.unix_ns() // MS,
+            clock.to_unix_ms(at) if at else 0,
+            message.oldest_ms,
+            ask.profile,
+        )
         return reply if good else None
 
     def _stop(self, entry: Entry) -> None:
@@ -273,23 +335,43 @@
         self.counters.add(f"carried.{reply.end.name.lower()}")
         if reply.end is not End.SETTLED:
             word = Head.LACKING if reply.lacking else WORDS[reply.end]
-            peer.connection.say(head=Head(number=entry.number, word=word, ran=reply.ran,
-                                          pause_ms=reply.retry_after // MS))
+            peer.connection.say(
+                head=Head(number=entry.number, word=word, ran=reply.ran, pause_ms=reply.retry_after // MS)
+            )
         elif reply.same:
-            peer.connection.say(head=Head(number=entry.number, word=Head.SAME, tag=reply.tag,
-                                          issued_ms=reply.issued))
+            peer.connection.say(
+                head=Head(number=entry.number, word=Head.SAME, tag=reply.tag, issued_ms=reply.issued)
+            )
         else:
-            at = returns.goes_on(had.tag, had.issued_ms, had.bytes, reply.tag, reply.issued,
-                                 len(reply.body)) if had else 0
-            peer.connection.say(head=Head(
-                number=entry.number, word=Head.SETTLED, tag=reply.tag, issued_ms=reply.issued,
-                size=len(reply.body), at=at, check=xxhash.xxh3_64_intdigest(reply.body)))
+            at = (
+                returns.goes_on(had.tag, had.issued_ms, had.bytes, reply.tag, reply.issued, len(reply.body))
+                if had
+                else 0
+            )
+            peer.connection.say(
+                head=Head(
+                    number=entry.number,
+                    word=Head.SETTLED,
+                    tag=reply.tag,
+                    issued_ms=reply.issued,
+                    size=len(reply.body),
+                    at=at,
+                    check=xxhash.xxh3_64_intdigest(reply.body),
+                )
+            )
             peer.connection.give(entry.number, reply.body, at)
 
     def survey(self) -> list[dict[str, object]]:
         """What is kept for whom."""
-        return [{"gateway": name, "start_ms": one.account.start, "entries": len(one.account.entries),
-                 "last": one.account.last} for name, one in self.peers.items()]
+        return [
+            {
+                "gateway": name,
+                "start_ms": one.account.start,
+                "entries": len(one.account.entries),
+                "last": one.account.last,
+            }
+            for name, one in self.peers.items()
+        ]
 
 
 def _purge(mark: Marked) -> Purge:
