--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/asker.py
@@ -51,12 +51,12 @@
     number: int
     ask: Ask
     go: Go
-    limit: int                      # when its launch ends
-    had: Part | None                # what an earlier cut left, as the far side was told
+    limit: int  # when its launch ends
+    had: Part | None  # what an earlier cut left, as the far side was told
     head: Message | None = None
     inflow: Inflow | None = None
-    held: int = 0                   # room taken for its body
-    wait_until: int = 0             # while its link is cut
+    held: int = 0  # room taken for its body
+    wait_until: int = 0  # while its link is cut
 
     @property
     def retrieval(self) -> Retrieval:
@@ -75,15 +75,15 @@
     name: str
     address: tuple[str, int]
     cache: Cache | None = None
-    start_ms: int = 0               # of the far gateway, by its clock; 0: never heard
-    index: int = 0                  # of its purges, those up to this one are known
+    start_ms: int = 0  # of the far gateway, by its clock; 0: never heard
+    index: int = 0  # of its purges, those up to this one are known
     turn: int = 0
     connection: Connection | None = None
-    caught: Message | None = None   # it has told all purges
-    up: bool = False                # carries may go
-    leaving_start: int = 0          # the start of which it said that it leaves
+    caught: Message | None = None  # it has told all purges
+    up: bool = False  # carries may go
+    leaving_start: int = 0  # the start of which it said that it leaves
     open: dict[int, Carry] = field(default_factory=dict)
-    adrift: dict[int, Carry] = field(default_factory=dict)      # their fate is not known
+    adrift: dict[int, Carry] = field(default_factory=dict)  # their fate is not known
     offset: Offset = field(default_factory=lambda: Offset(0))
     tries: int = 0
 
@@ -91,9 +91,21 @@
 class Links:
     """All links to one region. `front` is set once: the life of retrievals on this side, over these links."""
 
-    def __init__(self, home: str, gateway: str, start_ms: int, region: str,
-                 peers: list[tuple[str, tuple[str, int]]], silent: int, drift_ppm: float, account: bool,
-                 room: Room, parts: Parts, owed: Owed, guard: Guard) -> None:
+    def __init__(
+        self,
+        home: str,
+        gateway: str,
+        start_ms: int,
+        region: str,
+        peers: list[tuple[str, tuple[str, int]]],
+        silent: int,
+        drift_ppm: float,
+        account: bool,
+        room: Room,
+        parts: Parts,
+        owed: Owed,
+        guard: Guard,
+    ) -> None:
         self.home, self.gateway, self.start_ms, self.region = home, gateway, start_ms, region
         self.silent, self.account, self.room, self.parts, self.owed = silent, account, room, parts, owed
         self.guard, self.counters, self.log = guard, guard.counters, guard.log
@@ -106,9 +118,17 @@
         # Tell the rest of this gateway: of a purge, and that what was given out before counts as purged.
         self.purged: Callable[[Purge], None] = lambda purge: None
         self.forget: Callable[[int], None] = lambda before_ms: None
-        self.hears = {"hello": self._hear_hello, "refused": self._hear_refused, "purge": self._hear_purge,
-                      "caught": self._hear_caught, "beat": self._hear_beat, "leaving": self._hear_leaving,
-                      "fate": self._hear_fate, "head": self._hear_head, "chunk": self._hear_chunk}
+        self.hears = {
+            "hello": self._hear_hello,
+            "refused": self._hear_refused,
+            "purge": self._hear_purge,
+            "caught": self._hear_caught,
+            "beat": self._hear_beat,
+            "leaving": self._hear_leaving,
+            "fate": self._hear_fate,
+            "head": self._hear_head,
+            "chunk": self._hear_chunk,
+        }
 
     # What the life of a retrieval asks of it; see `wire.caches.Caches`.
 
@@ -131,7 +151,7 @@
         finally:
             if not go.ended.ready():
                 go.ended.set(None)
-            elif ending is None:        # it came in the instant in which the time ran out
+            elif ending is None:  # it came in the instant in which the time ran out
                 ending = go.ended.get(block=False)
             self._release(carry, ending)
             self.aloft[cache] -= 1
@@ -165,15 +185,25 @@
         self.parts.expire(now)
 
     def _send(self, link: Link, ask: Ask, go: Go, left: int) -> Carry:
-        self.number += 1    # one count for all links, rising on each
+        self.number += 1  # one count for all links, rising on each
         part = self.parts.get((go.launch.retrieval.object, ask.part))
         carry = Carry(self.number, ask, go, clock.now() + left, part)
         link.open[carry.number] = carry
         frame = CarryFrame(
-            number=carry.number, trace=ask.trace, profile=ask.profile_name, thing=int(ask.thing, 16),
-            part=ask.part, group=ask.group, within_ms=max(1, left // MS),
-            oldest_ms=self._oldest(link, ask, go), copy=ask.copy, again=ask.again,
-            passed=[*ask.passed, self.home], body=len(ask.body), mark=ask.mark)
+            number=carry.number,
+            trace=ask.trace,
+            profile=ask.profile_name,
+            thing=int(ask.thing, 16),
+            part=ask.part,
+            group=ask.group,
+            within_ms=max(1, left // MS),
+            oldest_ms=self._oldest(link, ask, go),
+            copy=ask.copy,
+            again=ask.again,
+            passed=[*ask.passed, self.home],
+            body=len(ask.body),
+            mark=ask.mark,
+        )
         if part and self.account:
             frame.had.CopyFrom(Had(tag=part.tag, issued_ms=part.issued_ms, bytes=len(part.data)))
         self.counters.add("carry.sent")
@@ -222,9 +252,9 @@
 
     def _end(self, carry: Carry, ending: Ending) -> None:
         if carry.go.ended.ready():
-            return              # nobody takes it: its room is still the carry's
+            return  # nobody takes it: its room is still the carry's
         if ending.answer:
-            carry.held = 0          # the room goes along with the answer
+            carry.held = 0  # the room goes along with the answer
         carry.go.ended.set(ending)
 
     # Connections.
@@ -252,12 +282,23 @@
             self.counters.add("link.unreached")
             return
         link.turn, link.caught = link.turn + 1, None
-        link.connection = connection = Connection(sock, self.silent, self.guard, {
-            kind: partial(hear, link) for kind, hear in self.hears.items()})
-        connection.say(hello=Hello(
-            version=VERSION, region=self.home, gateway=self.gateway, start_ms=self.start_ms,
-            to_region=self.region, turn=link.turn, known_start_ms=link.start_ms, known_index=link.index,
-            opening=OPENING, window=WINDOW))
+        link.connection = connection = Connection(
+            sock, self.silent, self.guard, {kind: partial(hear, link) for kind, hear in self.hears.items()}
+        )
+        connection.say(
+            hello=Hello(
+                version=VERSION,
+                region=self.home,
+                gateway=self.gateway,
+                start_ms=self.start_ms,
+                to_region=self.region,
+                turn=link.turn,
+                known_start_ms=link.start_ms,
+                known_index=link.index,
+                opening=OPENING,
+                window=WINDOW,
+            )
+        )
         connection.beat()
         try:
             connection.run()
@@ -272,8 +313,9 @@
             self.log.say("link.cut", link=link.name, why=connection.why, open=len(link.open))
         for carry in list(link.open.values()):
             launch = carry.go.launch
-            verdict = returns.after_cut(launch.retrieval.profile, launch.sent, clock.now(), carry.limit,
-                                        self.account)
+            verdict = returns.after_cut(
+                launch.retrieval.profile, launch.sent, clock.now(), carry.limit, self.account
+            )
             self.counters.add("carry.cut")
             if carry.inflow:
                 self.counters.add("carry.cut_bytes", carry.inflow.came)
@@ -335,8 +377,9 @@
         link.index, link.caught = message.index, message
 
     def _hear_beat(self, link: Link, message: Message) -> None:
-        if message.echo_ns and not link.offset.add(message.echo_ns, message.came_ns, message.sent_ns,
-                                                   clock.unix_ns()):
+        if message.echo_ns and not link.offset.add(
+            message.echo_ns, message.came_ns, message.sent_ns, clock.unix_ns()
+        ):
             raise BadFrame("an exchange that contradicts itself")
         if link.up and not message.deaf:
             self.hearing.heard(message.sent_ns // MS, clock.now())
@@ -365,19 +408,26 @@
         if not region_up:
             self.owed.returned(clock.now())
         link.up, link.tries = True, 0
-        self.log.say("link.up", link=link.name, start_ms=link.start_ms, adrift=len(link.adrift),
-                     offset_us=(link.offset.low + link.offset.high) // 2000,
-                     bound_us=(link.offset.high - link.offset.low) // 2000)
+        self.log.say(
+            "link.up",
+            link=link.name,
+            start_ms=link.start_ms,
+            adrift=len(link.adrift),
+            offset_us=(link.offset.low + link.offset.high) // 2000,
+            bound_us=(link.offset.high - link.offset.low) // 2000,
+        )
         self._list(link, "active")
         self._move_on()
         for carry in list(link.adrift.values()):
             query = Query(number=carry.number)
             if carry.inflow and carry.inflow.came:
-                query.had.CopyFrom(Had(tag=carry.head.tag, issued_ms=carry.head.issued_ms,
-                                       bytes=carry.inflow.came))
+                query.had.CopyFrom(
+                    Had(tag=carry.head.tag, issued_ms=carry.head.issued_ms, bytes=carry.inflow.came)
+                )
             elif carry.had:
-                query.had.CopyFrom(Had(tag=carry.had.tag, issued_ms=carry.had.issued_ms,
-                                       bytes=len(carry.had.data)))
+                query.had.CopyFrom(
+                    Had(tag=carry.had.tag, issued_ms=carry.had.issued_ms, bytes=len(carry.had.data))
+                )
             link.connection.say(query=query)
 
     def _list(self, link: Link, state: str) -> None:
@@ -385,10 +435,14 @@
         if state == "active" and link.leaving_start == link.start_ms:
             return
         if link.cache is None or state != "active":
-            started = (link.offset.ours(link.start_ms * MS, clock.unix_ns())[0] // MS if link.cache is None
-                       else self.front.places.by_id[link.name].started_ms)
-            self.front.apply(ListChange(0, False, [Member(
-                link.name, link.address, AWAY, AWAY, 0, state, started)]))
+            started = (
+                link.offset.ours(link.start_ms * MS, clock.unix_ns())[0] // MS
+                if link.cache is None
+                else self.front.places.by_id[link.name].started_ms
+            )
+            self.front.apply(
+                ListChange(0, False, [Member(link.name, link.address, AWAY, AWAY, 0, state, started)])
+            )
         if place := self.front.places.by_id.get(link.name):
             link.cache = place.cache
             self.by_cache[link.cache] = link
@@ -401,7 +455,7 @@
 
     def _hear_fate(self, link: Link, message: Message) -> None:
         carry = link.adrift.pop(message.number, None)
-        if carry is None:       # it ended while its fate was asked for
+        if carry is None:  # it ended while its fate was asked for
             link.connection.say(undo=Undo(number=message.number))
             return
         fate = Fate(message.state)
@@ -441,8 +495,11 @@
     def _body(self, link: Link, carry: Carry, head: Message) -> None:
         """A body begins, where what came before a cut ended or anew."""
         old, data = carry.head, b""
-        had, copy = (carry.inflow.came, (old.tag, old.issued_ms)) if carry.inflow else (
-            (len(carry.had.data), (carry.had.tag, carry.had.issued_ms)) if carry.had else (0, None))
+        had, copy = (
+            (carry.inflow.came, (old.tag, old.issued_ms))
+            if carry.inflow
+            else ((len(carry.had.data), (carry.had.tag, carry.had.issued_ms)) if carry.had else (0, None))
+        )
         self.counters.add("carry.had_bytes", had)
         if head.at:
             if carry.inflow and old and (old.tag, old.issued_ms) == (head.tag, head.issued_ms):
@@ -491,8 +548,11 @@
 
     def _hear_chunk(self, link: Link, message: Message) -> None:
         carry = link.open.get(message.number)
-        more = carry is not None and carry.inflow is not None and (
-            message.at + len(message.data) < carry.inflow.size)
+        more = (
+            carry is not None
+            and carry.inflow is not None
+            and (message.at + len(message.data) < carry.inflow.size)
+        )
         link.connection.credited(len(message.data), more)
         if carry is None:
             self._unwanted(link, message.number)
@@ -513,8 +573,9 @@
         ask = carry.ask
         early, _ = link.offset.ours(head.issued_ms * MS, clock.unix_ns())
         at_home = self.front.purges.latest(carry.retrieval.object, ask.group)
-        if (self.hearing.purged(carry.retrieval.object, ask.group, head.issued_ms)
-                or (at_home and clock.from_unix_ms(early // MS) <= at_home + MS)):
+        if self.hearing.purged(carry.retrieval.object, ask.group, head.issued_ms) or (
+            at_home and clock.from_unix_ms(early // MS) <= at_home + MS
+        ):
             self.counters.add("carry.purged")
             carry.inflow = None
             self._end(carry, Ending(Outcome.CALLED_OFF))
@@ -526,9 +587,19 @@
     def survey(self) -> list[dict[str, object]]:
         """What is believed of each link."""
         now = clock.now()
-        return [{"link": one.name, "region": self.region, "up": one.up, "start_ms": one.start_ms,
-                 "open": len(one.open), "adrift": len(one.adrift), "purges": one.index,
-                 "offset_us": (one.offset.low + one.offset.high) // 2000 if one.offset.known else None,
-                 "heard_ms": (now - one.connection.heard) // MS if one.connection else None,
-                 "owed": self.owed.open, "may_be_owed": int(self.owed.allowed)} for one in self.links]
-
+        return [
+            {
+                "link": one.name,
+                "region": self.region,
+                "up": one.up,
+                "start_ms": one.start_ms,
+                "open": len(one.open),
+                "adrift": len(one.adrift),
+                "purges": one.index,
+                "offset_us": (one.offset.low + one.offset.high) // 2000 if one.offset.known else None,
+                "heard_ms": (now - one.connection.heard) // MS if one.connection else None,
+                "owed": self.owed.open,
+                "may_be_owed": int(self.owed.allowed),
+            }
+            for one in self.links
+        ]
--- a/marbleglade/gateway/book.py
+++ b/marbleglade/gateway/book.py
@@ -15,21 +15,21 @@
 
 
 class Fate(Enum):
-    NEVER = 1       # not taken, and it will not be
+    NEVER = 1  # not taken, and it will not be
     RUNNING = 2
-    ANSWERED = 3    # its answer is kept
-    LOST = 4        # it ran, or may have run; nothing more is known
+    ANSWERED = 3  # its answer is kept
+    LOST = 4  # it ran, or may have run; nothing more is known
 
 
 @dataclass(slots=True, eq=False)
 class Entry:
     number: int
-    until: int              # when its asker waits no more
-    work: Any = None        # what runs for it
+    until: int  # when its asker waits no more
+    work: Any = None  # what runs for it
     answer: Any = None
-    size: int = 0           # bytes of the answer
-    copy: Hashable = None   # what the answer is a copy of; none: it is no copy
-    lost: bool = False      # its answer was let go for want of room
+    size: int = 0  # bytes of the answer
+    copy: Hashable = None  # what the answer is a copy of; none: it is no copy
+    lost: bool = False  # its answer was let go for want of room
 
 
 @dataclass(slots=True, eq=False)
@@ -38,9 +38,9 @@
 
     gateway: str
     start: int
-    turn: int = 0           # its latest connection
+    turn: int = 0  # its latest connection
     last: int = 0
-    floor: int = 0          # what is no more here, up to this number, may have been dropped
+    floor: int = 0  # what is no more here, up to this number, may have been dropped
     entries: OrderedDict[int, Entry] = field(default_factory=OrderedDict)
 
 
@@ -48,7 +48,7 @@
     def __init__(self, most: int, most_bytes: int, most_accounts: int = 256) -> None:
         self.most, self.most_bytes, self.most_accounts = most, most_bytes, most_accounts
         self.accounts: OrderedDict[str, Account] = OrderedDict()
-        self.copies: dict[Hashable, Entry] = {}     # the latest answer that is kept of each object's part
+        self.copies: dict[Hashable, Entry] = {}  # the latest answer that is kept of each object's part
         self.count = self.bytes = 0
 
     def meet(self, gateway: str, start: int, turn: int, alive: bool) -> tuple[Account | None, list[Entry]]:
@@ -73,8 +73,11 @@
 
     def _close(self, gateway: str) -> list[Entry]:
         account = self.accounts.pop(gateway, None)
-        return [entry for number in list(account.entries) if (entry := self.drop(account, number))
-                ] if account else []
+        return (
+            [entry for number in list(account.entries) if (entry := self.drop(account, number))]
+            if account
+            else []
+        )
 
     @property
     def full(self) -> bool:
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -15,9 +15,9 @@
 from .link_pb2 import Beat, Credit
 from .windows import CHUNK, Outbox, Overrun
 
-UNSENT = 4 * CHUNK      # bytes that the machine may hold unsent, so that what is urgent is not behind them
-WINDOW = 64 * CHUNK     # bytes of bodies under way on one connection, at most
-OPENING = CHUNK         # of one body, before it is asked for more
+UNSENT = 4 * CHUNK  # bytes that the machine may hold unsent, so that what is urgent is not behind them
+WINDOW = 64 * CHUNK  # bytes of bodies under way on one connection, at most
+OPENING = CHUNK  # of one body, before it is asked for more
 
 
 class Connection:
@@ -27,16 +27,17 @@
     `check` finds that out and is to be called a few times in it.
     """
 
-    def __init__(self, sock: socket.socket, silent: int, guard: Guard,
-                 hear: dict[str, Callable[[Message], None]]) -> None:
+    def __init__(
+        self, sock: socket.socket, silent: int, guard: Guard, hear: dict[str, Callable[[Message], None]]
+    ) -> None:
         self.sock, self.silent, self.guard, self.hear = sock, silent, guard, hear
         self.counters = guard.counters
         self.frames, self.outbox = Frames(), Outbox(WINDOW, OPENING, silent // 4)
-        self.heard = self.moved = clock.now()   # `moved`: when something was written, or nothing waited
+        self.heard = self.moved = clock.now()  # `moved`: when something was written, or nothing waited
         self.closed, self.flushing, self.stuck = False, False, b""
         self.why = ""
-        self.unacked = 0        # bytes of bodies that came and were not credited yet
-        self.echo = (0, 0)      # the other side's last beat: when it was sent, when it came
+        self.unacked = 0  # bytes of bodies that came and were not credited yet
+        self.echo = (0, 0)  # the other side's last beat: when it was sent, when it came
         self.loop = gevent.get_hub().loop
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
@@ -96,7 +97,7 @@
                 if sent < len(data):
                     self.stuck = data[sent:]
                     gevent.spawn(self._push)
-                    return      # still flushing
+                    return  # still flushing
         except OSError:
             self.close("write")
         except Exception as trouble:
@@ -177,9 +178,11 @@
 
     def finish(self) -> None:
         """Ends it once what waits was written, or can't be within the time of a silence."""
+
         def last() -> None:
             with gevent.Timeout(self.silent / 1e9, False):
                 while not self.closed and (self.outbox.first or self.outbox.bodies or self.flushing):
                     gevent.sleep(self.silent / 1e9 / 32)
             self.close("ended")
+
         gevent.spawn(last)
--- a/marbleglade/gateway/crossing.py
+++ b/marbleglade/gateway/crossing.py
@@ -28,14 +28,14 @@
 
     def take(self, ask: Ask) -> Retrieval:
         retrieval = super().take(ask)
-        retrieval.profile = self.profiles[ask.profile_name]     # what is learned of it here stays here
+        retrieval.profile = self.profiles[ask.profile_name]  # what is learned of it here stays here
         return retrieval
 
     def hold(self, ask: Ask, retrieval: Retrieval) -> None:
         if self.links.hearing.lately(clock.now(), self.heard):
             super().hold(ask, retrieval)
             if ask.oldest and retrieval.held and clock.now() - retrieval.held.issued > ask.oldest:
-                retrieval.held = None       # older than who asks will take
+                retrieval.held = None  # older than who asks will take
 
 
 @dataclass(slots=True, eq=False)
@@ -43,7 +43,7 @@
     """A retrieval on its way through a gateway, whichever front has it at the moment."""
 
     until: int
-    legs: list[str]             # the regions still to be asked
+    legs: list[str]  # the regions still to be asked
     region: str = ""
     front: Front | None = None
     ask: Ask | None = None
--- a/marbleglade/gateway/frames.py
+++ b/marbleglade/gateway/frames.py
@@ -15,12 +15,12 @@
 
 VERSION = 1
 LENGTH = struct.Struct("!I")
-LONGEST = CHUNK + 4096          # bytes of one frame
-MOST_PASSED = 16                # regions on one way
+LONGEST = CHUNK + 4096  # bytes of one frame
+MOST_PASSED = 16  # regions on one way
 TRACE = re.compile(r"[!-+\--~]{1,64}")
 TAG = re.compile(r"[0-9a-fA-F]{16}")
-LONGEST_TIME = 3_600_000        # ms
-LATEST = 1 << 46                # ms, far beyond any clock's Unix time
+LONGEST_TIME = 3_600_000  # ms
+LATEST = 1 << 46  # ms, far beyond any clock's Unix time
 
 
 class BadFrame(Exception):
@@ -50,10 +50,16 @@
 
 
 def _hello(one: Message) -> bool:
-    return (bool(NAME.fullmatch(one.region)) and bool(NAME.fullmatch(one.gateway))
-            and bool(NAME.fullmatch(one.to_region)) and 0 < one.start_ms < LATEST and one.turn > 0
-            and one.known_start_ms < LATEST and 0 < one.opening <= LONGEST_OBJECT
-            and CHUNK <= one.window <= 1 << 26)
+    return (
+        bool(NAME.fullmatch(one.region))
+        and bool(NAME.fullmatch(one.gateway))
+        and bool(NAME.fullmatch(one.to_region))
+        and 0 < one.start_ms < LATEST
+        and one.turn > 0
+        and one.known_start_ms < LATEST
+        and 0 < one.opening <= LONGEST_OBJECT
+        and CHUNK <= one.window <= 1 << 26
+    )
 
 
 def _had(one: Message) -> bool:
@@ -61,19 +67,28 @@
 
 
 def _carry(one: Message) -> bool:
-    return (one.number > 0 and bool(TRACE.fullmatch(one.trace)) and bool(NAME.fullmatch(one.profile))
-            and one.part < 1 << 31 and one.group <= UNKNOWN and 0 < one.within_ms <= LONGEST_TIME
-            and (not one.copy or bool(TAG.fullmatch(one.copy))) and 0 < len(one.passed) <= MOST_PASSED
-            and all(map(NAME.fullmatch, one.passed)) and one.body <= LONGEST_OBJECT
-            and (not one.HasField("had") or _had(one.had)))
+    return (
+        one.number > 0
+        and bool(TRACE.fullmatch(one.trace))
+        and bool(NAME.fullmatch(one.profile))
+        and one.part < 1 << 31
+        and one.group <= UNKNOWN
+        and 0 < one.within_ms <= LONGEST_TIME
+        and (not one.copy or bool(TAG.fullmatch(one.copy)))
+        and 0 < len(one.passed) <= MOST_PASSED
+        and all(map(NAME.fullmatch, one.passed))
+        and one.body <= LONGEST_OBJECT
+        and (not one.HasField("had") or _had(one.had))
+    )
 
 
 def _head(one: Message) -> bool:
     if not one.number or not one.SETTLED <= one.word <= one.LACKING:
         return False
     if one.word == one.SETTLED:
-        return (bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST
-                and one.at <= one.size <= LONGEST_OBJECT)
+        return (
+            bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST and one.at <= one.size <= LONGEST_OBJECT
+        )
     if one.size or one.at:
         return False
     return one.word != one.SAME or (bool(TAG.fullmatch(one.tag)) and one.issued_ms < LATEST)
@@ -112,13 +127,13 @@
         self.buffer += data
         found, at, end = [], 0, len(self.buffer)
         while end - at >= LENGTH.size:
-            size, = LENGTH.unpack_from(self.buffer, at)
+            (size,) = LENGTH.unpack_from(self.buffer, at)
             if not 0 < size <= LONGEST:
                 raise BadFrame("a frame too short or too long")
             if end - at < LENGTH.size + size:
                 break
             at += LENGTH.size
-            found.append(self._read(bytes(memoryview(self.buffer)[at:at + size])))
+            found.append(self._read(bytes(memoryview(self.buffer)[at : at + size])))
             at += size
         del self.buffer[:at]
         return found
@@ -129,8 +144,11 @@
         except DecodeError as trouble:
             raise BadFrame("not a frame") from trouble
         kind = frame.WhichOneof("kind")
-        if kind is None or (not self.begun and kind not in ("hello", "refused")) or (
-                self.begun and kind == "hello"):
+        if (
+            kind is None
+            or (not self.begun and kind not in ("hello", "refused"))
+            or (self.begun and kind == "hello")
+        ):
             raise BadFrame(f"{kind} where it does not belong")
         message = getattr(frame, kind)
         if kind == "hello" and message.version != VERSION:
--- a/marbleglade/gateway/life.py
+++ b/marbleglade/gateway/life.py
@@ -40,10 +40,10 @@
 from .routes import UNKNOWN, Routes, rules
 
 MS = 1_000_000
-DEAF = 2_500 * MS       # the coordinator's protocol promises a line each second
+DEAF = 2_500 * MS  # the coordinator's protocol promises a line each second
 MOST_MARKS = 1 << 14
 MOST_OBJECTS = 1 << 16  # in the directory of regions
-SLICE = 1 << 6          # part of what a region may be owed with which it begins
+SLICE = 1 << 6  # part of what a region may be owed with which it begins
 
 
 class Gateway:
@@ -67,10 +67,13 @@
         around = home(deployed, self.start_ms)
         self.home = Front(*self._parts(around, self._caches(around), 0, 0))
         self.links = [self._links(region) for region in deployed.others]
-        self.across = {one.region: self._across(one, region)
-                       for one, region in zip(self.links, deployed.others, strict=True)}
-        routes = Routes(self.region, [one.name for one in deployed.others], rules(told.routes),
-                        MOST_OBJECTS, 16 * longest)
+        self.across = {
+            one.region: self._across(one, region)
+            for one, region in zip(self.links, deployed.others, strict=True)
+        }
+        routes = Routes(
+            self.region, [one.name for one in deployed.others], rules(told.routes), MOST_OBJECTS, 16 * longest
+        )
         self.crossing = Crossing(self.home, self.region, self.across, routes)
         for one in self.links:
             one.purged, one.forget = self._purged, self._forget
@@ -78,39 +81,88 @@
         self.follower = Follower(address(deployed.region.coordinator), 0, self._told, self.guard, anew=True)
         peers = {gateway.name: region.name for region in deployed.others for gateway in region.gateways}
         self.answerer = Answerer(
-            self.region, self.name, self.start_ms, peers, self.silent, self.crossing,
-            Book(link.book_carries, link.book_bytes if link.book else 0), self.telling, self.deaf,
-            max(8, limits.descriptors // 8), self.guard)
-        self.clients = Clients(self.crossing, limits.descriptors // 4, limits.memory // 12, 0,
-                               lambda: not self.stop.asked_at, clock.now, self.guard)
-        self.door = PlaceDoor(self.crossing, UNKNOWN, limits.descriptors // 8, around.idle_close,
-                              lambda: not self.stop.asked_at, self.guard)
+            self.region,
+            self.name,
+            self.start_ms,
+            peers,
+            self.silent,
+            self.crossing,
+            Book(link.book_carries, link.book_bytes if link.book else 0),
+            self.telling,
+            self.deaf,
+            max(8, limits.descriptors // 8),
+            self.guard,
+        )
+        self.clients = Clients(
+            self.crossing,
+            limits.descriptors // 4,
+            limits.memory // 12,
+            0,
+            lambda: not self.stop.asked_at,
+            clock.now,
+            self.guard,
+        )
+        self.door = PlaceDoor(
+            self.crossing,
+            UNKNOWN,
+            limits.descriptors // 8,
+            around.idle_close,
+            lambda: not self.stop.asked_at,
+            self.guard,
+        )
         self.listeners: list[socket.socket] = []
         self.greenlets: list[gevent.Greenlet] = []
 
-    def _parts(self, around: Surroundings, carrier: Callable[[Places, Purges], object], copies: int,
-               pace: int) -> tuple:
+    def _parts(
+        self, around: Surroundings, carrier: Callable[[Places, Purges], object], copies: int, pace: int
+    ) -> tuple:
         ground = around.ground
         places, purges = Places(around, clock.from_unix_ms), Purges(ground.purge_time * 2)
-        facade = Facade(ground, Choice, clock.now, around.most_open, self.counters,
-                        lambda text: self.log.say("note", text=text))
+        facade = Facade(
+            ground,
+            Choice,
+            clock.now,
+            around.most_open,
+            self.counters,
+            lambda text: self.log.say("note", text=text),
+        )
         return facade, carrier(places, purges), places, purges, Copies(copies), pace, self.guard
 
     def _caches(self, around: Surroundings) -> Callable[[Places, Purges], Caches]:
         most = self.deployed.told.limits.descriptors // 4
         return lambda places, purges: Caches(
-            places.by_cache, self.room, most, around.connect_timeout, around.idle_close, around.streams,
-            clock.now, self.guard,
-            lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
+            places.by_cache,
+            self.room,
+            most,
+            around.connect_timeout,
+            around.idle_close,
+            around.streams,
+            clock.now,
+            self.guard,
+            lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since),
+        )
 
     def _links(self, region) -> Links:
         link, limits = self.deployed.told.link, self.deployed.told.limits
         peers = [(one.name, address(one.reached_at or one.links)) for one in region.gateways]
         most = max(SLICE, link.book_carries // len(self.deployed.region.gateways))
-        owed = Owed(most, most // SLICE, round(min(
-            one.agreed_ms for one in self.deployed.told.profiles) * MS))
-        return Links(self.region, self.name, self.start_ms, region.name, peers, self.silent, link.drift_ppm,
-                     link.book, self.room, Parts(limits.memory // 12), owed, self.guard)
+        owed = Owed(
+            most, most // SLICE, round(min(one.agreed_ms for one in self.deployed.told.profiles) * MS)
+        )
+        return Links(
+            self.region,
+            self.name,
+            self.start_ms,
+            region.name,
+            peers,
+            self.silent,
+            link.drift_ppm,
+            link.book,
+            self.room,
+            Parts(limits.memory // 12),
+            owed,
+            self.guard,
+        )
 
     def _across(self, links: Links, region) -> Across:
         limits = self.deployed.told.limits
@@ -149,8 +201,11 @@
         """Opens the doors and starts all that runs."""
         told = self.deployed.gateway
         work = [self.follower.run]
-        for text, serve in ((told.clients, self.clients.accept), (told.places, self.door.accept),
-                            (told.links, self.answerer.accept)):
+        for text, serve in (
+            (told.clients, self.clients.accept),
+            (told.places, self.door.accept),
+            (told.links, self.answerer.accept),
+        ):
             if text:
                 listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -181,8 +236,12 @@
                 self.guard.run("sweep", links.sweep)
             self.guard.run("beat", self.answerer.beat)
             if not count % 4:
-                for work in (self.answerer.sweep, self.home.caches.sweep, self.clients.sweep,
-                             self.door.sweep):
+                for work in (
+                    self.answerer.sweep,
+                    self.home.caches.sweep,
+                    self.clients.sweep,
+                    self.door.sweep,
+                ):
                     self.guard.run("sweep", work)
             gevent.sleep(self.beat_every / 1e9)
 
@@ -213,12 +272,20 @@
 
     def tell(self) -> None:
         """Counters, links, accounts and places, on the log."""
-        self.log.say("counters", counts=self.counters.table(), open=len(self.crossing),
-                     links=[row for links in self.links for row in links.survey()],
-                     book=self.answerer.survey(), book_bytes=self.answerer.book.bytes,
-                     directory=len(self.crossing.routes.answered),
-                     places=[row | {"region": region} for region, front in self.crossing.fronts.items()
-                             for row in front.survey()])
+        self.log.say(
+            "counters",
+            counts=self.counters.table(),
+            open=len(self.crossing),
+            links=[row for links in self.links for row in links.survey()],
+            book=self.answerer.survey(),
+            book_bytes=self.answerer.book.bytes,
+            directory=len(self.crossing.routes.answered),
+            places=[
+                row | {"region": region}
+                for region, front in self.crossing.fronts.items()
+                for row in front.survey()
+            ],
+        )
 
 
 def run(deployed: Deployed) -> None:
@@ -229,12 +296,16 @@
     gevent.signal_handler(signal.SIGUSR1, gateway.tell)
     gateway.start()
     gc.freeze()
-    gateway.log.say("ready", region=gateway.region, start_ms=gateway.start_ms,
-                    linked=[one.name for one in deployed.others])
+    gateway.log.say(
+        "ready",
+        region=gateway.region,
+        start_ms=gateway.start_ms,
+        linked=[one.name for one in deployed.others],
+    )
     while not gateway.stop.over(clock.now(), len(gateway.crossing) or gateway.clients.owed):
         if gateway.stop.given_up(clock.now()):
             gateway.last_call()
         gevent.sleep(gateway.beat_every / 4e9)
     gateway.answerer.end()
-    gevent.sleep(gateway.silent / 8e9)      # what was answered last is on its way
+    gevent.sleep(gateway.silent / 8e9)  # what was answered last is on its way
     gateway.tell()
--- a/marbleglade/gateway/parts.py
+++ b/marbleglade/gateway/parts.py
@@ -25,9 +25,15 @@
     def put(self, key: Hashable, part: Part) -> None:
         """Keeps what came, unless as much of the same copy is here; what is oldest goes for want of room."""
         known = self.kept.get(key)
-        if (not part.data or len(part.data) > self.most_bytes or (
-                known and (known.tag, known.issued_ms) == (part.tag, part.issued_ms)
-                and len(known.data) >= len(part.data))):
+        if (
+            not part.data
+            or len(part.data) > self.most_bytes
+            or (
+                known
+                and (known.tag, known.issued_ms) == (part.tag, part.issued_ms)
+                and len(known.data) >= len(part.data)
+            )
+        ):
             return
         self.drop(key)
         self.kept[key] = part
--- a/marbleglade/gateway/purgelog.py
+++ b/marbleglade/gateway/purgelog.py
@@ -28,7 +28,7 @@
     def __init__(self, since_ms: int, lasting: int, most: int) -> None:
         self.since_ms, self.lasting, self.most = since_ms, lasting, most
         self.index = 0
-        self.kept: deque[tuple[int, Marked]] = deque()      # when told, and what
+        self.kept: deque[tuple[int, Marked]] = deque()  # when told, and what
 
     def add(self, thing: int, group: int, at_ms: int, now_ms: int) -> Marked:
         self.index += 1
@@ -55,14 +55,14 @@
         self.most = most
         self.things: dict[int, int] = {}
         self.groups: dict[int, int] = {}
-        self.before = 0         # all that was given out up to then counts as purged
-        self.whole_at = 0       # up to then, by the region's clock, no purge is missing
-        self.heard_at = 0       # when that was found, on our clock; 0: never
+        self.before = 0  # all that was given out up to then counts as purged
+        self.whole_at = 0  # up to then, by the region's clock, no purge is missing
+        self.heard_at = 0  # when that was found, on our clock; 0: never
 
     def add(self, one: Marked) -> None:
         marks, key = (self.things, one.thing) if one.thing else (self.groups, one.group)
         marks[key] = max(one.at_ms, marks.pop(key, 0))
-        if len(marks) > self.most:      # the oldest is forgotten, so all as old counts as purged
+        if len(marks) > self.most:  # the oldest is forgotten, so all as old counts as purged
             oldest = min(marks, key=marks.__getitem__)
             self.before = max(self.before, marks.pop(oldest))
 
@@ -84,7 +84,7 @@
 
     def last(self, thing: int, group: int) -> int:
         """Copies given out no later than this are purged; of an unknown group, by any group's purge."""
-        of_group = (max(self.groups.values(), default=0) if group == UNKNOWN else self.groups.get(group, 0))
+        of_group = max(self.groups.values(), default=0) if group == UNKNOWN else self.groups.get(group, 0)
         return max(self.before, self.things.get(thing, 0), of_group)
 
     def purged(self, thing: int, group: int, issued_ms: int) -> bool:
--- a/marbleglade/gateway/returns.py
+++ b/marbleglade/gateway/returns.py
@@ -77,5 +77,6 @@
     """Whether an answer that is kept for one carry may be given to another that goes on from it: a copy that
     does no harm twice, younger than every purge, and than what is asked for. All on one clock; 0: none."""
     limit = oldest_ms or profile.fresh // 1_000_000
-    return (profile.repeat is Repeat.PURE and issued_ms > purged_ms
-            and (not limit or now_ms - issued_ms <= limit))
+    return (
+        profile.repeat is Repeat.PURE and issued_ms > purged_ms and (not limit or now_ms - issued_ms <= limit)
+    )
--- a/marbleglade/gateway/routes.py
+++ b/marbleglade/gateway/routes.py
@@ -11,8 +11,8 @@
 
 from ..memory.purges import UNKNOWN
 
-NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")   # of a region or a gateway
-AWAY = "away"       # the zone and the kind under which far gateways are listed
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")  # of a region or a gateway
+AWAY = "away"  # the zone and the kind under which far gateways are listed
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,15 +38,23 @@
 
 def rules(told: Iterable[Message]) -> list[Rule]:
     """The routes of a deployment, in their order."""
-    return [rule(one.region, one.first_group if one.HasField("first_group") else None,
-                 one.last_group if one.HasField("last_group") else None, one.prefix) for one in told]
+    return [
+        rule(
+            one.region,
+            one.first_group if one.HasField("first_group") else None,
+            one.last_group if one.HasField("last_group") else None,
+            one.prefix,
+        )
+        for one in told
+    ]
 
 
 class Routes:
     """`lasting`: how long an answer says where an object is. `most`: objects remembered at once."""
 
-    def __init__(self, home: str, others: Iterable[str], rules: Iterable[Rule], most: int,
-                 lasting: int) -> None:
+    def __init__(
+        self, home: str, others: Iterable[str], rules: Iterable[Rule], most: int, lasting: int
+    ) -> None:
         self.home, self.regions = home, [home, *others]
         self.rules, self.most, self.lasting = tuple(rules), most, lasting
         self.answered: OrderedDict[int, tuple[str, int]] = OrderedDict()
--- a/marbleglade/gateway/timebase.py
+++ b/marbleglade/gateway/timebase.py
@@ -17,7 +17,7 @@
         self.drift = drift_ppm / MILLION
         self.low = self.high = self.at = 0
         self.known = False
-        self.steps = 0          # how often a clock was set
+        self.steps = 0  # how often a clock was set
 
     def add(self, sent: int, came: int, answered: int, back: int) -> bool:
         """Takes one exchange; False if it contradicts itself."""
--- a/marbleglade/gateway/windows.py
+++ b/marbleglade/gateway/windows.py
@@ -25,7 +25,7 @@
     def __init__(self, window: int, goal: int) -> None:
         self.window, self.goal, self.least = window, goal, CHUNK // 2
         self.limit, self.flying = min(window, CHUNK), 0
-        self.sent: deque[tuple[int, int]] = deque()     # when, and the flying total's end of each chunk
+        self.sent: deque[tuple[int, int]] = deque()  # when, and the flying total's end of each chunk
         self.total = self.acked = self.shrunk_at = self.way = 0
 
     @property
@@ -51,10 +51,10 @@
         took = 0
         while self.sent and self.sent[0][1] <= self.acked:
             took = now - self.sent.popleft()[0]
-        if took:    # a way that has become longer is learned, too, if slowly
+        if took:  # a way that has become longer is learned, too, if slowly
             self.way = min(took, self.way + self.way // 64) if self.way else took
         if took > self.way + self.goal:
-            if now - self.shrunk_at > took:     # once for what was under way together
+            if now - self.shrunk_at > took:  # once for what was under way together
                 self.limit, self.shrunk_at = max(self.least, self.limit // 2), now
         else:
             self.limit = min(self.window, self.limit + size)
@@ -75,7 +75,7 @@
     def __init__(self, window: int, opening: int, goal: int, most_waiting: int = 1 << 22) -> None:
         self.pace, self.opening, self.most_waiting = Pace(window, goal), opening, most_waiting
         self.first: deque[bytes] = deque()
-        self.waiting = 0        # bytes of `first`
+        self.waiting = 0  # bytes of `first`
         self.bodies: OrderedDict[int, Body] = OrderedDict()
 
     def say(self, frame: bytes) -> None:
@@ -114,12 +114,12 @@
         return None
 
     def _cut(self, number: int, body: Body, size: int, now: int) -> tuple[int, int, memoryview]:
-        chunk = number, body.at, body.data[body.at:body.at + size]
+        chunk = number, body.at, body.data[body.at : body.at + size]
         body.at, body.credit = body.at + size, body.credit - size
         self.pace.send(size, now)
         del self.bodies[number]
         if body.at < len(body.data):
-            self.bodies[number] = body      # behind the others
+            self.bodies[number] = body  # behind the others
         return chunk
 
 
--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -18,8 +18,8 @@
 
 # Far above any time (three years, in ms), count or rate that a deployment has: what exceeds it is absurd.
 MOST = 1e11
-LEAST_TIME = 1      # ms: no retrieval is agreed on, or waited for, under that
-SPOKEN = re.compile(r"[^\s,=]{1,128}")      # a name that can stand in a list of fields
+LEAST_TIME = 1  # ms: no retrieval is agreed on, or waited for, under that
+SPOKEN = re.compile(r"[^\s,=]{1,128}")  # a name that can stand in a list of fields
 
 
 class Missing(ValueError):
@@ -38,7 +38,7 @@
     zones: list[str]
     connect_timeout: int
     idle_close: int
-    streams: int        # errands that one connection to a cache carries at once
+    streams: int  # errands that one connection to a cache carries at once
     most_open: int
     answer_slack: int
     peer_messages: bool
@@ -128,39 +128,64 @@
         if not SPOKEN.fullmatch(name) or name in profiles:
             raise Missing(f"setting Classes[{place}].Name can't be spoken, or is there twice: {name!r}")
         profiles[name] = profile = Profile(
-            agreed=one.time("Aim", least=LEAST_TIME), stretch=one.optional("AimStretch"),
+            agreed=one.time("Aim", least=LEAST_TIME),
+            stretch=one.optional("AimStretch"),
             client_timeout=one.time("Deadline", least=LEAST_TIME),
-            repeat=REPEATS[repeat], group=GROUPS[group],
+            repeat=REPEATS[repeat],
+            group=GROUPS[group],
             window=one.optional_time("KeyTtl"),
-            fresh=round(at(fresh, place, 0) * 1e6), grace=round(at(grace, place, 0) * 1e6),
-            never_kept=bool(at(never_kept, place, False)), credit=float(one.optional("Gain") or 1.0))
+            fresh=round(at(fresh, place, 0) * 1e6),
+            grace=round(at(grace, place, 0) * 1e6),
+            never_kept=bool(at(never_kept, place, False)),
+            credit=float(one.optional("Gain") or 1.0),
+        )
         if profile.repeat is Repeat.RECEIPTED and not profile.window:
             raise Missing(f"setting Classes[{place}].KeyTtl is missing, and repeats are dropped for no time")
     if not profiles:
         raise Missing("setting Classes is empty")
     ground = Ground(
-        profiles=list(profiles.values()), seed=seed, zone=zone,
+        profiles=list(profiles.values()),
+        seed=seed,
+        zone=zone,
         crew=max(1, int(at(own.numbers("CrewByZone", needed=False), zone, 1))),
         pace_kb_s=own.optional("OneFlowKbPerS"),
-        resolution=top.time("Resolution", least=1e-3), cold_share=rules.number("ColdFrom"),
-        cold_time=rules.time("Cold"), cold_factor=rules.number("OverloadFactor"),
-        fall_window=rules.time("Fall"), parent_cold_share=own.optional("UpperColdFrom"),
-        parent_cold_time=own.optional_time("ParentWarmsIn"), parent_factor=own.optional("ParentBreaksAt"),
+        resolution=top.time("Resolution", least=1e-3),
+        cold_share=rules.number("ColdFrom"),
+        cold_time=rules.time("Cold"),
+        cold_factor=rules.number("OverloadFactor"),
+        fall_window=rules.time("Fall"),
+        parent_cold_share=own.optional("UpperColdFrom"),
+        parent_cold_time=own.optional_time("ParentWarmsIn"),
+        parent_factor=own.optional("ParentBreaksAt"),
         origin_factor=own.optional("OriginLimitFactor"),
-        purge_time=own.optional_time("ClearedWithin"), most_launches=limits.whole("MaxAttempts", least=1),
+        purge_time=own.optional_time("ClearedWithin"),
+        most_launches=limits.whole("MaxAttempts", least=1),
         longest_retry_after=limits.optional_time("MaxRetryAfter"),
         may_call_off=bool(limits.need("Cancel", (bool, int))),
-        retry_after=bool(limits.value.get("RetryAfter")), direct=bool(own.value.get("Direct")),
-        siblings=own.value.get("Sideways", "none") != "none", join=bool(own.value.get("CanJoin")),
+        retry_after=bool(limits.value.get("RetryAfter")),
+        direct=bool(own.value.get("Direct")),
+        siblings=own.value.get("Sideways", "none") != "none",
+        join=bool(own.value.get("CanJoin")),
         tells_hits=own.value.get("Tells", "none") != "none",
-        own_width=own_width, must_ask=top.value.get("MembershipMode") == "ask",
-        probing=bool(limits.value.get("Probing")) and reports.get("Via") == "probe"
-        and "x1" in (reports.get("Names") or ()))
+        own_width=own_width,
+        must_ask=top.value.get("MembershipMode") == "ask",
+        probing=bool(limits.value.get("Probing"))
+        and reports.get("Via") == "probe"
+        and "x1" in (reports.get("Names") or ()),
+    )
     # Where the settings bound no connect, the longest client timeout does: every wait has an end.
     longest = max(profile.client_timeout for profile in profiles.values())
     return Surroundings(
-        ground, profiles, own.optional_whole("ParentKind", -1, least=-1), own.whole("StoreKind", least=-1),
-        top.names("Skus"), top.names("Dcs"),
-        limits.optional_time("ConnectTimeout") or longest, limits.optional_time("IdleClose"),
-        limits.optional_whole("StreamsPerConn", 1) or 1, limits.optional_whole("MaxOpen"),
-        rules.optional_time("AnswerSlack"), bool(limits.value.get("PeerMessages")))
+        ground,
+        profiles,
+        own.optional_whole("ParentKind", -1, least=-1),
+        own.whole("StoreKind", least=-1),
+        top.names("Skus"),
+        top.names("Dcs"),
+        limits.optional_time("ConnectTimeout") or longest,
+        limits.optional_time("IdleClose"),
+        limits.optional_whole("StreamsPerConn", 1) or 1,
+        limits.optional_whole("MaxOpen"),
+        rules.optional_time("AnswerSlack"),
+        bool(limits.value.get("PeerMessages")),
+    )
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -83,8 +83,8 @@
     cell: int = 0
     born: int = 0
     state: State = State.ACTIVE
-    crowd: float = 0.0      # reported: transfers on its location's link over those that fit at full pace
-    reported: int = 0       # when that came
+    crowd: float = 0.0  # reported: transfers on its location's link over those that fit at full pace
+    reported: int = 0  # when that came
     memory: Any = None
 
 
@@ -101,7 +101,7 @@
     fresh: int = 0
     grace: int = 0
     never_kept: bool = False
-    credit: float = 1.0     # what settling one in time is worth
+    credit: float = 1.0  # what settling one in time is worth
     memory: Any = None
 
     @property
@@ -127,7 +127,7 @@
     parent_cold_share: float
     parent_cold_time: int
     parent_factor: float
-    origin_factor: float    # the origin stops when asked for so many times what it carries; 0: not told
+    origin_factor: float  # the origin stops when asked for so many times what it carries; 0: not told
     purge_time: int
     most_launches: int
     longest_retry_after: int
@@ -138,8 +138,8 @@
     join: bool
     tells_hits: bool
     must_ask: bool
-    own_width: float    # transfers at full pace that fit the front's own link; 0: it keeps no copies
-    probing: bool       # loads are reported to probes alone, and these are allowed
+    own_width: float  # transfers at full pace that fit the front's own link; 0: it keeps no copies
+    probing: bool  # loads are reported to probes alone, and these are allowed
 
 
 @dataclass(slots=True, eq=False)
@@ -148,7 +148,7 @@
 
     work: int
     issued: int
-    reply: Any = None       # what its client gets of it
+    reply: Any = None  # what its client gets of it
 
 
 @dataclass(slots=True, eq=False)
@@ -163,7 +163,7 @@
     repeated: bool = False
     launches: list[Launch] = field(default_factory=list)
     over: bool = False
-    parted: bool = False    # its client sends no more: nothing more is launched for it
+    parted: bool = False  # its client sends no more: nothing more is launched for it
     held: Held | None = None
     plan: Any = None
 
@@ -182,8 +182,8 @@
     told: Told = Told.NOTHING
     lag: int = 0
     waited: int = 0
-    bare: bool = False      # settled without bytes: the client's own copy is the one
-    unsent: bool = False    # over before a byte of it was written
+    bare: bool = False  # settled without bytes: the client's own copy is the one
+    unsent: bool = False  # over before a byte of it was written
     plan: Any = None
 
     @property
@@ -200,9 +200,9 @@
     the sending time done and the time taken, ns. `shut` and `answered` name places by `name_of` their marks.
     """
 
-    asked: int                  # sending time asked for, ns
+    asked: int  # sending time asked for, ns
     firsts: int
-    furthers: int               # by their price
+    furthers: int  # by their price
     pushed: int
     links: dict[int, tuple[int, int]]
     shut: list[int]
@@ -217,15 +217,15 @@
     """
 
     until: int
-    part: float                                 # of the fleet's load that is this front's, 0 to 1
-    lent: float                                 # times its own allowance of further launches
-    paces: dict[int, tuple[float, int]]         # by link: time taken over that at full pace; sending time
-    doubted: dict[int, int]                     # places, by how many fronts they are left alone
-    mine: frozenset[int]                        # those of them that this front has the duty to try
-    answered: frozenset[int]                    # those whose trial came back somewhere
-    probing: bool                               # this front has the duty to probe at its location
-    saves: float = 1.0                          # part of what one alone saves up for further launches
-    waits: float = 0.0                          # pushed back lately for each retrieval that was not
+    part: float  # of the fleet's load that is this front's, 0 to 1
+    lent: float  # times its own allowance of further launches
+    paces: dict[int, tuple[float, int]]  # by link: time taken over that at full pace; sending time
+    doubted: dict[int, int]  # places, by how many fronts they are left alone
+    mine: frozenset[int]  # those of them that this front has the duty to try
+    answered: frozenset[int]  # those whose trial came back somewhere
+    probing: bool  # this front has the duty to probe at its location
+    saves: float = 1.0  # part of what one alone saves up for further launches
+    waits: float = 0.0  # pushed back lately for each retrieval that was not
 
 
 def name_of(mark: bytes) -> int:
@@ -238,11 +238,21 @@
 
     def now(self) -> int: ...
 
-    def launch(self, retrieval: Retrieval, cache: Cache, source: Cache, within: int, rank: int = 0,
-               age: int = 0, join: bool = False, renew: bool = False, held_only: bool = False,
-               keep: bool = False) -> Launch: ...
-
-    def settle(self, retrieval: Retrieval) -> None: ...     # with the copy that the front holds
+    def launch(
+        self,
+        retrieval: Retrieval,
+        cache: Cache,
+        source: Cache,
+        within: int,
+        rank: int = 0,
+        age: int = 0,
+        join: bool = False,
+        renew: bool = False,
+        held_only: bool = False,
+        keep: bool = False,
+    ) -> Launch: ...
+
+    def settle(self, retrieval: Retrieval) -> None: ...  # with the copy that the front holds
 
     def call_off(self, launch: Launch) -> None: ...
 
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -11,11 +11,19 @@
 from ..wire.coordlines import ListChange, Other, Purge, address, event
 
 # What a running front can't change.
-FIXED = ("name", "listen", "seed", "limits", "settings", "peer_listen", "flow_bytes_per_s",
-         "link_bytes_per_s")
+FIXED = (
+    "name",
+    "listen",
+    "seed",
+    "limits",
+    "settings",
+    "peer_listen",
+    "flow_bytes_per_s",
+    "link_bytes_per_s",
+)
 
 
-LEAST_SOCKETS = 16      # with fewer some part of a front would have none
+LEAST_SOCKETS = 16  # with fewer some part of a front would have none
 
 
 class Unfit(Exception):
@@ -26,14 +34,14 @@
 class Assignment:
     name: str
     listen: tuple[str, int]
-    memory: int             # bytes
+    memory: int  # bytes
     descriptors: int
     coordinator: tuple[str, int]
-    pace: int               # bytes a second of one transfer of the front's own; 0: not told
+    pace: int  # bytes a second of one transfer of the front's own; 0: not told
     peer_listen: tuple[str, int] | None
     peers: list[tuple[str, int]]
     peers_all: tuple[str, int] | None
-    last: int               # number of the last event that `known` holds
+    last: int  # number of the last event that `known` holds
     known: list[ListChange | Purge]
     around: Surroundings
     fixed: dict[str, bytes]
@@ -123,11 +131,26 @@
         field = "peers"
         peers = [address(one) for one in told.get("peers") or ()]
         field = "peer_listen"
-        peer_listen, peers_all = (address(told[field]) if told.get(field) else None
-                                  for field in ("peer_listen", "peers_all"))
+        peer_listen, peers_all = (
+            address(told[field]) if told.get(field) else None for field in ("peer_listen", "peers_all")
+        )
     except Missing as trouble:
         raise Unfit(str(trouble)) from trouble
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
         raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
-    return Assignment(str(told["name"]), listen, memory << 20, descriptors, coordinator, pace, peer_listen,
-                      peers, peers_all, last, known, around, fixed(told), kin(told))
+    return Assignment(
+        str(told["name"]),
+        listen,
+        memory << 20,
+        descriptors,
+        coordinator,
+        pace,
+        peer_listen,
+        peers,
+        peers_all,
+        last,
+        known,
+        around,
+        fixed(told),
+        kin(told),
+    )
--- a/marbleglade/life/clock.py
+++ b/marbleglade/life/clock.py
@@ -5,7 +5,7 @@
 import time
 
 now = time.monotonic_ns
-unix_ns = time.time_ns      # the region's time
+unix_ns = time.time_ns  # the region's time
 
 
 def to_unix_ms(moment: int) -> int:
--- a/marbleglade/life/early.py
+++ b/marbleglade/life/early.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-came: list[int] = []    # noted until the front is there to heed them
+came: list[int] = []  # noted until the front is there to heed them
 
 
 def note() -> None:
--- a/marbleglade/life/log.py
+++ b/marbleglade/life/log.py
@@ -17,11 +17,14 @@
     def __init__(self, name: str, counters: Counters, debug: bool = False, sink: int | None = None) -> None:
         self.name, self.counters, self.debug_on = name, counters, debug
         self.sink = sys.stderr.fileno() if sink is None else sink
-        self.rest = bytearray()     # of the line that was begun
+        self.rest = bytearray()  # of the line that was begun
 
     def say(self, event: str, **told: object) -> None:
-        line = orjson.dumps({"at": time.time_ns() // 1_000_000, "front": self.name, "event": event} | told,
-                            default=str, option=orjson.OPT_APPEND_NEWLINE)
+        line = orjson.dumps(
+            {"at": time.time_ns() // 1_000_000, "front": self.name, "event": event} | told,
+            default=str,
+            option=orjson.OPT_APPEND_NEWLINE,
+        )
         self.write(line)
 
     def write(self, line: bytes) -> None:
@@ -40,7 +43,7 @@
         takes a piece at once, and would hold the whole front up with the rest."""
         try:
             while self.rest and select.select([], [self.sink], [], 0)[1]:
-                del self.rest[:os.write(self.sink, self.rest[:select.PIPE_BUF])]
+                del self.rest[: os.write(self.sink, self.rest[: select.PIPE_BUF])]
         except OSError:
             pass
 
--- a/marbleglade/life/renewal.py
+++ b/marbleglade/life/renewal.py
@@ -13,8 +13,15 @@
 class Renewals:
     """Takes over what can change; what can't is named in the log, and the front goes on as it was."""
 
-    def __init__(self, environ: Mapping[str, str], fixed: dict[str, bytes], kin: bytes, follower: Follower,
-                 peers: Peers | None, log: Log) -> None:
+    def __init__(
+        self,
+        environ: Mapping[str, str],
+        fixed: dict[str, bytes],
+        kin: bytes,
+        follower: Follower,
+        peers: Peers | None,
+        log: Log,
+    ) -> None:
         self.environ, self.fixed, self.kin = environ, fixed, kin
         self.follower, self.peers, self.log = follower, peers, log
 
@@ -33,7 +40,11 @@
         self.log.counters.add("renewal.taken")
         if self.peers and told.peers:
             self.peers.renew(told.peers, told.peers_all)
-        self.log.say("renewal", last=self.follower.last, coordinator=":".join(map(str, told.coordinator)),
-                     not_changed=[one for one, value in told.fixed.items() if self.fixed.get(one) != value])
+        self.log.say(
+            "renewal",
+            last=self.follower.last,
+            coordinator=":".join(map(str, told.coordinator)),
+            not_changed=[one for one, value in told.fixed.items() if self.fixed.get(one) != value],
+        )
         self.follower.catch_up(told.known)
         self.follower.move(told.coordinator)
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -43,14 +43,30 @@
     # for clients and half for connections to caches. The rest is for the process itself and for a margin.
     room = Room(told.memory // 6)
     places, purges = Places(around, clock.from_unix_ms), Purges(lasting(ground))
-    facade = Facade(ground, Choice, clock.now, around.most_open, counters,
-                    lambda text: log.say("note", text=text))
-    caches = Caches(places.by_cache, room, told.descriptors // 2, around.connect_timeout, around.idle_close,
-                    around.streams, clock.now, guard,
-                    lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since))
+    facade = Facade(
+        ground, Choice, clock.now, around.most_open, counters, lambda text: log.say("note", text=text)
+    )
+    caches = Caches(
+        places.by_cache,
+        room,
+        told.descriptors // 2,
+        around.connect_timeout,
+        around.idle_close,
+        around.streams,
+        clock.now,
+        guard,
+        lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since),
+    )
     front = Front(facade, caches, places, purges, Copies(told.memory // 6), told.pace, guard)
-    clients = Clients(front, told.descriptors // 3, told.memory // 12, around.answer_slack,
-                      lambda: not (stop.asked_at or (orders and orders.going)), clock.now, guard)
+    clients = Clients(
+        front,
+        told.descriptors // 3,
+        told.memory // 12,
+        around.answer_slack,
+        lambda: not (stop.asked_at or (orders and orders.going)),
+        clock.now,
+        guard,
+    )
     for event in told.known:
         guard.run("known", front.apply, event)
     follower = Follower(told.coordinator, told.last, front.follow, guard)
@@ -58,8 +74,16 @@
     work = [follower.run, front.probe]
     if around.peer_messages and told.peer_listen and told.peers:
         hearsay = Hearsay(int(BEAT * SECOND), ground.purge_time * 2, clock.now())
-        peers = Peers(told.peer_listen, told.peers, ground.seed, hearsay, front.heed,
-                      lambda: follower.heard_at, guard, told.peers_all)
+        peers = Peers(
+            told.peer_listen,
+            told.peers,
+            ground.seed,
+            hearsay,
+            front.heed,
+            lambda: follower.heard_at,
+            guard,
+            told.peers_all,
+        )
         front.told, front.unsaid = peers.told, hearsay.unsaid
         work.append(peers.run)
     fleet = orders = None
@@ -67,15 +91,28 @@
         from ..fleet.reading import read as read_part
         from ..fleet.shell import Shell
 
-        fleet = Shell(told.name, read_part(text).beat_ms * 1_000_000, facade, front, peers, log.say,
-                      os.environ.get("MARBLEGLADE_WORK", ""))
+        fleet = Shell(
+            told.name,
+            read_part(text).beat_ms * 1_000_000,
+            facade,
+            front,
+            peers,
+            log.say,
+            os.environ.get("MARBLEGLADE_WORK", ""),
+        )
         orders = fleet.work
 
     def tell() -> None:
-        log.say("counters", counts=counters.table(), open=len(facade.open), clients=len(clients.clients),
-                cache_connections=caches.count, places=front.survey(),
-                **({"fleet": fleet.together.survey(clock.now())} if fleet else {}),
-                **({"work": orders.survey()} if orders else {}))
+        log.say(
+            "counters",
+            counts=counters.table(),
+            open=len(facade.open),
+            clients=len(clients.clients),
+            cache_connections=caches.count,
+            places=front.survey(),
+            **({"fleet": fleet.together.survey(clock.now())} if fleet else {}),
+            **({"work": orders.survey()} if orders else {}),
+        )
 
     def leave() -> None:
         stop.ask(clock.now())
@@ -100,7 +137,7 @@
     for one in work:
         gevent.spawn(one)
     accepting = gevent.spawn(clients.accept, listener)
-    gc.freeze()     # what a front starts with stays; the collector need not look at it again
+    gc.freeze()  # what a front starts with stays; the collector need not look at it again
     log.say("ready", places=len(places.by_id), last=told.last)
     for number in early.came:
         renew() if number == signal.SIGHUP else tell()
@@ -108,7 +145,8 @@
     swept = clock.now()
     while True:
         if stop.over(clock.now(), len(facade.open) or clients.owed) and (
-                stop.given_up(clock.now()) or not clients.unheard(listener)):
+            stop.given_up(clock.now()) or not clients.unheard(listener)
+        ):
             break
         due = guard.run("tick", facade.tick) or clock.now() + ground.resolution
         if clock.now() - swept >= SECOND // 4:
--- a/marbleglade/life/structured.py
+++ b/marbleglade/life/structured.py
@@ -32,8 +32,12 @@
     def __init__(self, name: str, counters: Counters, debug: bool = False, sink: int | None = None) -> None:
         super().__init__(name, counters, debug, sink)
         self.logger = structlog.wrap_logger(
-            _Sink(self), processors=[_stamp, _line], wrapper_class=structlog.BoundLoggerBase,
-            context_class=dict, cache_logger_on_first_use=True).bind(front=name)
+            _Sink(self),
+            processors=[_stamp, _line],
+            wrapper_class=structlog.BoundLoggerBase,
+            context_class=dict,
+            cache_logger_on_first_use=True,
+        ).bind(front=name)
 
     def say(self, event: str, **told: object) -> None:
         self.logger._proxy_to_logger("msg", event, **told)
--- a/marbleglade/memory/copies.py
+++ b/marbleglade/memory/copies.py
@@ -7,7 +7,7 @@
 
 from .purges import UNKNOWN
 
-NEAR = 1_000_000    # ns: a copy given out in the millisecond of a purge counts as older
+NEAR = 1_000_000  # ns: a copy given out in the millisecond of a purge counts as older
 
 
 def meant(thing: int, group: int, object: int, of: int) -> bool:
@@ -19,7 +19,7 @@
 class Copy:
     body: bytes
     tag: str
-    issued: int     # when the origin gave it out, on our clock
+    issued: int  # when the origin gave it out, on our clock
     group: int
 
 
@@ -37,8 +37,11 @@
     def put(self, thing: int, part: int, copy: Copy, purged: int) -> None:
         """Keeps a copy, unless it is older than one here or than a purge (0: none is known)."""
         known = self.kept.get((thing, part))
-        if ((known and known.issued >= copy.issued) or (purged and copy.issued <= purged + NEAR)
-                or len(copy.body) > self.size):
+        if (
+            (known and known.issued >= copy.issued)
+            or (purged and copy.issued <= purged + NEAR)
+            or len(copy.body) > self.size
+        ):
             return
         self._drop((thing, part))
         self.kept[thing, part] = copy
@@ -48,8 +51,11 @@
 
     def purge(self, thing: int, group: int, at: int) -> None:
         """Drops what is older than a purge of an object or, where that is 0, of a group."""
-        for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR
-                    and meant(thing, group, key[0], copy.group)]:
+        for key in [
+            key
+            for key, copy in self.kept.items()
+            if copy.issued <= at + NEAR and meant(thing, group, key[0], copy.group)
+        ]:
             self._drop(key)
 
     def older(self, at: int) -> None:
--- a/marbleglade/memory/open.py
+++ b/marbleglade/memory/open.py
@@ -18,13 +18,13 @@
     retrieval: Retrieval
     steps: deque = field(default_factory=deque)
     wanted: Event | None = None
-    out: dict[Launch, Any] = field(default_factory=dict)    # launches out, each with what was asked for
+    out: dict[Launch, Any] = field(default_factory=dict)  # launches out, each with what was asked for
     final: bool = False
 
 
 class Open:
     def __init__(self, most: int) -> None:
-        self.most = most        # 0: no bound told
+        self.most = most  # 0: no bound told
         self.cases: dict[Retrieval, Case] = {}
 
     def __len__(self) -> int:
--- a/marbleglade/memory/places.py
+++ b/marbleglade/memory/places.py
@@ -23,7 +23,7 @@
         self.around, self.from_unix_ms = around, from_unix_ms
         self.by_id: dict[str, Place] = {}
         self.by_cache: dict[Cache, Place] = {}
-        self.resting: dict[int, int] = {}       # out for work, by `name_of`: the start at which each went
+        self.resting: dict[int, int] = {}  # out for work, by `name_of`: the start at which each went
 
     def role(self, kind: str) -> Role:
         kinds = self.around.kinds
@@ -69,9 +69,14 @@
                 place.started_ms = member.started_ms
                 cache.born = self.from_unix_ms(member.started_ms) if member.started_ms else 0
             place.address, cache.role, cache.cell = member.address, self.role(member.kind), member.cell
-            zones = self.around.zones       # where none are told, all places are near
-            cache.zone = (self.around.ground.zone if not zones else
-                          zones.index(member.zone) if member.zone in zones else -1)
+            zones = self.around.zones  # where none are told, all places are near
+            cache.zone = (
+                self.around.ground.zone
+                if not zones
+                else zones.index(member.zone)
+                if member.zone in zones
+                else -1
+            )
             cache.state = STATES[member.state]
             if cache.state is State.ACTIVE and self.resting and self.rests(member.id, member.started_ms):
                 cache.state = State.LEAVING
--- a/marbleglade/memory/purges.py
+++ b/marbleglade/memory/purges.py
@@ -4,7 +4,7 @@
 
 from ..interface import Ground
 
-UNKNOWN = 256       # a group that was not told: any group's purge may be meant
+UNKNOWN = 256  # a group that was not told: any group's purge may be meant
 
 
 def lasting(ground: Ground) -> int:
--- a/marbleglade/memory/room.py
+++ b/marbleglade/memory/room.py
@@ -22,11 +22,11 @@
         try:
             turn[1].wait()
         except BaseException:
-            if turn[1].is_set():        # granted, but its taker is gone
+            if turn[1].is_set():  # granted, but its taker is gone
                 self.give(size)
             else:
                 self.waiting.remove(turn)
-                self.give(0)            # who waited behind may fit
+                self.give(0)  # who waited behind may fit
             raise
 
     def overdraw(self, size: int) -> None:
--- a/marbleglade/memory/traces.py
+++ b/marbleglade/memory/traces.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-MOST = 1 << 14      # remembered at once; the oldest goes first
+MOST = 1 << 14  # remembered at once; the oldest goes first
 
 
 class Traces:
--- a/marbleglade/standins/airwaves.py
+++ b/marbleglade/standins/airwaves.py
@@ -19,7 +19,7 @@
         self.lost, self.doubled, self.late = 0.0, 0.0, (1 * MS, 38 * MS)
         self.cut: Callable[[int, int], bool] = lambda sender, to: False
         self.under_way: list[tuple[int, int, int, int, bytes]] = []
-        self.bytes_to: dict[int, int] = {}      # delivered, by front
+        self.bytes_to: dict[int, int] = {}  # delivered, by front
 
     def chance(self) -> float:
         self.count += 1
--- a/marbleglade/standins/clients.py
+++ b/marbleglade/standins/clients.py
@@ -40,8 +40,16 @@
         self.sock.settimeout(None)
         self.reader = gevent.spawn(self._read)
 
-    def ask(self, profile: str, thing: int, part: int = 0, group: int = 0, patience: int = 1500,
-            body: bytes = b"", copy: str = "") -> Said | None:
+    def ask(
+        self,
+        profile: str,
+        thing: int,
+        part: int = 0,
+        group: int = 0,
+        patience: int = 1500,
+        body: bytes = b"",
+        copy: str = "",
+    ) -> Said | None:
         """One retrieval; None where no answer came within its patience and half of that."""
         tag = next(self.tags)
         trace = self.seed << 40 & 0xFFFF_FFFF_FFFF_FFFF | next(self.traces)
@@ -89,13 +97,13 @@
             end = self.buffer.find(b"\r\n", at)
             if end < 0:
                 return None
-            if self.buffer[at:at + 1] != b"$":
+            if self.buffer[at : at + 1] != b"$":
                 self.garbled += 1
                 raise ValueError
-            size = int(self.buffer[at + 1:end])
+            size = int(self.buffer[at + 1 : end])
             if len(self.buffer) < end + 4 + size:
                 return None
-            words.append(bytes(self.buffer[end + 2:end + 2 + size]))
+            words.append(bytes(self.buffer[end + 2 : end + 2 + size]))
             at = end + 4 + size
         del self.buffer[:at]
         return words
--- a/marbleglade/standins/explore.py
+++ b/marbleglade/standins/explore.py
@@ -16,9 +16,9 @@
 class Explored:
     states: int = 0
     deepest: int = 0
-    whole: bool = True          # all that the model can reach was visited
+    whole: bool = True  # all that the model can reach was visited
     wrong: str = ""
-    way: list[object] = field(default_factory=list)     # the moves that lead to what is wrong
+    way: list[object] = field(default_factory=list)  # the moves that lead to what is wrong
 
 
 def explore(model, most: int = 100_000, deep: int = 1 << 30) -> Explored:
--- a/marbleglade/standins/faultydisk.py
+++ b/marbleglade/standins/faultydisk.py
@@ -13,9 +13,9 @@
     def __init__(self, seed: int = 1) -> None:
         self.seed, self.count = seed, 0
         self.lasting: dict[int, bytearray] = {}
-        self.seen: dict[int, bytearray] = {}        # what reads show
+        self.seen: dict[int, bytearray] = {}  # what reads show
         self.pending: dict[int, list[tuple[int, bytes]]] = {}
-        self.gone: dict[int, bytearray] = {}        # removed, and may come back
+        self.gone: dict[int, bytearray] = {}  # removed, and may come back
         self.fails = self.full = False
 
     def chance(self) -> float:
@@ -36,7 +36,7 @@
         self._ok(True)
         seen = self.seen.setdefault(number, bytearray())
         seen.extend(bytes(max(0, at + len(data) - len(seen))))
-        seen[at:at + len(data)] = data
+        seen[at : at + len(data)] = data
         self.pending.setdefault(number, []).append((at, data))
 
     def sync(self, number: int) -> None:
@@ -47,7 +47,7 @@
 
     def read(self, number: int, at: int, size: int) -> bytes:
         self._ok()
-        return bytes(self.seen.get(number, b"")[at:at + size])
+        return bytes(self.seen.get(number, b"")[at : at + size])
 
     def remove(self, number: int) -> None:
         self._ok()
@@ -62,9 +62,9 @@
             data = self.lasting.setdefault(number, bytearray())
             for at, written in sorted(writes, key=lambda _: self.chance()):
                 if self.chance() < 0.6:
-                    written = written[:int(len(written) * min(1.0, 1.5 * self.chance()))]
+                    written = written[: int(len(written) * min(1.0, 1.5 * self.chance()))]
                     data.extend(bytes(max(0, at + len(written) - len(data))))
-                    data[at:at + len(written)] = written
+                    data[at : at + len(written)] = written
         for number, data in self.gone.items():
             if self.chance() < 0.5:
                 self.lasting[number] = data
@@ -97,8 +97,9 @@
     def get(self, thing: int, part: int) -> tuple | None:
         return self.entries.get((thing, part))
 
-    def all(self, thing: int | None = None,
-            after: tuple[int, int] | None = None) -> Iterator[tuple[int, int, tuple]]:
+    def all(
+        self, thing: int | None = None, after: tuple[int, int] | None = None
+    ) -> Iterator[tuple[int, int, tuple]]:
         for key in sorted(self.entries):
             if (thing is None or key[0] == thing) and (after is None or key > after):
                 yield *key, self.entries[key]
@@ -106,8 +107,13 @@
     def all_marks(self) -> Iterator[tuple[str, int, int]]:
         return ((kind, which, at) for (kind, which), at in self.marks.items())
 
-    def commit(self, put: Iterable[tuple] = (), drop: Iterable[tuple[int, int]] = (),
-               marks: Iterable[tuple[str, int, int]] = (), facts: dict[str, int] | None = None) -> None:
+    def commit(
+        self,
+        put: Iterable[tuple] = (),
+        drop: Iterable[tuple[int, int]] = (),
+        marks: Iterable[tuple[str, int, int]] = (),
+        facts: dict[str, int] | None = None,
+    ) -> None:
         for key in drop:
             self.entries.pop(key, None)
         self.entries.update({(thing, part): entry for thing, part, entry in put})
--- a/marbleglade/standins/relay.py
+++ b/marbleglade/standins/relay.py
@@ -13,7 +13,7 @@
 from .places import listening
 
 CHUNK = 16_384
-MOST = 64       # reads that may be on the way
+MOST = 64  # reads that may be on the way
 
 
 class Relay:
@@ -26,7 +26,7 @@
 
     def __init__(self, target: tuple[str, int], address: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.target, self.mode, self.rate, self.delay, self.spoil = target, "pass", 0, 0.0, 0
-        self.cut_after = 0      # bytes down until it resets by itself; 0: it does not
+        self.cut_after = 0  # bytes down until it resets by itself; 0: it does not
         self.passed = {"up": 0, "down": 0}
         self.socks: set[socket.socket] = set()
         self.changed = Event()
@@ -79,7 +79,7 @@
             sock.close()
 
     def _pass(self, source: socket.socket, sink: socket.socket, way: str) -> None:
-        under_way: Queue = Queue(MOST)      # what is on the way, with when it arrives
+        under_way: Queue = Queue(MOST)  # what is on the way, with when it arrives
         arriving = gevent.spawn(self._arrive, under_way, sink, way)
         with suppress(OSError):
             while data := source.recv(CHUNK if not self.rate else max(256, self.rate // 32)):
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -11,7 +11,7 @@
 LONGEST_LINE = 4_096
 NUMBER = re.compile(r"[0-9]{1,15}", re.ASCII)
 PROBED = ("PONG", "SICK")
-COPY = ("HIT", "VALID")     # with a copy's tag, and the millisecond at which the origin gave it out
+COPY = ("HIT", "VALID")  # with a copy's tag, and the millisecond at which the origin gave it out
 WORDS = (*COPY, *PROBED, "NONE", "SHED", "FAULT", "LATE")
 
 
@@ -27,25 +27,46 @@
     profile: str
     thing: str
     part: int
-    within: int                 # milliseconds, as all times of an errand
-    source: str = ""            # "": a miss is not filled
+    within: int  # milliseconds, as all times of an errand
+    source: str = ""  # "": a miss is not filled
     rank: int = 0
-    age: int = 0                # 0: the profile's fresh time
+    age: int = 0  # 0: the profile's fresh time
     join: bool = False
     held_only: bool = False
     renew: bool = False
-    through: bool = False       # a parent on the way keeps no copy
+    through: bool = False  # a parent on the way keeps no copy
     copy: str = ""
     body: bytes = b""
-    mark: str = ""              # by which a repeat of a receipted retrieval is known
+    mark: str = ""  # by which a repeat of a receipted retrieval is known
 
     def encode(self) -> bytes:
-        how = "+".join(word for word, wanted in (("ride", self.join), ("have-only", self.held_only),
-                                                 ("through", self.through), ("update", self.renew)) if wanted)
-        named = (("miss", self.source), ("prio", self.rank), ("within", self.age), ("f", how),
-                 ("mine", self.copy), ("replay", self.mark))
-        fields = ",".join([f"profile={self.profile}", f"thing={self.thing}", f"nth={self.part}",
-                           f"max={self.within}", *(f"{name}={value}" for name, value in named if value)])
+        how = "+".join(
+            word
+            for word, wanted in (
+                ("ride", self.join),
+                ("have-only", self.held_only),
+                ("through", self.through),
+                ("update", self.renew),
+            )
+            if wanted
+        )
+        named = (
+            ("miss", self.source),
+            ("prio", self.rank),
+            ("within", self.age),
+            ("f", how),
+            ("mine", self.copy),
+            ("replay", self.mark),
+        )
+        fields = ",".join(
+            [
+                f"profile={self.profile}",
+                f"thing={self.thing}",
+                f"nth={self.part}",
+                f"max={self.within}",
+                *(f"{name}={value}" for name, value in named if value),
+            ]
+        )
         return b"do %b %b %d\r\n%b\r\n" % (self.id.encode(), fields.encode(), len(self.body), self.body)
 
 
@@ -73,8 +94,11 @@
         if not kept and self.word == "HIT" and not {"entity", "issued"} & self.fields.keys():
             return True
         tag, bare = self.fields.get("entity", ""), self.word == "VALID"
-        return (bool(HEX16.fullmatch(tag.encode())) and bool(NUMBER.fullmatch(self.fields.get("issued", "")))
-                and (not bare or (bool(copy) and tag == copy and not self.body)))
+        return (
+            bool(HEX16.fullmatch(tag.encode()))
+            and bool(NUMBER.fullmatch(self.fields.get("issued", "")))
+            and (not bare or (bool(copy) and tag == copy and not self.body))
+        )
 
     def report(self) -> dict[str, float]:
         """The load report; empty where none that can be read came along."""
@@ -114,10 +138,10 @@
             id, word, fields, size = self.head
             if len(self.buffer) < size + 2:
                 return answers
-            if self.buffer[size:size + 2] != b"\r\n":
+            if self.buffer[size : size + 2] != b"\r\n":
                 raise BadLine("a body without its end")
             answers.append(Answer(id, word, fields, bytes(memoryview(self.buffer)[:size])))
-            del self.buffer[:size + 2]
+            del self.buffer[: size + 2]
             self.head = None
 
     def _read_head(self) -> bool:
@@ -138,5 +162,5 @@
         if length > LONGEST_OBJECT:
             raise BadLine("a body too long")
         self.head = id, word, named, length
-        del self.buffer[:end + 2]
+        del self.buffer[: end + 2]
         return True
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -24,11 +24,17 @@
 from .resp import Ask
 from .sockets import chunks, ended, send_now
 
-OUTCOMES = {"HIT": Outcome.OK, "VALID": Outcome.OK, "NONE": Outcome.MISS, "SHED": Outcome.FULL,
-            "FAULT": Outcome.ERROR, "LATE": Outcome.MOOT}
+OUTCOMES = {
+    "HIT": Outcome.OK,
+    "VALID": Outcome.OK,
+    "NONE": Outcome.MISS,
+    "SHED": Outcome.FULL,
+    "FAULT": Outcome.ERROR,
+    "LATE": Outcome.MOOT,
+}
 
 
-FEW = 16        # connections among which the one that carries least is shared
+FEW = 16  # connections among which the one that carries least is shared
 
 
 @dataclass(slots=True)
@@ -61,10 +67,10 @@
 
     id: str
     ended: AsyncResult
-    copy: str = ""          # that its client holds
-    look: bool = False      # a probe
-    kept: bool = True       # what is asked for may be kept; else no copy is named
-    line: Line | None = None    # from when it is written, until it ends
+    copy: str = ""  # that its client holds
+    look: bool = False  # a probe
+    kept: bool = True  # what is asked for may be kept; else no copy is named
+    line: Line | None = None  # from when it is written, until it ends
 
 
 class Line:
@@ -74,14 +80,14 @@
         self.sock, self.pool = sock, pool
         self.answers = Answers()
         self.flights: dict[str, Flight] = {}
-        self.pushing = False            # the rest of a message is being written that was not taken at once
-        self.behind = bytearray()       # what has to follow it
-        self.undone: set[str] = set()   # given up here; their answers may still come and are dropped
-        self.last = ""                  # answered last; another copy of that may follow and is dropped
-        self.held = 0                   # room taken for the body under way
-        self.taking: gevent.Greenlet | None = None      # its reader, while that waits for room
+        self.pushing = False  # the rest of a message is being written that was not taken at once
+        self.behind = bytearray()  # what has to follow it
+        self.undone: set[str] = set()  # given up here; their answers may still come and are dropped
+        self.last = ""  # answered last; another copy of that may follow and is dropped
+        self.held = 0  # room taken for the body under way
+        self.taking: gevent.Greenlet | None = None  # its reader, while that waits for room
         self.idle_since = 0
-        self.closed = self.silent = False   # silent: an errand on it went unanswered, and nothing came since
+        self.closed = self.silent = False  # silent: an errand on it went unanswered, and nothing came since
 
 
 @dataclass(slots=True, eq=False)
@@ -90,21 +96,30 @@
 
     idle: dict[Line, None] = field(default_factory=dict)
     lines: dict[Line, None] = field(default_factory=dict)
-    stale: bool = False     # the place is gone or began anew: nothing here is used again
+    stale: bool = False  # the place is gone or began anew: nothing here is used again
 
 
 class Caches:
     """`fly` carries a launch out and blocks until it has ended."""
 
-    def __init__(self, places: dict[Cache, Place], room: Room, most: int, connect_timeout: int,
-                 idle_close: int, streams: int, clock: Callable[[], int], guard: Guard,
-                 purged: Callable[[Retrieval, int], bool]) -> None:
+    def __init__(
+        self,
+        places: dict[Cache, Place],
+        room: Room,
+        most: int,
+        connect_timeout: int,
+        idle_close: int,
+        streams: int,
+        clock: Callable[[], int],
+        guard: Guard,
+        purged: Callable[[Retrieval, int], bool],
+    ) -> None:
         self.places, self.room, self.most, self.purged = places, room, most, purged
         self.connect_timeout, self.idle_close, self.streams = connect_timeout, idle_close, streams
         self.clock, self.guard, self.counters = clock, guard, guard.counters
         self.pools: dict[Cache, Pool] = {}
-        self.aloft: Counter[Cache] = Counter()      # launches that were begun and have not ended
-        self.count = 0      # connections up or coming up
+        self.aloft: Counter[Cache] = Counter()  # launches that were begun and have not ended
+        self.count = 0  # connections up or coming up
         self.looks = 0
 
     # What is asked of it.
@@ -118,7 +133,7 @@
             return self._wait(flight, cache, left, self._start, ask, go)
         finally:
             self.aloft[cache] -= 1
-            if not self.aloft[cache]:       # places come and go
+            if not self.aloft[cache]:  # places come and go
                 del self.aloft[cache]
 
     def connections(self, cache: Cache) -> int:
@@ -152,18 +167,20 @@
     def sweep(self) -> None:
         """Closes what was idle for half of the time after which the other side would."""
         for pool in self.pools.values():
-            for line in [one for one in pool.idle
-                         if (self.clock() - one.idle_since) * 2 > self.idle_close > 0]:
+            for line in [
+                one for one in pool.idle if (self.clock() - one.idle_since) * 2 > self.idle_close > 0
+            ]:
                 self._close(line)
 
     # How a launch starts.
 
-    def _wait(self, flight: Flight, cache: Cache, left: int, start: Callable[..., Ending | None],
-              *told: object) -> Ending:
+    def _wait(
+        self, flight: Flight, cache: Cache, left: int, start: Callable[..., Ending | None], *told: object
+    ) -> Ending:
         """Starts a flight and blocks until it has ended, one way or the other."""
         line = self._idle(cache, flight.id)
         if line:
-            self._guard(flight, start, line, *told)     # nothing in this waits
+            self._guard(flight, start, line, *told)  # nothing in this waits
         else:
             gevent.spawn(self._guard, flight, self._open, cache, start, *told)
         ending: Ending | None = None
@@ -172,7 +189,7 @@
                 ending = flight.ended.get() or Ending(Outcome.CALLED_OFF)
         finally:
             if not flight.ended.ready():
-                flight.ended.set(None)      # whoever still works for this flight stops
+                flight.ended.set(None)  # whoever still works for this flight stops
             self._release(flight)
         return ending or Ending(Outcome.TIMEOUT)
 
@@ -185,8 +202,9 @@
         if ending and not flight.ended.ready():
             flight.ended.set(ending)
 
-    def _open(self, flight: Flight, cache: Cache, start: Callable[..., Ending | None],
-              *told: object) -> Ending | None:
+    def _open(
+        self, flight: Flight, cache: Cache, start: Callable[..., Ending | None], *told: object
+    ) -> Ending | None:
         """Starts on a connection that has to come up first, or to be shared. One to a place that moved or
         began anew meanwhile leads to where it was, and to whoever has that address now."""
         line = self._line(cache, flight.id)
@@ -199,8 +217,14 @@
         launch = go.launch
         cache, source, retrieval = launch.cache, launch.source, launch.retrieval
         # The launch may have waited for its connection: what was told since holds for it too.
-        if (flight.ended.ready() or retrieval.over or retrieval.parted or self.purged(retrieval, launch.sent)
-                or cache.state is not State.ACTIVE or source.state is not State.ACTIVE):
+        if (
+            flight.ended.ready()
+            or retrieval.over
+            or retrieval.parted
+            or self.purged(retrieval, launch.sent)
+            or cache.state is not State.ACTIVE
+            or source.state is not State.ACTIVE
+        ):
             self._rest(line)
             self.counters.add("launch.stale")
             return Ending(Outcome.CALLED_OFF)
@@ -210,12 +234,23 @@
             self._rest(line)
             return Ending(Outcome.CALLED_OFF if place is None else Outcome.MOOT)
         errand = Errand(
-            ask.trace, ask.profile_name, ask.thing, ask.part, max(1, left // 1_000_000),
-            source="" if source is cache else place.id, rank=launch.rank,
-            age=oldest(ask, go), join=go.join, held_only=go.held_only,
-            renew=go.renew, copy=ask.copy, body=ask.body, mark=ask.mark)
+            ask.trace,
+            ask.profile_name,
+            ask.thing,
+            ask.part,
+            max(1, left // 1_000_000),
+            source="" if source is cache else place.id,
+            rank=launch.rank,
+            age=oldest(ask, go),
+            join=go.join,
+            held_only=go.held_only,
+            renew=go.renew,
+            copy=ask.copy,
+            body=ask.body,
+            mark=ask.mark,
+        )
         ending = self._send(line, flight, errand.encode())
-        go.begun = ending is None       # a connection that had ended took not a byte: it never ran
+        go.begun = ending is None  # a connection that had ended took not a byte: it never ran
         return ending
 
     def _start_look(self, flight: Flight, line: Line) -> Ending | None:
@@ -233,7 +268,7 @@
 
     def _say(self, line: Line, data: bytes) -> bool:
         """Writes a message; what is not taken at once is written beside. False where the line has failed."""
-        if line.pushing:        # never a launch: none is put on such a line
+        if line.pushing:  # never a launch: none is put on such a line
             line.behind += data
             return True
         try:
@@ -311,10 +346,15 @@
         """The connection to that place that carries least, of the next few that may carry one more."""
         lines: list[Line] = []
         for line in list(itertools.islice(pool.lines, 4 * FEW)):
-            del pool.lines[line]        # the others get their turn before it does again
+            del pool.lines[line]  # the others get their turn before it does again
             pool.lines[line] = None
-            if (id not in line.undone and id not in line.flights and id != line.last and not line.pushing
-                    and len(line.flights) < self.streams > len(line.undone)):
+            if (
+                id not in line.undone
+                and id not in line.flights
+                and id != line.last
+                and not line.pushing
+                and len(line.flights) < self.streams > len(line.undone)
+            ):
                 lines.append(line)
                 if len(lines) == FEW:
                     break
@@ -361,7 +401,7 @@
 
     def _answered(self, line: Line, answer: Answer) -> None:
         size, line.held, line.silent = len(answer.body), line.held - len(answer.body), False
-        if line.held < 0:       # it came at one go, before room was asked for
+        if line.held < 0:  # it came at one go, before room was asked for
             self.room.overdraw(-line.held)
             line.held = 0
         flight = line.flights.pop(answer.id, None)
@@ -388,7 +428,7 @@
         line.idle_since = self.clock()
         if line.flights or line.closed:
             return
-        if line.pool.stale or line.pushing:     # answered amid its message: nobody waits for the rest of it
+        if line.pool.stale or line.pushing:  # answered amid its message: nobody waits for the rest of it
             self._close(line)
         else:
             line.pool.idle.setdefault(line)
@@ -417,7 +457,7 @@
         self.count -= 1
         line.pool.lines.pop(line, None)
         line.pool.idle.pop(line, None)
-        if line.taking:         # what it waits for is wanted by nobody
+        if line.taking:  # what it waits for is wanted by nobody
             line.taking.kill(block=False)
         self.room.give(line.held)
         line.held = 0
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -18,12 +18,12 @@
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
 from .sockets import SCRATCH, TURN, chunks, send_now, unread
 
-MOST_OPEN = 32      # the protocol's bound on one connection
+MOST_OPEN = 32  # the protocol's bound on one connection
 # The protocol's clients close what is idle after 4 s. One that says nothing, or does not finish what it
 # began, is let go in half of that: the operators ask for an answer or a close within 3 s of connecting.
 IDLE = 4_000_000_000
 UNFINISHED = IDLE // 2
-LINGER = UNFINISHED // 8    # how long who was said goodbye to may take to read it and to close
+LINGER = UNFINISHED // 8  # how long who was said goodbye to may take to read it and to close
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -33,13 +33,13 @@
     def __init__(self, sock: socket.socket, clock: Callable[[], int]) -> None:
         self.sock, self.frames = sock, Frames()
         self.open: dict[int, Retrieval] = {}
-        self.turn = Semaphore()         # to write
-        self.due = bytearray()          # answers of the door, written together
-        self.flushing: Event | None = None      # while they are being written: set once they are
-        self.born = self.last = self.began = clock()    # `began`: the frame under way; 0: none is
-        self.whole = self.asked = False     # it has sent a whole message; a retrieval
-        self.turned_away = 0                # messages that could not be used, one after the other
-        self.buffered = 0       # bytes of a frame that is not whole yet
+        self.turn = Semaphore()  # to write
+        self.due = bytearray()  # answers of the door, written together
+        self.flushing: Event | None = None  # while they are being written: set once they are
+        self.born = self.last = self.began = clock()  # `began`: the frame under way; 0: none is
+        self.whole = self.asked = False  # it has sent a whole message; a retrieval
+        self.turned_away = 0  # messages that could not be used, one after the other
+        self.buffered = 0  # bytes of a frame that is not whole yet
         # It sends no more that counts; it has closed its side; nothing can be written any more.
         self.ended = self.left = self.closed = False
 
@@ -50,15 +50,23 @@
 
 
 class Clients:
-    def __init__(self, front: Front, most: int, most_buffered: int, slack: int,
-                 ready: Callable[[], bool], clock: Callable[[], int], guard: Guard) -> None:
-        self.most_buffered, self.buffered = most_buffered, 0    # parts of frames, bodies, answers that wait
+    def __init__(
+        self,
+        front: Front,
+        most: int,
+        most_buffered: int,
+        slack: int,
+        ready: Callable[[], bool],
+        clock: Callable[[], int],
+        guard: Guard,
+    ) -> None:
+        self.most_buffered, self.buffered = most_buffered, 0  # parts of frames, bodies, answers that wait
         self.front, self.most, self.slack = front, most, slack
         self.ready, self.clock, self.guard, self.counters = ready, clock, guard, guard.counters
         self.profiles = front.profiles
         self.traces = Traces(max(one.client_timeout for one in self.profiles.values()))
         self.clients: dict[Client, None] = {}
-        self.parting: dict[Client, int] = {}    # said goodbye to; until when they may take to close
+        self.parting: dict[Client, int] = {}  # said goodbye to; until when they may take to close
 
     @property
     def owed(self) -> bool:
@@ -86,7 +94,7 @@
 
     def accept(self, listener: socket.socket) -> None:
         for count in itertools.count(1):
-            if not count % TURN:        # hundreds at once must not hold up who is served
+            if not count % TURN:  # hundreds at once must not hold up who is served
                 gevent.sleep(0)
             try:
                 sock, _ = listener.accept()
@@ -107,11 +115,13 @@
             # then who never asked, then who was idle longest, and only then who has just come and had no time
             # to ask.
             self.counters.add("client.over_share")
-            if self.parting:        # it was given its answers, and holds a descriptor until it closes
+            if self.parting:  # it was given its answers, and holds a descriptor until it closes
                 return self._close(next(iter(self.parting)))
             just = self.clock() - UNFINISHED // 8
-            idle = sorted((one for one in self.clients if not one.owed), key=lambda one: (
-                not one.whole and one.born > just, one.whole, one.asked, one.last))
+            idle = sorted(
+                (one for one in self.clients if not one.owed),
+                key=lambda one: (not one.whole and one.born > just, one.whole, one.asked, one.last),
+            )
             # On whom something lies unread an ask may have come: that is no idleness.
             self._close(next((one for one in idle if not unread(one.sock)), client))
 
@@ -130,7 +140,7 @@
     def _read(self, client: Client) -> None:
         try:
             for data in chunks(client.sock):
-                if client.ended:        # only its end counts any more
+                if client.ended:  # only its end counts any more
                     continue
                 try:
                     self._take_in(client, data)
@@ -165,15 +175,15 @@
         if client.frames.amid:
             client.began = client.began or client.last
         for start in range(0, len(frames), TURN):
-            if start:       # a flood from one must not hold up the others
+            if start:  # a flood from one must not hold up the others
                 gevent.sleep(0)
-            for words in frames[start:start + TURN]:
+            for words in frames[start : start + TURN]:
                 if client.closed:
                     return
                 self._heard(client, words)
                 if len(client.due) > len(SCRATCH):
                     self._flush(client)
-                    if client.flushing:     # nothing more is read of who does not take its answers
+                    if client.flushing:  # nothing more is read of who does not take its answers
                         client.flushing.wait()
             self._flush(client)
         if client.frames.bad:
@@ -196,7 +206,7 @@
     def _heard(self, client: Client, words: list[bytes]) -> None:
         message = decode(words, self.profiles)
         if not isinstance(message, Nevermind) and message.tag in client.open:
-            raise BadFrame("a tag that is open already")    # any answer to it would be a second one
+            raise BadFrame("a tag that is open already")  # any answer to it would be a second one
         if isinstance(message, Ask):
             if not self.traces.new(message.trace, client.last):
                 self.counters.add("retrieval.repeated_trace")
@@ -304,7 +314,7 @@
                 owned = False
                 if not whole:
                     return
-                gevent.sleep(0)     # else it would have the turn again before who waits for it
+                gevent.sleep(0)  # else it would have the turn again before who waits for it
                 due = self.clock() + UNFINISHED
         finally:
             if owned:
@@ -316,7 +326,7 @@
     def _pass_on(self, client: Client, data: bytes | memoryview, due: int) -> bool:
         """Waits until the client has taken these bytes; false where it is closed since it did not."""
         whole = False
-        self.buffered += len(data)      # they wait for their reader
+        self.buffered += len(data)  # they wait for their reader
         try:
             with gevent.Timeout(max(due - self.clock(), 0) / 1e9, False):
                 client.sock.sendall(data)
@@ -341,7 +351,7 @@
             self._slow(client)
             return False
         try:
-            if client.closed or not wanted():       # it left meanwhile and gets nothing more
+            if client.closed or not wanted():  # it left meanwhile and gets nothing more
                 return False
             sent = send_now(client.sock, data)
             if sent < len(data):
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -13,23 +13,30 @@
 from .coordlines import BadLine, Beat, Event, Events, Garbled, ListChange, Other, Purge, encode_follow
 from .sockets import chunks
 
-BEAT = 1.0          # seconds: the protocol promises a line as often
-SILENT = 2 * BEAT   # of whole lines: bytes alone are no sign of life
+BEAT = 1.0  # seconds: the protocol promises a line as often
+SILENT = 2 * BEAT  # of whole lines: bytes alone are no sign of life
 
 
 class Follower:
-    def __init__(self, address: tuple[str, int], last: int, apply: Callable[[ListChange | Purge], None],
-                 guard: Guard, silent: float = SILENT, pause: float = BEAT / 4,
-                 anew: bool = False) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        last: int,
+        apply: Callable[[ListChange | Purge], None],
+        guard: Guard,
+        silent: float = SILENT,
+        pause: float = BEAT / 4,
+        anew: bool = False,
+    ) -> None:
         self.address, self.last, self.apply, self.guard = address, last, apply, guard
         self.counters, self.silent, self.pause = guard.counters, silent, pause
         self.sock: socket.socket | None = None
         self.moved = Signal()
-        self.anew = anew    # a coordinator may begin anew, and count from 1 again
-        self.heard_at = 0   # when it last said something; 0: never
-        self.gap = -1       # the last number after which one was found to be missing
-        self.garbled = -1   # the last number after which a line could not be read
-        self.failed = -1    # the number of an event that could not be taken in
+        self.anew = anew  # a coordinator may begin anew, and count from 1 again
+        self.heard_at = 0  # when it last said something; 0: never
+        self.gap = -1  # the last number after which one was found to be missing
+        self.garbled = -1  # the last number after which a line could not be read
+        self.failed = -1  # the number of an event that could not be taken in
 
     def run(self) -> None:
         while True:
@@ -53,7 +60,7 @@
         """Events told another way, by a new configuration; only what follows on is taken."""
         for event in events:
             if event.index == self.last + 1:
-                with suppress(BadLine):     # it comes again from the coordinator
+                with suppress(BadLine):  # it comes again from the coordinator
                     self._heard(event)
 
     def _follow(self) -> None:
@@ -68,7 +75,7 @@
             for data in chunks(sock):
                 for event in self._read(events, data):
                     self._heard(event)
-                    if event.index >= self.last:    # who tells old numbers alone has fallen behind
+                    if event.index >= self.last:  # who tells old numbers alone has fallen behind
                         heard = self.heard_at = clock.now()
                 # Guards against bytes that come all the time and say nothing, on which no read ever waits.
                 if (left := self.silent - (clock.now() - heard) / 1e9) <= 0:
@@ -98,7 +105,7 @@
         if beat and self.anew and event.index < self.last:
             self.counters.add("coordinator.anew")
             self.last, self.gap = 0, -1
-            self.moved.set()        # asked for at once
+            self.moved.set()  # asked for at once
             raise BadLine("its numbers began anew")
         if event.index > (self.last if beat else self.last + 1) and self.gap != self.last:
             self.gap = self.last
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -11,8 +11,8 @@
 
 from ..ground import STATES
 
-LONGEST_LINE = 1 << 20      # a whole list stands on one line
-NEVER = 1 << 53             # no Unix millisecond is as late
+LONGEST_LINE = 1 << 20  # a whole list stands on one line
+NEVER = 1 << 53  # no Unix millisecond is as late
 
 
 class BadLine(Exception):
@@ -114,8 +114,15 @@
 
 
 def _member(one: dict) -> Member:
-    member = Member(str(one["id"]), address(one["addr"]), one["zone"], one["kind"],
-                    int(one.get("cell") or 0), one["state"], int(one.get("started_ms") or 0))
+    member = Member(
+        str(one["id"]),
+        address(one["addr"]),
+        one["zone"],
+        one["kind"],
+        int(one.get("cell") or 0),
+        one["state"],
+        int(one.get("started_ms") or 0),
+    )
     if member.state not in STATES or not 0 <= member.started_ms < NEVER:
         raise ValueError("no state, or no start")
     return member
@@ -130,7 +137,7 @@
 
     def __init__(self) -> None:
         self.buffer, self.lines = bytearray(), deque[bytearray]()
-        self.endless = False        # amid a line that is too long to be one
+        self.endless = False  # amid a line that is too long to be one
 
     def feed(self, data: bytes) -> Iterator[Event]:
         """Gives each event as it is read, so that what stands before a bad line still counts, and what stands
--- a/marbleglade/wire/cut.py
+++ b/marbleglade/wire/cut.py
@@ -59,7 +59,7 @@
     version, kind, number = HEAD.unpack_from(data)
     if version != VERSION:
         return None
-    cut = Cut(data[HEAD.size:])
+    cut = Cut(data[HEAD.size :])
     try:
         found = message(kind, number, cut)
     except (Bad, ValueError):
--- a/marbleglade/wire/datagrams.py
+++ b/marbleglade/wire/datagrams.py
@@ -12,7 +12,7 @@
 
 from .coordlines import Purge
 
-LONGEST = 256       # bytes, by the protocol
+LONGEST = 256  # bytes, by the protocol
 VERSION = 1
 HEAD = struct.Struct("!BBQ")
 PURGED = struct.Struct("!QBQ")
@@ -20,7 +20,7 @@
 SPAN = struct.Struct("!I")
 PART = struct.Struct("!IBB")
 PLACE, PURGE, ASK, ANSWER = 1, 2, 3, 4
-MOST_PARTS = 8      # datagrams of one answer
+MOST_PARTS = 8  # datagrams of one answer
 
 
 @dataclass(slots=True)
@@ -79,16 +79,21 @@
 def encode(message: Message) -> bytes | None:
     """The datagram, or None where it would not fit."""
     if isinstance(message, Purge):
-        return (HEAD.pack(VERSION, PURGE, message.index)
-                + PURGED.pack(message.thing, message.group, message.unix_ms))
+        return HEAD.pack(VERSION, PURGE, message.index) + PURGED.pack(
+            message.thing, message.group, message.unix_ms
+        )
     if isinstance(message, Ask):
         return HEAD.pack(VERSION, ASK, message.number) + SPAN.pack(message.span_ms)
     if isinstance(message, Answer):
-        data = HEAD.pack(VERSION, ANSWER, message.number) + PART.pack(
-            message.whole_ms, message.part, message.parts) + b"".join(map(_fact, message.facts))
+        data = (
+            HEAD.pack(VERSION, ANSWER, message.number)
+            + PART.pack(message.whole_ms, message.part, message.parts)
+            + b"".join(map(_fact, message.facts))
+        )
     else:
-        data = (HEAD.pack(VERSION, PLACE, message.index) + STARTED.pack(message.started_ms)
-                + message.id.encode())
+        data = (
+            HEAD.pack(VERSION, PLACE, message.index) + STARTED.pack(message.started_ms) + message.id.encode()
+        )
     return data if len(data) <= LONGEST else None
 
 
@@ -97,7 +102,7 @@
     if len(data) < HEAD.size or len(data) > LONGEST:
         return None
     version, kind, index = HEAD.unpack_from(data)
-    rest = data[HEAD.size:]
+    rest = data[HEAD.size :]
     if version != VERSION:
         return None
     if kind == PURGE and len(rest) == PURGED.size:
@@ -106,11 +111,11 @@
         return Ask(index, *SPAN.unpack(rest))
     if kind == ANSWER and len(rest) >= PART.size:
         whole_ms, part, of = PART.unpack_from(rest)
-        facts = _facts(rest[PART.size:])
+        facts = _facts(rest[PART.size :])
         bounded = of <= MOST_PARTS and part < (of or MOST_PARTS)
         return Answer(index, whole_ms, part, of, facts) if facts is not None and bounded else None
     if kind == PLACE and len(rest) > STARTED.size:
-        return _place(rest[STARTED.size:], *STARTED.unpack_from(rest), index)
+        return _place(rest[STARTED.size :], *STARTED.unpack_from(rest), index)
     return None
 
 
--- a/marbleglade/wire/errands.py
+++ b/marbleglade/wire/errands.py
@@ -63,10 +63,10 @@
             id, fields, size = self.head
             if len(self.buffer) < size + 2:
                 return asked
-            if self.buffer[size:size + 2] != b"\r\n":
+            if self.buffer[size : size + 2] != b"\r\n":
                 raise BadLine("a body without its end")
             body = bytes(memoryview(self.buffer)[:size])
-            del self.buffer[:size + 2]
+            del self.buffer[: size + 2]
             self.head = None
             asked.append(_errand(id, fields, body) or Odd(id))
 
@@ -80,7 +80,7 @@
             words = self.buffer[:end].decode("ascii").split(" ")
         except UnicodeDecodeError as trouble:
             raise BadLine("not a line of words") from trouble
-        del self.buffer[:end + 2]
+        del self.buffer[: end + 2]
         if len(words) < 2 or not ID.fullmatch(words[1]):
             raise BadLine("no id")
         word, id = words[:2]
@@ -99,21 +99,37 @@
 
 
 def _errand(id: str, fields: dict[str, str], body: bytes) -> Errand | None:
-    numbers = [fields.get(name, other) for name, other in
-               (("nth", ""), ("max", ""), ("prio", "0"), ("within", "0"))]
+    numbers = [
+        fields.get(name, other) for name, other in (("nth", ""), ("max", ""), ("prio", "0"), ("within", "0"))
+    ]
     profile, thing, copy, mark = (fields.get(name, "") for name in ("profile", "thing", "mine", "replay"))
     how = fields["f"].split("+") if fields.get("f") else []
-    if (not all(map(NUMBER.fullmatch, numbers)) or not WORD.fullmatch(profile)
-            or not HEX16.fullmatch(thing.encode()) or (copy and not HEX16.fullmatch(copy.encode()))
-            or (mark and not MARK.fullmatch(mark.encode()))
-            or any(one not in HOW for one in how)):
+    if (
+        not all(map(NUMBER.fullmatch, numbers))
+        or not WORD.fullmatch(profile)
+        or not HEX16.fullmatch(thing.encode())
+        or (copy and not HEX16.fullmatch(copy.encode()))
+        or (mark and not MARK.fullmatch(mark.encode()))
+        or any(one not in HOW for one in how)
+    ):
         return None
     part, within, rank, age = map(int, numbers)
     if not within or rank > 3 or part >= 1 << 31:
         return None
-    return Errand(id, profile, thing, part, within, fields.get("miss", ""), rank, age, copy=copy, body=body,
-                  mark=mark,
-                  **{HOW[one]: True for one in how})
+    return Errand(
+        id,
+        profile,
+        thing,
+        part,
+        within,
+        fields.get("miss", ""),
+        rank,
+        age,
+        copy=copy,
+        body=body,
+        mark=mark,
+        **{HOW[one]: True for one in how},
+    )
 
 
 def encode(id: str, word: str, fields: dict[str, str], body: bytes = b"") -> bytes:
--- a/marbleglade/wire/gossip.py
+++ b/marbleglade/wire/gossip.py
@@ -31,7 +31,7 @@
 CROWD = struct.Struct("!BHHH")
 SHUT = struct.Struct("!IHH")
 MARK = struct.Struct("!I")
-CROWD_UNIT = 1000       # a crowd travels in thousandths
+CROWD_UNIT = 1000  # a crowd travels in thousandths
 
 Fleetgram = Gossip | Report | View
 
@@ -40,20 +40,34 @@
     if isinstance(message, Report):
         counts = (min(one, 65535) for one in (message.firsts, message.furthers, message.pushed))
         data = HEAD.pack(VERSION, REPORT, message.seq) + SUMS.pack(
-            message.zone, min(message.load, 2**32 - 1), *counts)
-        return _bounded(data + _links(message.links) + _crowds(message.crowds)
-                        + listed(MARK, ((one,) for one in message.shut))
-                        + listed(MARK, ((one,) for one in message.answered)))
+            message.zone, min(message.load, 2**32 - 1), *counts
+        )
+        return _bounded(
+            data
+            + _links(message.links)
+            + _crowds(message.crowds)
+            + listed(MARK, ((one,) for one in message.shut))
+            + listed(MARK, ((one,) for one in message.answered))
+        )
     if isinstance(message, View):
         data = HEAD.pack(VERSION, VIEW, message.seq) + TOTALS.pack(
-            message.term, message.fronts, *(min(one, 2**32 - 1) for one in (
-                message.load, message.firsts, message.furthers, message.pushed)))
-        return _bounded(data + _links(message.links) + _crowds(message.crowds)
-                        + listed(SHUT, ((place, min(one.by, 65535), one.trier)
-                                       for place, one in message.shut.items()))
-                        + listed(MARK, ((one,) for one in message.answered)))
-    updates = listed(UPDATE, ((one.number, one.status, one.start, one.round, one.by)
-                             for one in message.updates))
+            message.term,
+            message.fronts,
+            *(
+                min(one, 2**32 - 1)
+                for one in (message.load, message.firsts, message.furthers, message.pushed)
+            ),
+        )
+        return _bounded(
+            data
+            + _links(message.links)
+            + _crowds(message.crowds)
+            + listed(SHUT, ((place, min(one.by, 65535), one.trier) for place, one in message.shut.items()))
+            + listed(MARK, ((one,) for one in message.answered))
+        )
+    updates = listed(
+        UPDATE, ((one.number, one.status, one.start, one.round, one.by) for one in message.updates)
+    )
     if isinstance(message, Ack):
         return HEAD.pack(VERSION, ACK, message.seq) + updates
     kind = PING if isinstance(message, Ping) else PING_FOR
@@ -66,13 +80,23 @@
 
 
 def _links(links: dict[int, tuple[int, int]]) -> bytes:
-    return listed(LINK, ((key, min(done, 2**32 - 1), min(spent, 2**32 - 1))
-                        for key, (done, spent) in list(links.items())[:LINKS]))
+    return listed(
+        LINK,
+        (
+            (key, min(done, 2**32 - 1), min(spent, 2**32 - 1))
+            for key, (done, spent) in list(links.items())[:LINKS]
+        ),
+    )
 
 
 def _crowds(crowds: dict[int, Crowd]) -> bytes:
-    return listed(CROWD, ((zone, min(int(one.value * CROWD_UNIT), 65535), min(one.age_ms, 65535), one.prober)
-                         for zone, one in crowds.items()))
+    return listed(
+        CROWD,
+        (
+            (zone, min(int(one.value * CROWD_UNIT), 65535), min(one.age_ms, 65535), one.prober)
+            for zone, one in crowds.items()
+        ),
+    )
 
 
 def decode(data: bytes) -> Fleetgram | None:
@@ -82,18 +106,33 @@
 
 def _message(kind: int, number: int, cut: Cut) -> Fleetgram:
     if kind == REPORT:
-        return Report(number, *cut.one(SUMS), _read_links(cut), _read_crowds(cut),
-                      [one for one, in cut.list(MARK, PLACES)], [one for one, in cut.list(MARK, ANSWERED)])
+        return Report(
+            number,
+            *cut.one(SUMS),
+            _read_links(cut),
+            _read_crowds(cut),
+            [one for (one,) in cut.list(MARK, PLACES)],
+            [one for (one,) in cut.list(MARK, ANSWERED)],
+        )
     if kind == VIEW:
         term, fronts, *totals = cut.one(TOTALS)
-        return View(term, number, fronts, *totals, _read_links(cut), _read_crowds(cut),
-                    {place: Shut(by, trier) for place, by, trier in cut.list(SHUT, PLACES)},
-                    [one for one, in cut.list(MARK, ANSWERED)])
+        return View(
+            term,
+            number,
+            fronts,
+            *totals,
+            _read_links(cut),
+            _read_crowds(cut),
+            {place: Shut(by, trier) for place, by, trier in cut.list(SHUT, PLACES)},
+            [one for (one,) in cut.list(MARK, ANSWERED)],
+        )
     if kind not in (PING, ACK, PING_FOR) or number >= 2**32:
         raise Bad
     target = cut.one(TARGET)[0] if kind != ACK else 0
-    updates = [Update(one, Status(status), start, round, by)
-               for one, status, start, round, by in cut.list(UPDATE, UPDATES + 1)]
+    updates = [
+        Update(one, Status(status), start, round, by)
+        for one, status, start, round, by in cut.list(UPDATE, UPDATES + 1)
+    ]
     if kind == ACK:
         return Ack(number, updates)
     return Ping(number, target, updates) if kind == PING else PingFor(number, target, updates)
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -20,16 +20,24 @@
     """The socket, and what goes over it. `heed` is handed each fact that is news; `heard_at` says when the
     coordinator spoke last, 0 for never."""
 
-    def __init__(self, listen: tuple[str, int], peers: list[tuple[str, int]], seed: int, hearsay: Hearsay,
-                 heed: Callable[[Hint], None], heard_at: Callable[[], int], guard: Guard,
-                 everyone: tuple[str, int] | None = None) -> None:
+    def __init__(
+        self,
+        listen: tuple[str, int],
+        peers: list[tuple[str, int]],
+        seed: int,
+        hearsay: Hearsay,
+        heed: Callable[[Hint], None],
+        heard_at: Callable[[], int],
+        guard: Guard,
+        everyone: tuple[str, int] | None = None,
+    ) -> None:
         self.everyone: tuple[str, int] | None = None
         self.listen, self.seed, self.count, self.hearsay = listen, seed, 0, hearsay
         self.heed, self.heard_at = heed, heard_at
         self.guard, self.counters = guard, guard.counters
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(listen)
-        self.renewed: Callable[[], None] = lambda: None     # where a fleet is on: the list changed
+        self.renewed: Callable[[], None] = lambda: None  # where a fleet is on: the list changed
         self.renew(peers, everyone)
 
         # Where a fleet is on it takes what is no message of these.
@@ -74,11 +82,11 @@
 
     def run(self) -> None:
         for count in itertools.count(1):
-            if not count % TURN:    # a flood, or a socket in trouble, must not hold up all else
+            if not count % TURN:  # a flood, or a socket in trouble, must not hold up all else
                 gevent.sleep(0)
             try:
                 data, sender = self.sock.recvfrom(LONGEST + 1)
-            except OSError:     # a peer that is gone may answer so
+            except OSError:  # a peer that is gone may answer so
                 self.counters.add("peer.trouble")
                 continue
             listed = sender in self.numbers
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -20,7 +20,7 @@
 from .resp import Ask
 from .sockets import accepted, chunks
 
-MOST_OPEN = 256     # errands of one connection
+MOST_OPEN = 256  # errands of one connection
 MS = 1_000_000
 
 
@@ -37,8 +37,9 @@
 class PlaceDoor:
     """`crossing` is what a front is to the clients' door; `unknown` is the group of what names none."""
 
-    def __init__(self, crossing: Any, unknown: int, most: int, idle: int, ready: Callable[[], bool],
-                 guard: Guard) -> None:
+    def __init__(
+        self, crossing: Any, unknown: int, most: int, idle: int, ready: Callable[[], bool], guard: Guard
+    ) -> None:
         self.crossing, self.unknown, self.most, self.idle = crossing, unknown, most, idle
         self.ready, self.guard, self.counters = ready, guard, guard.counters
         self.visitors: set[Visitor] = set()
@@ -100,23 +101,41 @@
         if profile is None or errand.within * MS > 2 * profile.client_timeout:
             self.counters.add("place.unusable")
             self._say(visitor, encode(errand.id, "FAULT", {}))
-        elif errand.held_only:      # a gateway is no cache: it holds nothing that only it could give
+        elif errand.held_only:  # a gateway is no cache: it holds nothing that only it could give
             self._say(visitor, encode(errand.id, "NONE", {}))
         elif len(visitor.open) >= MOST_OPEN or self.crossing.refuse() or not self.ready():
             self.counters.add("place.refused")
             self._say(visitor, encode(errand.id, "SHED", {}))
         else:
             self.counters.add("place.errands")
-            ask = Ask(0, profile, errand.profile, errand.id, errand.within * MS, False, errand.thing,
-                      errand.part, self.unknown, errand.copy, errand.body, errand.age * MS,
-                      mark=errand.mark)
+            ask = Ask(
+                0,
+                profile,
+                errand.profile,
+                errand.id,
+                errand.within * MS,
+                False,
+                errand.thing,
+                errand.part,
+                self.unknown,
+                errand.copy,
+                errand.body,
+                errand.age * MS,
+                mark=errand.mark,
+            )
             harmless = profile.repeat is Repeat.PURE
             journey = visitor.open[errand.id] = self.crossing.take(ask)
             if reply := self.crossing.answer_now(ask, journey):
                 self._answer(visitor, errand.id, journey, reply, harmless)
             else:
-                gevent.spawn_raw(self.guard.run, "place", self.crossing.serve, ask, journey,
-                                 lambda reply: self._answer(visitor, errand.id, journey, reply, harmless))
+                gevent.spawn_raw(
+                    self.guard.run,
+                    "place",
+                    self.crossing.serve,
+                    ask,
+                    journey,
+                    lambda reply: self._answer(visitor, errand.id, journey, reply, harmless),
+                )
 
     def _answer(self, visitor: Visitor, id: str, journey: Any, reply: Reply, harmless: bool) -> None:
         if visitor.open.get(id) is not journey:
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -7,16 +7,18 @@
 
 from ..interface import Profile
 
-LONGEST_OBJECT = 240_000        # the protocol's bound on a body
-LONGEST_WORD = 4_096            # far above any field list that the protocol allows
+LONGEST_OBJECT = 240_000  # the protocol's bound on a body
+LONGEST_WORD = 4_096  # far above any field list that the protocol allows
 MOST_WORDS = 8
 HEX16 = re.compile(rb"[0-9a-fA-F]{16}")
-MARK = re.compile(rb"[!-+\--~]{1,128}")      # passed on in a list of fields: no comma, no space
+MARK = re.compile(rb"[!-+\--~]{1,128}")  # passed on in a list of fields: no comma, no space
 NUMBER = re.compile(rb"[0-9]{1,18}")
 FIELD = re.compile(rb"([a-z]+)=([^,]*)(?:,|$)")
 # An ask as clients send it, up to its body: read at one go, since nothing else comes as often.
-USUAL = re.compile(rb"\*5\r\n\$3\r\nASK\r\n\$(\d\d?)\r\n([0-9]{1,18})\r\n\$(\d{1,3})\r\n([!-~]{1,99})"
-                   rb"\r\n\$(\d{1,4})\r\n([!-~]{1,4096})\r\n\$(\d{1,6})\r\n")
+USUAL = re.compile(
+    rb"\*5\r\n\$3\r\nASK\r\n\$(\d\d?)\r\n([0-9]{1,18})\r\n\$(\d{1,3})\r\n([!-~]{1,99})"
+    rb"\r\n\$(\d{1,4})\r\n([!-~]{1,4096})\r\n\$(\d{1,6})\r\n"
+)
 
 
 class BadFrame(Exception):
@@ -32,15 +34,15 @@
     profile: Profile
     profile_name: str
     trace: str
-    patience: int       # nanoseconds
+    patience: int  # nanoseconds
     again: bool
     thing: str
     part: int
     group: int
     copy: str
     body: bytes
-    oldest: int = 0     # the oldest copy that will do, nanoseconds; 0: the decisions say
-    passed: tuple[str, ...] = ()    # regions that it came through
+    oldest: int = 0  # the oldest copy that will do, nanoseconds; 0: the decisions say
+    passed: tuple[str, ...] = ()  # regions that it came through
     mark: str = ""
 
 
@@ -69,9 +71,9 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
-        self.words: list[bytes] = []    # of the frame in hand
-        self.due = 0                    # words that it still lacks
-        self.bad: BadFrame | None = None    # what stands behind the last whole frame can't be read
+        self.words: list[bytes] = []  # of the frame in hand
+        self.due = 0  # words that it still lacks
+        self.bad: BadFrame | None = None  # what stands behind the last whole frame can't be read
 
     @property
     def amid(self) -> bool:
@@ -110,8 +112,11 @@
             return None
         tag_size, tag, name_size, name, size, fields, body_size = found.groups()
         start, stop = found.end(), found.end() + int(body_size)
-        if ((int(tag_size), int(name_size), int(size)) != (len(tag), len(name), len(fields))
-                or stop - start > LONGEST_OBJECT or self.buffer[stop:stop + 2] != b"\r\n"):
+        if (
+            (int(tag_size), int(name_size), int(size)) != (len(tag), len(name), len(fields))
+            or stop - start > LONGEST_OBJECT
+            or self.buffer[stop : stop + 2] != b"\r\n"
+        ):
             return None
         return [b"ASK", tag, name, fields, bytes(self.buffer[start:stop]), stop + 2]
 
@@ -122,7 +127,7 @@
             if len(self.buffer) - at >= 24:
                 raise BadFrame("no length where one belongs")
             return -1
-        head, number = self.buffer[at:at + 1], bytes(self.buffer[at + 1:end])
+        head, number = self.buffer[at : at + 1], bytes(self.buffer[at + 1 : end])
         if head != (b"$" if self.due else b"*") or not NUMBER.fullmatch(number):
             raise BadFrame("not an array of bulk strings")
         size = int(number)
@@ -136,7 +141,7 @@
         start, stop = end + 2, end + 2 + size
         if len(self.buffer) < stop + 2:
             return -1
-        if self.buffer[stop:stop + 2] != b"\r\n":
+        if self.buffer[stop : stop + 2] != b"\r\n":
             raise BadFrame("a word without its end")
         self.words.append(bytes(self.buffer[start:stop]))
         self.due -= 1
@@ -159,27 +164,49 @@
         return None
     pairs = FIELD.findall(words[3])
     fields = dict(pairs)
-    if len(fields) < len(pairs):        # a field twice: it says two things
+    if len(fields) < len(pairs):  # a field twice: it says two things
         return None
     trace, thing, copy, mark = (fields.get(name, b"") for name in (b"trace", b"entity", b"cached", b"nonce"))
     numbers = [fields.get(name, b"") for name in (b"patience", b"block", b"family")]
-    name = words[2].decode("utf-8", "replace")      # operators name profiles in their own alphabet
-    if (name not in profiles or not all(map(HEX16.fullmatch, (trace, thing)))
-            or (copy and not HEX16.fullmatch(copy)) or (mark and not MARK.fullmatch(mark))
-            or not all(map(NUMBER.fullmatch, numbers))):
+    name = words[2].decode("utf-8", "replace")  # operators name profiles in their own alphabet
+    if (
+        name not in profiles
+        or not all(map(HEX16.fullmatch, (trace, thing)))
+        or (copy and not HEX16.fullmatch(copy))
+        or (mark and not MARK.fullmatch(mark))
+        or not all(map(NUMBER.fullmatch, numbers))
+    ):
         return None
     patience, part, group = map(int, numbers)
     # Far beyond the profile's client timeout, and so beyond what a cache can use.
     if not 0 < patience * 500_000 <= profiles[name].client_timeout or group > 255:
         return None
-    return Ask(tag, profiles[name], name, trace.decode(), patience * 1_000_000,
-               fields.get(b"redo") == b"1", thing.decode(), part, group, copy.decode(),
-               words[4] if len(words) == 5 else b"",
-               mark=mark.decode())
+    return Ask(
+        tag,
+        profiles[name],
+        name,
+        trace.decode(),
+        patience * 1_000_000,
+        fields.get(b"redo") == b"1",
+        thing.decode(),
+        part,
+        group,
+        copy.decode(),
+        words[4] if len(words) == 5 else b"",
+        mark=mark.decode(),
+    )
 
 
 def encode(tag: int, word: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
     """An answer, whole."""
     label = b"%d" % tag
-    return (b"*4\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n"
-            % (len(label), label, len(word), word, len(fields), fields, len(body), body))
+    return b"*4\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (
+        len(label),
+        label,
+        len(word),
+        word,
+        len(fields),
+        fields,
+        len(body),
+        body,
+    )
--- a/marbleglade/wire/sockets.py
+++ b/marbleglade/wire/sockets.py
@@ -8,8 +8,8 @@
 import gevent
 from gevent import socket
 
-SCRATCH = memoryview(bytearray(1 << 16))    # what one read brings; used up before anything else can run
-TURN = 32       # reads of one connection, or messages, before others get their turn
+SCRATCH = memoryview(bytearray(1 << 16))  # what one read brings; used up before anything else can run
+TURN = 32  # reads of one connection, or messages, before others get their turn
 
 
 def accepted(listener: socket.socket, pause: float, failed: Callable[[], None]) -> Iterator[socket.socket]:
@@ -41,7 +41,7 @@
         return sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return None
-    except OSError:     # a reset, or closed here: as good as the end
+    except OSError:  # a reset, or closed here: as good as the end
         return b""
     finally:
         sock.settimeout(patience)
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -17,12 +17,12 @@
 CLAIM, VOTE, HOLD, HELD, HAVE, WANT, PART = range(16, 23)
 MOST_PARTS = 64
 PART_BYTES = 200
-TABLE = struct.Struct("!IHI")       # term, keeper, version
-HOLDS = struct.Struct("!IIII")      # term, version, committed, echo
+TABLE = struct.Struct("!IHI")  # term, keeper, version
+HOLDS = struct.Struct("!IIII")  # term, version, committed, echo
 HELDS = struct.Struct("!III")
-ENTRY = struct.Struct("!IQIIB")     # machine, start, number, age, called back
-HAS = struct.Struct("!QII")         # asked_ms, digest, size
-WANTS = struct.Struct("!IB")        # digest, part
+ENTRY = struct.Struct("!IQIIB")  # machine, start, number, age, called back
+HAS = struct.Struct("!QII")  # asked_ms, digest, size
+WANTS = struct.Struct("!IB")  # digest, part
 NOBODY = 0xFFFF
 
 
@@ -62,11 +62,13 @@
             data += _entries(entries)
         case Hold():
             data = HEAD.pack(VERSION, HOLD, message.stamp) + HOLDS.pack(
-                message.term, message.version, message.committed, message.echo)
+                message.term, message.version, message.committed, message.echo
+            )
             data += b"" if message.entries is None else _entries(message.entries)
         case Held():
             data = HEAD.pack(VERSION, HELD, message.stamp) + HELDS.pack(
-                message.term, message.version, message.word)
+                message.term, message.version, message.word
+            )
         case Have():
             data = HEAD.pack(VERSION, HAVE, 0) + HAS.pack(message.asked_ms, message.digest, message.size)
         case Want():
@@ -78,8 +80,10 @@
 
 
 def _entries(entries: tuple[Entry, ...]) -> bytes:
-    return listed(ENTRY, ((one.machine, one.start_ms, one.number, min(one.age_ms, 0xFFFF_FFFF), one.back)
-                          for one in entries))
+    return listed(
+        ENTRY,
+        ((one.machine, one.start_ms, one.number, min(one.age_ms, 0xFFFF_FFFF), one.back) for one in entries),
+    )
 
 
 def decode(data: bytes) -> Workgram | None:
