Control plane: schema, settings and the lines between nodes, fronts and operators

Need: at 730 fronts nobody learns whether a purge is done everywhere, and no configuration reaches a front but by a file and SIGHUP on each machine. Change: the settings of a control plane in protobuf text format, checked as a whole, and the typed lines that its parts will speak, so that nodes, fronts and configuration can be built side by side. Nothing uses them yet; tests come with the parts.

--- /dev/null
+++ b/marbleglade/control/messages.py
@@ -0,0 +1,225 @@
+"""Lines between control nodes, fronts and operators, as typed values, without I/O.
+
+A control node speaks the watch protocol of the discovery service (`wire/coordlines.py`): a watcher writes
+`follow N` and is told numbered events, one JSON object a line, and once a second the number of the last one.
+A front that knows of the control plane writes `front NAME START STREAM` before that, is greeted, and says on
+the same connection what it has applied. Numbers belong to one stream: a node that began anew has another one.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+import orjson
+
+from ..wire import coordlines
+
+LONGEST_REQUEST_LINE = 512  # bytes of a line from a front or an operator
+LONGEST_REASON = 200  # characters of a reason for which a front refuses a configuration
+LONGEST_CONFIGURATION = 1 << 16  # bytes of one configuration document
+NO_STREAM = "-"  # the front holds no stream yet
+TOKEN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class InvalidLineError(Exception):
+    """A line that can't be used; the connection that it came on is closed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FrontHello:
+    """A front names itself, its start (Unix milliseconds) and the stream that its numbers belong to."""
+
+    name: str
+    start_ms: int
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Asks for all events after a number."""
+
+    last: int
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The front has applied every event of the stream up to a number."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Configured:
+    """This configuration version is in force at the front."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The front can't use this configuration version and keeps the last good one."""
+
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The front ends as planned."""
+
+
+@dataclass(frozen=True, slots=True)
+class StatusQuery:
+    """An operator asks what the node knows; the answer is one JSON line."""
+
+
+Request = FrontHello | Follow | Applied | Configured | Refused | Leave | StatusQuery
+
+
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """The node's first line to a front.
+
+    Attributes:
+        deployment: The deployment that the node serves.
+        node: The node's name.
+        stream: The stream that the node's numbers belong to.
+        snapshot_to: Events up to this number come as a snapshot: numbers are left out, and only once this one
+            was reached are all events up to it applied. 0: no snapshot, events follow without a gap.
+    """
+
+    deployment: str
+    node: str
+    stream: str
+    snapshot_to: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationEvent:
+    """A configuration version that was accepted; `text` is the whole document in protobuf text format."""
+
+    index: int
+    version: int
+    text: str
+
+
+StreamLine = Greeting | ConfigurationEvent | coordlines.Event
+
+
+def encode_request(request: Request) -> bytes:
+    """One line from a front or an operator."""
+    match request:
+        case FrontHello(name, start_ms, stream):
+            text = f"front {name} {start_ms} {stream}"
+        case Follow(last):
+            text = f"follow {last}"
+        case Applied(index):
+            text = f"applied {index}"
+        case Configured(version):
+            text = f"configured {version}"
+        case Refused(version, reason):
+            text = f"refused {version} {_one_line(reason)}"
+        case Leave():
+            text = "leave"
+        case StatusQuery():
+            text = "status"
+    return text.encode() + b"\n"
+
+
+def decode_request(line: bytes) -> Request:
+    """Reads one line from a front or an operator. Raises `InvalidLineError`."""
+    try:
+        word, _, rest = line.decode("utf-8").strip().partition(" ")
+        match word:
+            case "front":
+                name, start_ms, stream = rest.split()
+                return FrontHello(_token(name), _number(start_ms), _token(stream))
+            case "follow":
+                return Follow(_number(rest))
+            case "applied":
+                return Applied(_number(rest))
+            case "configured":
+                return Configured(_number(rest))
+            case "refused":
+                version, _, reason = rest.partition(" ")
+                return Refused(_number(version), _one_line(reason))
+            case "leave" if not rest:
+                return Leave()
+            case "status" if not rest:
+                return StatusQuery()
+    except ValueError as error:
+        raise InvalidLineError(f"not a request: {line[:80]!r}") from error
+    raise InvalidLineError(f"not a request: {line[:80]!r}")
+
+
+def encode_greeting(greeting: Greeting) -> bytes:
+    """The first line of a node to a front."""
+    return (
+        orjson.dumps(
+            {
+                "control": {
+                    "deployment": greeting.deployment,
+                    "node": greeting.node,
+                    "stream": greeting.stream,
+                    "snapshot_to": greeting.snapshot_to,
+                }
+            }
+        )
+        + b"\n"
+    )
+
+
+def encode_configuration(event: ConfigurationEvent) -> bytes:
+    """A configuration version as an event of the stream."""
+    content = {"version": event.version, "text": event.text}
+    return orjson.dumps({"index": event.index, "configuration": content}) + b"\n"
+
+
+def decode_stream_line(line: bytes | bytearray) -> StreamLine:
+    """Reads one line from a control node. Raises `InvalidLineError`."""
+    try:
+        value = orjson.loads(line)
+        if type(value) is int and value >= 0:
+            return coordlines.Beat(value)
+        if "control" in value:
+            return _greeting(value["control"])
+        if "configuration" in value:
+            return _configuration(value["index"], value["configuration"])
+        return coordlines.event(value)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise InvalidLineError(f"not a line of a control node: {bytes(line[:80])!r}") from error
+
+
+def _greeting(content: dict) -> Greeting:
+    snapshot_to = content["snapshot_to"]
+    if type(snapshot_to) is not int or snapshot_to < 0:
+        raise ValueError("snapshot_to is no number")
+    return Greeting(
+        _token(content["deployment"]), _token(content["node"]), _token(content["stream"]), snapshot_to
+    )
+
+
+def _configuration(index: int, content: dict) -> ConfigurationEvent:
+    version, text = content["version"], content["text"]
+    if type(index) is not int or index < 1 or type(version) is not int or version < 1:
+        raise ValueError("no number")
+    if not isinstance(text, str) or len(text.encode()) > LONGEST_CONFIGURATION:
+        raise ValueError("no document, or one that is too long")
+    return ConfigurationEvent(index, version, text)
+
+
+def _token(text: str) -> str:
+    if not TOKEN.fullmatch(text):
+        raise ValueError(f"{text!r} is not a name")
+    return text
+
+
+def _number(text: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
+        raise ValueError(f"{text!r} is not a number")
+    return int(text)
+
+
+def _one_line(text: str) -> str:
+    return " ".join(text.split())[:LONGEST_REASON]
--- /dev/null
+++ b/marbleglade/control/settings.py
@@ -0,0 +1,186 @@
+"""Settings of a control plane: protobuf text format, read and checked as a whole."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..textproto import parsed
+from ..wire import coordlines
+from .control_pb2 import ControlPlane
+
+LONGEST_FILE = 1 << 20  # bytes
+MOST_NODES = 16
+MOST_FRONTS = 1 << 14
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+RANGE = re.compile(r"([^\[\]]*)\[([0-9]{1,6})-([0-9]{1,6})\]([^\[\]]*)")
+MILLISECOND = 1_000_000  # nanoseconds
+
+DEFAULTS = {"purge_deadline_ms": 2600, "configuration_deadline_ms": 5000, "catch_up_bytes_per_s": 6144}
+BOUNDS = {
+    "purge_deadline_ms": (200, 600_000),
+    "configuration_deadline_ms": (200, 600_000),
+    "catch_up_bytes_per_s": (1024, 1 << 24),
+}
+
+
+class InvalidSettingsError(Exception):
+    """The settings can't be used; `faults` holds one line for each reason."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class RegionSettings:
+    """One region: its discovery service and the names of its fronts."""
+
+    name: str
+    discovery: tuple[str, int]
+    fronts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """One control node: where it stands, where fronts connect and where the other nodes do."""
+
+    name: str
+    region: str
+    zone: str
+    address: tuple[str, int]
+    quorum_address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """A control plane as its file tells, defaults filled in. Deadlines are nanoseconds."""
+
+    deployment: str
+    regions: tuple[RegionSettings, ...]
+    nodes: tuple[NodeSettings, ...]
+    purge_deadline: int
+    configuration_deadline: int
+    catch_up_bytes_per_s: int
+
+    def node(self, name: str) -> NodeSettings | None:
+        """The node of that name."""
+        return next((node for node in self.nodes if node.name == name), None)
+
+    def region_of(self, front: str) -> RegionSettings | None:
+        """The region that lists a front."""
+        return next((region for region in self.regions if front in region.fronts), None)
+
+
+def read(path: str) -> ControlSettings:
+    """Reads the file at `path`. Raises `InvalidSettingsError`, which names every fault."""
+    try:
+        message = parsed(path, ControlPlane(), LONGEST_FILE)
+    except ValueError as error:
+        raise InvalidSettingsError([" ".join(str(error).split())]) from error
+    faults = [*_figure_faults(message), *_region_faults(message), *_node_faults(message)]
+    if faults:
+        raise InvalidSettingsError([f"{path}: {fault}" for fault in faults])
+    return ControlSettings(
+        message.deployment,
+        tuple(
+            RegionSettings(region.name, _address(region.discovery), tuple(_front_names(region.front)))
+            for region in message.region
+        ),
+        tuple(
+            NodeSettings(
+                node.name, node.region, node.zone, _address(node.address), _address(node.quorum_address)
+            )
+            for node in message.node
+        ),
+        _figure(message, "purge_deadline_ms") * MILLISECOND,
+        _figure(message, "configuration_deadline_ms") * MILLISECOND,
+        _figure(message, "catch_up_bytes_per_s"),
+    )
+
+
+def _figure(message: ControlPlane, name: str) -> int:
+    return getattr(message, name) if message.HasField(name) else DEFAULTS[name]
+
+
+def _figure_faults(message: ControlPlane) -> Iterator[str]:
+    if not NAME.fullmatch(message.deployment):
+        yield f"deployment: {message.deployment!r} is not a name"
+    for name, (least, most) in BOUNDS.items():
+        if not least <= _figure(message, name) <= most:
+            yield f"{name}: {_figure(message, name)} is not within {least} and {most}"
+
+
+def _region_faults(message: ControlPlane) -> Iterator[str]:
+    if not message.region:
+        yield "region: there is none"
+    yield from _name_faults("region", [region.name for region in message.region])
+    fronts: list[str] = []
+    for region in message.region:
+        yield from _address_faults(f"region {region.name}: discovery", region.discovery)
+        try:
+            fronts += _front_names(region.front)
+        except ValueError as error:
+            yield f"region {region.name}: front: {error}"
+    if len(fronts) > MOST_FRONTS:
+        yield f"front: there are {len(fronts)}, and {MOST_FRONTS} at the most"
+    else:
+        yield from _name_faults("front", fronts)
+
+
+def _node_faults(message: ControlPlane) -> Iterator[str]:
+    if not 1 <= len(message.node) <= MOST_NODES:
+        yield f"node: there are {len(message.node)}, not 1 to {MOST_NODES}"
+    yield from _name_faults("node", [node.name for node in message.node])
+    regions = {region.name for region in message.region}
+    addresses: list[str] = []
+    for node in message.node:
+        if node.region not in regions:
+            yield f"node {node.name}: region {node.region!r} is not listed"
+        if not NAME.fullmatch(node.zone):
+            yield f"node {node.name}: zone {node.zone!r} is not a name"
+        for field in ("address", "quorum_address"):
+            text = getattr(node, field)
+            yield from _address_faults(f"node {node.name}: {field}", text)
+            if text in addresses:
+                yield f"node {node.name}: {field} {text} is listed twice"
+            addresses.append(text)
+
+
+def _name_faults(kind: str, names: list[str]) -> Iterator[str]:
+    seen: set[str] = set()
+    for name in names:
+        if not NAME.fullmatch(name):
+            yield f"{kind}: {name!r} is not a name"
+        elif name in seen:
+            yield f"{kind}: {name} is listed twice"
+        seen.add(name)
+
+
+def _address_faults(path: str, text: str) -> Iterator[str]:
+    try:
+        _address(text)
+    except ValueError:
+        yield f"{path}: {text!r} is not host:port with an IPv4 address"
+
+
+def _address(text: str) -> tuple[str, int]:
+    port = text.rpartition(":")[2]
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{text!r} has no port")
+    return coordlines.address(text)
+
+
+def _front_names(patterns: list[str]) -> list[str]:
+    names: list[str] = []
+    for pattern in patterns:
+        found = RANGE.fullmatch(pattern)
+        if not found:
+            names.append(pattern)
+            continue
+        prefix, first, last, suffix = found.groups()
+        if not int(first) <= int(last) < int(first) + MOST_FRONTS:
+            raise ValueError(f"{pattern!r} is not a range of at most {MOST_FRONTS}")
+        names += [f"{prefix}{number}{suffix}" for number in range(int(first), int(last) + 1)]
+    return names
