--- a/marbleglade/gateway/__init__.py
+++ b/marbleglade/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Carries retrievals between regions. Only `connection`, `asker`, `answerer` and `life` do I/O."""
+"""Carries retrievals between regions. Only `connection`, `requester`, `responder` and `life` do I/O."""
--- a/marbleglade/gateway/timebase.py
+++ b/marbleglade/gateway/clock_offset.py
@@ -5,7 +5,7 @@
 MILLION = 1_000_000
 
 
-class Offset:
+class ClockOffset:
     """What the other clock shows less what ours shows lies from `low` to `high`. All in nanoseconds.
 
     An exchange bounds it: ours sent at t1, there at t2, answered at t3, here at t4. What came cannot have
--- a/marbleglade/gateway/owed.py
+++ b/marbleglade/gateway/concurrency_limit.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 
-class Owed:
+class ConcurrencyLimit:
     """`most`: open carries at any time; `least`: after a return; `pause`: between two cuts of the bound."""
 
     def __init__(self, most: int, least: int, pause: int) -> None:
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -1,4 +1,4 @@
-"""One connection of a link: frames in, what waits in its outbox out, and an end when it falls silent."""
+"""One connection of a link: frames in, what waits in its send queue out, and an end when it falls silent."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 from ..life import clock
 from ..life.guard import Guard
 from ..wire.sockets import chunks, send_now
-from .frames import BadFrame, Frames, encode, encode_chunk
+from .frames import InvalidFrameError, Frames, encode, encode_chunk
 from .link_pb2 import Beat, Credit
-from .windows import CHUNK, Outbox, Overrun
+from .flow_control import CHUNK, SendQueue, FlowControlError
 
 UNSENT = 4 * CHUNK  # bytes that the machine may hold unsent, so that what is urgent is not behind them
 WINDOW = 64 * CHUNK  # bytes of bodies under way on one connection, at most
@@ -32,7 +32,7 @@
     ) -> None:
         self.sock, self.silent, self.guard, self.hear = sock, silent, guard, hear
         self.counters = guard.counters
-        self.frames, self.outbox = Frames(), Outbox(WINDOW, OPENING, silent // 4)
+        self.frames, self.send_queue = Frames(), SendQueue(WINDOW, OPENING, silent // 4)
         self.heard = self.moved = clock.now()  # `moved`: when something was written, or nothing waited
         self.closed, self.flushing, self.stuck = False, False, b""
         self.why = ""
@@ -44,8 +44,8 @@
 
     def agree(self, hello: Message) -> None:
         """Keeps to the windows that the other side told."""
-        self.outbox.opening = min(hello.opening, OPENING)
-        self.outbox.pace.window = min(hello.window, WINDOW)
+        self.send_queue.opening = min(hello.opening, OPENING)
+        self.send_queue.pace.window = min(hello.window, WINDOW)
 
     # What is said.
 
@@ -59,12 +59,12 @@
         if self.closed:
             return
         try:
-            self.outbox.say(encode(**kind))
-        except Overrun:
+            self.send_queue.say(encode(**kind))
+        except FlowControlError:
             self.close("overrun")
 
     def give(self, number: int, body: bytes, at: int = 0) -> None:
-        self.outbox.give(number, body, at)
+        self.send_queue.give(number, body, at)
         self._wake()
 
     def beat(self, deaf: bool = False) -> None:
@@ -119,7 +119,7 @@
     def _gather(self) -> bytes:
         """What goes out in one write."""
         parts, size = [], 0
-        while size < UNSENT and (one := self.outbox.next(clock.now())):
+        while size < UNSENT and (one := self.send_queue.next(clock.now())):
             if isinstance(one, tuple):
                 head, data = encode_chunk(*one)
                 parts += head, data
@@ -140,19 +140,19 @@
                 self.heard = clock.now()
                 for kind, message in self.frames.feed(data):
                     if kind == "credit":
-                        self.outbox.credit(message.number, message.bytes, self.heard)
+                        self.send_queue.credit(message.number, message.bytes, self.heard)
                         self._wake()
                         continue
                     if kind == "beat":
                         self.echo = message.sent_ns, clock.unix_ns()
                     hear = self.hear.get(kind)
                     if hear is None:
-                        raise BadFrame(f"a {kind} from the wrong side")
+                        raise InvalidFrameError(f"a {kind} from the wrong side")
                     hear(message)
                     if self.closed:
                         return
             self.close("closed")
-        except (BadFrame, Overrun) as trouble:
+        except (InvalidFrameError, FlowControlError) as trouble:
             self.close(f"bad: {trouble}")
         except OSError:
             self.close("reset")
@@ -181,7 +181,7 @@
 
         def last() -> None:
             with gevent.Timeout(self.silent / 1e9, False):
-                while not self.closed and (self.outbox.first or self.outbox.bodies or self.flushing):
+                while not self.closed and (self.send_queue.first or self.send_queue.bodies or self.flushing):
                     gevent.sleep(self.silent / 1e9 / 32)
             self.close("ended")
 
--- a/marbleglade/gateway/windows.py
+++ b/marbleglade/gateway/flow_control.py
@@ -12,11 +12,11 @@
 CHUNK = 16_384
 
 
-class Overrun(Exception):
+class FlowControlError(Exception):
     """The other side broke the bounds of the windows."""
 
 
-class Pace:
+class SendWindow:
     """How many bytes may be under way: as many as wait no longer than `goal` nanoseconds on their way.
 
     The shortest time that an acknowledgement took stands for the way itself; what is beyond that is wait.
@@ -45,7 +45,7 @@
     def ack(self, size: int, now: int) -> None:
         """Credit came back. Raises `Overrun` if it is more than was sent."""
         if size <= 0 or size > self.flying:
-            raise Overrun("credit for what was not sent")
+            raise FlowControlError("credit for what was not sent")
         self.flying -= size
         self.acked += size
         took = 0
@@ -69,11 +69,11 @@
     credit: int
 
 
-class Outbox:
+class SendQueue:
     """What waits to be written on one connection."""
 
     def __init__(self, window: int, opening: int, goal: int, most_waiting: int = 1 << 22) -> None:
-        self.pace, self.opening, self.most_waiting = Pace(window, goal), opening, most_waiting
+        self.pace, self.opening, self.most_waiting = SendWindow(window, goal), opening, most_waiting
         self.first: deque[bytes] = deque()
         self.waiting = 0  # bytes of `first`
         self.bodies: OrderedDict[int, Body] = OrderedDict()
@@ -81,7 +81,7 @@
     def say(self, frame: bytes) -> None:
         """A frame without a body. Raises `Overrun` where the other side does not take what it asked for."""
         if self.waiting + len(frame) > self.most_waiting:
-            raise Overrun("too much waits to be written")
+            raise FlowControlError("too much waits to be written")
         self.first.append(frame)
         self.waiting += len(frame)
 
@@ -123,7 +123,7 @@
         return chunk
 
 
-class Inflow:
+class BodyReceiver:
     """A body on its way in. `granted` counts what was allowed so far, the opening credit included."""
 
     def __init__(self, size: int, at: int, opening: int, data: bytes = b"") -> None:
@@ -134,7 +134,7 @@
         """Adds a chunk. Raises `Overrun` where it does not follow on, goes past the end or is not allowed."""
         end = at + len(data)
         if at != self.came or not data or end > self.size or end > self.granted:
-            raise Overrun("a chunk that does not belong")
+            raise FlowControlError("a chunk that does not belong")
         self.parts.append(data)
         self.came = end
 
--- a/marbleglade/gateway/frames.py
+++ b/marbleglade/gateway/frames.py
@@ -11,7 +11,7 @@
 from ..wire.resp import LONGEST_OBJECT
 from .link_pb2 import Chunk, Frame
 from .routes import NAME, UNKNOWN
-from .windows import CHUNK
+from .flow_control import CHUNK
 
 VERSION = 1
 LENGTH = struct.Struct("!I")
@@ -23,7 +23,7 @@
 LATEST = 1 << 46  # ms, far beyond any clock's Unix time
 
 
-class BadFrame(Exception):
+class InvalidFrameError(Exception):
     """What can't be read, or says what nobody says; the connection can't be followed any more."""
 
 
@@ -129,7 +129,7 @@
         while end - at >= LENGTH.size:
             (size,) = LENGTH.unpack_from(self.buffer, at)
             if not 0 < size <= LONGEST:
-                raise BadFrame("a frame too short or too long")
+                raise InvalidFrameError("a frame too short or too long")
             if end - at < LENGTH.size + size:
                 break
             at += LENGTH.size
@@ -142,18 +142,18 @@
         try:
             frame = Frame.FromString(data)
         except DecodeError as trouble:
-            raise BadFrame("not a frame") from trouble
+            raise InvalidFrameError("not a frame") from trouble
         kind = frame.WhichOneof("kind")
         if (
             kind is None
             or (not self.begun and kind not in ("hello", "refused"))
             or (self.begun and kind == "hello")
         ):
-            raise BadFrame(f"{kind} where it does not belong")
+            raise InvalidFrameError(f"{kind} where it does not belong")
         message = getattr(frame, kind)
         if kind == "hello" and message.version != VERSION:
-            raise BadFrame(f"version {message.version}")
+            raise InvalidFrameError(f"version {message.version}")
         if not CHECKS[kind](message):
-            raise BadFrame(f"a {kind} that can't be used")
+            raise InvalidFrameError(f"a {kind} that can't be used")
         self.begun = True
         return kind, message
--- a/marbleglade/gateway/life.py
+++ b/marbleglade/gateway/life.py
@@ -30,13 +30,13 @@
 from ..wire.coordinator import Follower
 from ..wire.coordlines import ListChange, Purge
 from ..wire.placedoor import PlaceDoor
-from .answerer import Answerer
-from .asker import Links
-from .book import Book
-from .crossing import Across, Crossing
-from .owed import Owed
-from .parts import Parts
-from .purgelog import Telling
+from .responder import Responder
+from .requester import Requester
+from .request_journal import RequestJournal
+from .region_router import Across, RegionRouter
+from .concurrency_limit import ConcurrencyLimit
+from .partial_bodies import PartialBodies
+from .purge_log import PurgeSender
 from .routes import UNKNOWN, Routes, rules
 
 MS = 1_000_000
@@ -74,27 +74,27 @@
         routes = Routes(
             self.region, [one.name for one in deployed.others], rules(told.routes), MOST_OBJECTS, 16 * longest
         )
-        self.crossing = Crossing(self.home, self.region, self.across, routes)
+        self.router = RegionRouter(self.home, self.region, self.across, routes)
         for one in self.links:
             one.purged, one.forget = self._purged, self._forget
-        self.telling = Telling(self.start_ms, round(4 * told.rules.clear_ms), MOST_MARKS)
+        self.purge_sender = PurgeSender(self.start_ms, round(4 * told.rules.clear_ms), MOST_MARKS)
         self.follower = Follower(address(deployed.region.coordinator), 0, self._told, self.guard, anew=True)
         peers = {gateway.name: region.name for region in deployed.others for gateway in region.gateways}
-        self.answerer = Answerer(
+        self.responder = Responder(
             self.region,
             self.name,
             self.start_ms,
             peers,
             self.silent,
-            self.crossing,
-            Book(link.book_carries, link.book_bytes if link.book else 0),
-            self.telling,
+            self.router,
+            RequestJournal(link.book_carries, link.book_bytes if link.book else 0),
+            self.purge_sender,
             self.deaf,
             max(8, limits.descriptors // 8),
             self.guard,
         )
         self.clients = Clients(
-            self.crossing,
+            self.router,
             limits.descriptors // 4,
             limits.memory // 12,
             0,
@@ -103,7 +103,7 @@
             self.guard,
         )
         self.door = PlaceDoor(
-            self.crossing,
+            self.router,
             UNKNOWN,
             limits.descriptors // 8,
             around.idle_close,
@@ -142,14 +142,14 @@
             lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since),
         )
 
-    def _links(self, region) -> Links:
+    def _links(self, region) -> Requester:
         link, limits = self.deployed.told.link, self.deployed.told.limits
         peers = [(one.name, address(one.reached_at or one.links)) for one in region.gateways]
         most = max(SLICE, link.book_carries // len(self.deployed.region.gateways))
-        owed = Owed(
+        owed = ConcurrencyLimit(
             most, most // SLICE, round(min(one.agreed_ms for one in self.deployed.told.profiles) * MS)
         )
-        return Links(
+        return Requester(
             self.region,
             self.name,
             self.start_ms,
@@ -159,12 +159,12 @@
             link.drift_ppm,
             link.book,
             self.room,
-            Parts(limits.memory // 12),
+            PartialBodies(limits.memory // 12),
             owed,
             self.guard,
         )
 
-    def _across(self, links: Links, region) -> Across:
+    def _across(self, links: Requester, region) -> Across:
         limits = self.deployed.told.limits
         around = across(self.deployed, self.start_ms, region)
         copies = limits.memory // 6 // len(self.deployed.others) if limits.pace else 0
@@ -183,12 +183,14 @@
             self.home.apply(event)
             return
         now_ms = clock.unix_ns() // MS
-        self.answerer.told(self.telling.add(event.thing, event.group, min(event.unix_ms, now_ms), now_ms))
+        self.responder.told(
+            self.purge_sender.add(event.thing, event.group, min(event.unix_ms, now_ms), now_ms)
+        )
         self._purged(event)
 
     def _purged(self, purge: Purge) -> None:
         """A purge, wherever it was told: copies of all regions may stand behind any door."""
-        for front in self.crossing.fronts.values():
+        for front in self.router.fronts.values():
             front.apply(purge)
 
     def _forget(self, before_ms: int) -> None:
@@ -204,7 +206,7 @@
         for text, serve in (
             (told.clients, self.clients.accept),
             (told.places, self.door.accept),
-            (told.links, self.answerer.accept),
+            (told.links, self.responder.accept),
         ):
             if text:
                 listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -215,8 +217,8 @@
                 work.append(lambda serve=serve, listener=listener: serve(listener))
         for links in self.links:
             work += [lambda links=links, one=one: links.run(one) for one in links.links]
-        work += [lambda front=front: front.probe() for front in self.crossing.fronts.values()]
-        work += [lambda front=front: self._tick(front) for front in self.crossing.fronts.values()]
+        work += [lambda front=front: front.probe() for front in self.router.fronts.values()]
+        work += [lambda front=front: self._tick(front) for front in self.router.fronts.values()]
         work.append(self._sweep)
         self.greenlets = [gevent.spawn(one) for one in work]
 
@@ -234,10 +236,10 @@
             for links in self.links:
                 self.guard.run("beat", links.beat)
                 self.guard.run("sweep", links.sweep)
-            self.guard.run("beat", self.answerer.beat)
+            self.guard.run("beat", self.responder.beat)
             if not count % 4:
                 for work in (
-                    self.answerer.sweep,
+                    self.responder.sweep,
                     self.home.caches.sweep,
                     self.clients.sweep,
                     self.door.sweep,
@@ -249,13 +251,13 @@
         """Takes no more, and says so to the other side."""
         if not self.stop.asked_at:
             self.stop.ask(clock.now())
-            self.log.say("stopping", open=len(self.crossing))
-            self.answerer.leave()
+            self.log.say("stopping", open=len(self.router))
+            self.responder.leave()
             for links in self.links:
                 links.leave()
 
     def last_call(self) -> None:
-        for front in self.crossing.fronts.values():
+        for front in self.router.fronts.values():
             self.guard.run("last_call", front.facade.last_call)
 
     def close(self) -> None:
@@ -263,7 +265,7 @@
         gevent.killall(self.greenlets)
         for listener in self.listeners:
             listener.close()
-        for connection in list(self.answerer.connections):
+        for connection in list(self.responder.connections):
             connection.close("ended")
         for links in self.links:
             for one in links.links:
@@ -275,14 +277,14 @@
         self.log.say(
             "counters",
             counts=self.counters.table(),
-            open=len(self.crossing),
+            open=len(self.router),
             links=[row for links in self.links for row in links.survey()],
-            book=self.answerer.survey(),
-            book_bytes=self.answerer.book.bytes,
-            directory=len(self.crossing.routes.answered),
+            book=self.responder.survey(),
+            book_bytes=self.responder.book.bytes,
+            directory=len(self.router.routes.answered),
             places=[
                 row | {"region": region}
-                for region, front in self.crossing.fronts.items()
+                for region, front in self.router.fronts.items()
                 for row in front.survey()
             ],
         )
@@ -302,10 +304,10 @@
         start_ms=gateway.start_ms,
         linked=[one.name for one in deployed.others],
     )
-    while not gateway.stop.over(clock.now(), len(gateway.crossing) or gateway.clients.owed):
+    while not gateway.stop.over(clock.now(), len(gateway.router) or gateway.clients.owed):
         if gateway.stop.given_up(clock.now()):
             gateway.last_call()
         gevent.sleep(gateway.beat_every / 4e9)
-    gateway.answerer.end()
+    gateway.responder.end()
     gevent.sleep(gateway.silent / 8e9)  # what was answered last is on its way
     gateway.tell()
--- a/marbleglade/gateway/returns.py
+++ b/marbleglade/gateway/link_recovery.py
@@ -6,17 +6,17 @@
 from enum import Enum
 
 from ..interface import Outcome, Profile, Repeat
-from .book import Fate
+from .request_journal import Fate
 
 
 @dataclass(frozen=True, slots=True)
-class Wait:
+class AwaitLink:
     """The carry stays open until then; once the link is back its fate is asked for."""
 
     until: int
 
 
-def after_cut(profile: Profile, sent: int, now: int, limit: int, account: bool) -> Outcome | Wait:
+def after_cut(profile: Profile, sent: int, now: int, limit: int, account: bool) -> Outcome | AwaitLink:
     """What becomes of a carry whose link was cut `now`. `limit`: when its launch ends; `account`: whether
     fates can be asked for.
 
@@ -27,8 +27,8 @@
     if not account:
         return Outcome.RESET
     if profile.repeat is not Repeat.PURE:
-        return Wait(limit)
-    return Wait(min(limit, sent + profile.agreed + int(profile.stretch * max(0, now - sent))))
+        return AwaitLink(limit)
+    return AwaitLink(min(limit, sent + profile.agreed + int(profile.stretch * max(0, now - sent))))
 
 
 def after_others(profile: Profile) -> Outcome | None:
@@ -47,7 +47,7 @@
     return {Fate.NEVER: Outcome.UNREACHED, Fate.LOST: Outcome.RESET}.get(fate)
 
 
-class Word(Enum):
+class FinalStatus(Enum):
     """What the far side says at the end of a carry."""
 
     SETTLED = 1
@@ -57,15 +57,15 @@
     LACKING = 5
 
 
-def after_word(word: Word, ran: bool, profile: Profile) -> Outcome:
+def after_word(word: FinalStatus, ran: bool, profile: Profile) -> Outcome:
     """The far side's last word as the outcome of a launch. Outcomes that prove that nothing ran are given
     only where it said so, or where a second run does no harm anyway."""
-    if word in (Word.SETTLED, Word.SAME):
+    if word in (FinalStatus.SETTLED, FinalStatus.SAME):
         return Outcome.OK
-    if word is Word.BROKEN_OFF:
+    if word is FinalStatus.BROKEN_OFF:
         return Outcome.ERROR
     proved = not ran or profile.repeat is Repeat.PURE
-    return (Outcome.MISS if word is Word.LACKING else Outcome.FULL) if proved else Outcome.ERROR
+    return (Outcome.MISS if word is FinalStatus.LACKING else Outcome.FULL) if proved else Outcome.ERROR
 
 
 def goes_on(had_tag: str, had_issued: int, had_bytes: int, tag: str, issued: int, size: int) -> int:
--- a/marbleglade/gateway/parts.py
+++ b/marbleglade/gateway/partial_bodies.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Part:
+class PartialBody:
     """The first bytes of one copy: its tag and the Unix millisecond, of its region, when it was given out."""
 
     tag: str
@@ -17,12 +17,12 @@
     until: int
 
 
-class Parts:
+class PartialBodies:
     def __init__(self, most_bytes: int) -> None:
         self.most_bytes, self.bytes = most_bytes, 0
-        self.kept: OrderedDict[Hashable, Part] = OrderedDict()
+        self.kept: OrderedDict[Hashable, PartialBody] = OrderedDict()
 
-    def put(self, key: Hashable, part: Part) -> None:
+    def put(self, key: Hashable, part: PartialBody) -> None:
         """Keeps what came, unless as much of the same copy is here; what is oldest goes for want of room."""
         known = self.kept.get(key)
         if (
@@ -41,7 +41,7 @@
         while self.bytes > self.most_bytes:
             self.drop(next(iter(self.kept)))
 
-    def get(self, key: Hashable) -> Part | None:
+    def get(self, key: Hashable) -> PartialBody | None:
         return self.kept.get(key)
 
     def drop(self, key: Hashable) -> None:
--- a/marbleglade/gateway/purgelog.py
+++ b/marbleglade/gateway/purge_log.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Marked:
+class PurgeMark:
     """A purge of an object or, where `thing` is 0, of a group, in Unix milliseconds of its region."""
 
     index: int
@@ -22,23 +22,23 @@
     at_ms: int
 
 
-class Telling:
+class PurgeSender:
     """What a gateway was told by its coordinator, kept for `lasting` milliseconds and `most` of them."""
 
     def __init__(self, since_ms: int, lasting: int, most: int) -> None:
         self.since_ms, self.lasting, self.most = since_ms, lasting, most
         self.index = 0
-        self.kept: deque[tuple[int, Marked]] = deque()  # when told, and what
+        self.kept: deque[tuple[int, PurgeMark]] = deque()  # when told, and what
 
-    def add(self, thing: int, group: int, at_ms: int, now_ms: int) -> Marked:
+    def add(self, thing: int, group: int, at_ms: int, now_ms: int) -> PurgeMark:
         self.index += 1
-        one = Marked(self.index, thing, group, at_ms)
+        one = PurgeMark(self.index, thing, group, at_ms)
         self.kept.append((now_ms, one))
         while self.kept and (len(self.kept) > self.most or now_ms - self.kept[0][0] > self.lasting):
             self.since_ms = max(self.since_ms, self.kept.popleft()[0])
         return one
 
-    def after(self, index: int) -> Iterator[Marked]:
+    def after(self, index: int) -> Iterator[PurgeMark]:
         """All that is kept behind that number; 0: all. `index` is of this start."""
         return (one for _, one in self.kept if one.index > index)
 
@@ -48,7 +48,7 @@
         return 0 if index > 0 and first <= index + 1 else self.since_ms
 
 
-class Hearing:
+class PurgeReceiver:
     """What is known of a region's purges, from all its gateways together. Silence unlearns nothing."""
 
     def __init__(self, most: int) -> None:
@@ -59,7 +59,7 @@
         self.whole_at = 0  # up to then, by the region's clock, no purge is missing
         self.heard_at = 0  # when that was found, on our clock; 0: never
 
-    def add(self, one: Marked) -> None:
+    def add(self, one: PurgeMark) -> None:
         marks, key = (self.things, one.thing) if one.thing else (self.groups, one.group)
         marks[key] = max(one.at_ms, marks.pop(key, 0))
         if len(marks) > self.most:  # the oldest is forgotten, so all as old counts as purged
--- a/marbleglade/gateway/crossing.py
+++ b/marbleglade/gateway/region_router.py
@@ -10,7 +10,7 @@
 from ..interface import Retrieval
 from ..life import clock
 from ..wire.resp import Ask
-from .asker import Links
+from .requester import Requester
 from .routes import UNKNOWN, Routes
 
 
@@ -21,7 +21,7 @@
     purge there may not have come through.
     """
 
-    def __init__(self, *parts: object, links: Links, heard: int) -> None:
+    def __init__(self, *parts: object, links: Requester, heard: int) -> None:
         super().__init__(*parts)
         self.links, self.heard = links, heard
         links.front = self
@@ -32,14 +32,14 @@
         return retrieval
 
     def hold(self, ask: Ask, retrieval: Retrieval) -> None:
-        if self.links.hearing.lately(clock.now(), self.heard):
+        if self.links.purge_receiver.lately(clock.now(), self.heard):
             super().hold(ask, retrieval)
             if ask.oldest and retrieval.held and clock.now() - retrieval.held.issued > ask.oldest:
                 retrieval.held = None  # older than who asks will take
 
 
 @dataclass(slots=True, eq=False)
-class Journey:
+class RoutedRequest:
     """A retrieval on its way through a gateway, whichever front has it at the moment."""
 
     until: int
@@ -52,7 +52,7 @@
     parted: bool = False
 
 
-class Crossing:
+class RegionRouter:
     """To the doors this is what a front is. `across` holds one front for each other region."""
 
     def __init__(self, home: Front, name: str, across: dict[str, Across], routes: Routes) -> None:
@@ -68,16 +68,16 @@
         """True while what is kept in memory is at its bound."""
         return any([one.refuse() for one in self.fronts.values()])
 
-    def take(self, ask: Ask) -> Journey:
+    def take(self, ask: Ask) -> RoutedRequest:
         """A retrieval as it came by a door, a carry as well."""
         now = clock.now()
         legs = self.routes.legs(int(ask.thing, 16), ask.group, ask.passed, now)
-        journey = Journey(now + ask.patience, legs)
+        journey = RoutedRequest(now + ask.patience, legs)
         if journey.legs:
             self._next(ask, journey)
         return journey
 
-    def _next(self, ask: Ask, journey: Journey) -> None:
+    def _next(self, ask: Ask, journey: RoutedRequest) -> None:
         """Hands it to the front of the next region."""
         journey.region = journey.legs.pop(0)
         journey.front = front = self.fronts[journey.region]
@@ -92,14 +92,14 @@
         since = max(1_000_000, clock.now() - at) if at else ask.oldest
         return min(since, ask.oldest or since)
 
-    def answer_now(self, ask: Ask, journey: Journey) -> Reply | None:
+    def answer_now(self, ask: Ask, journey: RoutedRequest) -> Reply | None:
         """Its reply if the first decision is the last word, else `serve` goes on."""
         if journey.front is None:
             self.counters.add("retrieval.in_a_circle")
             return Reply(End.PUSHED_BACK, lacking=True)
         return journey.front.answer_now(journey.ask, journey.retrieval)
 
-    def serve(self, ask: Ask, journey: Journey, answer: Callable[[Reply], None]) -> None:
+    def serve(self, ask: Ask, journey: RoutedRequest, answer: Callable[[Reply], None]) -> None:
         """Runs it to its end, through one region after the other where the first has no such object."""
         thing = int(ask.thing, 16)
 
@@ -126,13 +126,13 @@
                 if last is None:
                     return
 
-    def part(self, journey: Journey) -> None:
+    def part(self, journey: RoutedRequest) -> None:
         """The client sends no more, and has most likely left: it goes to no further region."""
         journey.parted = True
         if journey.front:
             journey.front.part(journey.retrieval)
 
-    def leave(self, journey: Journey) -> None:
+    def leave(self, journey: RoutedRequest) -> None:
         """The client waits no more."""
         journey.over = True
         if journey.front:
--- a/marbleglade/gateway/book.py
+++ b/marbleglade/gateway/request_journal.py
@@ -22,9 +22,9 @@
 
 
 @dataclass(slots=True, eq=False)
-class Entry:
+class JournalEntry:
     number: int
-    until: int  # when its asker waits no more
+    until: int  # when its requester waits no more
     work: Any = None  # what runs for it
     answer: Any = None
     size: int = 0  # bytes of the answer
@@ -33,7 +33,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Account:
+class PeerSession:
     """One start of one gateway. `last`: the highest number that was taken or is void."""
 
     gateway: str
@@ -41,17 +41,19 @@
     turn: int = 0  # its latest connection
     last: int = 0
     floor: int = 0  # what is no more here, up to this number, may have been dropped
-    entries: OrderedDict[int, Entry] = field(default_factory=OrderedDict)
+    entries: OrderedDict[int, JournalEntry] = field(default_factory=OrderedDict)
 
 
-class Book:
+class RequestJournal:
     def __init__(self, most: int, most_bytes: int, most_accounts: int = 256) -> None:
         self.most, self.most_bytes, self.most_accounts = most, most_bytes, most_accounts
-        self.accounts: OrderedDict[str, Account] = OrderedDict()
-        self.copies: dict[Hashable, Entry] = {}  # the latest answer that is kept of each object's part
+        self.accounts: OrderedDict[str, PeerSession] = OrderedDict()
+        self.copies: dict[Hashable, JournalEntry] = {}  # the latest answer that is kept of each object's part
         self.count = self.bytes = 0
 
-    def meet(self, gateway: str, start: int, turn: int, alive: bool) -> tuple[Account | None, list[Entry]]:
+    def meet(
+        self, gateway: str, start: int, turn: int, alive: bool
+    ) -> tuple[PeerSession | None, list[JournalEntry]]:
         """The account for a new connection of a gateway; None if it is older than one that is known.
 
         Another start ends the account of the one before: its entries, given back, are nobody's any more. An
@@ -60,18 +62,18 @@
         known = self.accounts.get(gateway)
         if known and ((start < known.start and alive) or (start == known.start and turn <= known.turn)):
             return None, []
-        ended: list[Entry] = []
+        ended: list[JournalEntry] = []
         if known is None or known.start != start:
             ended = self._close(gateway)
             while len(self.accounts) >= self.most_accounts:
                 ended += self._close(next(iter(self.accounts)))
-            known = Account(gateway, start)
+            known = PeerSession(gateway, start)
         known.turn = turn
         self.accounts[gateway] = known
         self.accounts.move_to_end(gateway)
         return known, ended
 
-    def _close(self, gateway: str) -> list[Entry]:
+    def _close(self, gateway: str) -> list[JournalEntry]:
         account = self.accounts.pop(gateway, None)
         return (
             [entry for number in list(account.entries) if (entry := self.drop(account, number))]
@@ -83,23 +85,25 @@
     def full(self) -> bool:
         return self.count >= self.most
 
-    def take(self, account: Account, number: int, until: int) -> Entry | None:
+    def take(self, account: PeerSession, number: int, until: int) -> JournalEntry | None:
         """Opens an entry; None if the number was there before or is void."""
         if number <= account.last:
             return None
         account.last = number
-        entry = account.entries[number] = Entry(number, until)
+        entry = account.entries[number] = JournalEntry(number, until)
         self.count += 1
         return entry
 
-    def skip(self, account: Account, number: int) -> bool:
+    def skip(self, account: PeerSession, number: int) -> bool:
         """A carry that is turned away at the door: its number is used up, and nothing ran."""
         if number <= account.last:
             return False
         account.last = number
         return True
 
-    def answered(self, account: Account, entry: Entry, answer: Any, size: int, copy: Hashable = None) -> None:
+    def answered(
+        self, account: PeerSession, entry: JournalEntry, answer: Any, size: int, copy: Hashable = None
+    ) -> None:
         """Keeps an answer until it is had. Over the bound the oldest answers go, and count as lost."""
         if account.entries.get(entry.number) is not entry:
             return
@@ -120,7 +124,7 @@
                     entry.answer, entry.size, entry.lost = None, 0, True
                     self._no_copy(entry)
 
-    def _no_copy(self, entry: Entry) -> None:
+    def _no_copy(self, entry: JournalEntry) -> None:
         if entry.copy is not None and self.copies.get(entry.copy) is entry:
             del self.copies[entry.copy]
 
@@ -129,7 +133,7 @@
         entry = self.copies.get(copy)
         return entry.answer if entry else None
 
-    def fate(self, account: Account, number: int) -> tuple[Fate, Entry | None]:
+    def fate(self, account: PeerSession, number: int) -> tuple[Fate, JournalEntry | None]:
         """What became of a carry; from here on a number that never came is void."""
         entry = account.entries.get(number)
         if entry is None:
@@ -141,8 +145,8 @@
             return Fate.LOST, entry
         return (Fate.RUNNING if entry.answer is None else Fate.ANSWERED), entry
 
-    def drop(self, account: Account, number: int) -> Entry | None:
-        """Its asker has it, or wants it no more."""
+    def drop(self, account: PeerSession, number: int) -> JournalEntry | None:
+        """Its requester has it, or wants it no more."""
         entry = account.entries.pop(number, None)
         if entry:
             self.count -= 1
@@ -150,7 +154,7 @@
             self._no_copy(entry)
         return entry
 
-    def expire(self, now: int) -> list[Entry]:
+    def expire(self, now: int) -> list[JournalEntry]:
         """Lets go of what nobody can wait for any more; gives it back."""
         gone = []
         for account in self.accounts.values():
--- a/marbleglade/gateway/asker.py
+++ b/marbleglade/gateway/requester.py
@@ -26,19 +26,19 @@
 from ..wire.caches import Ending, oldest
 from ..wire.coordlines import ListChange, Member, Purge
 from ..wire.resp import Ask
-from . import returns
-from .book import Fate
+from . import link_recovery
+from .request_journal import Fate
 from .connection import OPENING, WINDOW, Connection
-from .frames import VERSION, BadFrame
+from .frames import VERSION, InvalidFrameError
 from .link_pb2 import Carry as CarryFrame
 from .link_pb2 import Credit, Had, Hello, Leaving, Query, Undo
-from .owed import Owed
-from .parts import Part, Parts
-from .purgelog import Hearing, Marked
-from .returns import Wait, Word
+from .concurrency_limit import ConcurrencyLimit
+from .partial_bodies import PartialBody, PartialBodies
+from .purge_log import PurgeReceiver, PurgeMark
+from .link_recovery import AwaitLink, FinalStatus
 from .routes import AWAY
-from .timebase import Offset
-from .windows import Inflow
+from .clock_offset import ClockOffset
+from .flow_control import BodyReceiver
 
 MS = 1_000_000
 MOST_MARKS = 1 << 14
@@ -52,9 +52,9 @@
     ask: Ask
     go: Go
     limit: int  # when its launch ends
-    had: Part | None  # what an earlier cut left, as the far side was told
+    had: PartialBody | None  # what an earlier cut left, as the far side was told
     head: Message | None = None
-    inflow: Inflow | None = None
+    receiver: BodyReceiver | None = None
     held: int = 0  # room taken for its body
     wait_until: int = 0  # while its link is cut
 
@@ -84,11 +84,11 @@
     leaving_start: int = 0  # the start of which it said that it leaves
     open: dict[int, Carry] = field(default_factory=dict)
     adrift: dict[int, Carry] = field(default_factory=dict)  # their fate is not known
-    offset: Offset = field(default_factory=lambda: Offset(0))
+    offset: ClockOffset = field(default_factory=lambda: ClockOffset(0))
     tries: int = 0
 
 
-class Links:
+class Requester:
     """All links to one region. `front` is set once: the life of retrievals on this side, over these links."""
 
     def __init__(
@@ -102,16 +102,16 @@
         drift_ppm: float,
         account: bool,
         room: Room,
-        parts: Parts,
-        owed: Owed,
+        parts: PartialBodies,
+        owed: ConcurrencyLimit,
         guard: Guard,
     ) -> None:
         self.home, self.gateway, self.start_ms, self.region = home, gateway, start_ms, region
         self.silent, self.account, self.room, self.parts, self.owed = silent, account, room, parts, owed
         self.guard, self.counters, self.log = guard, guard.counters, guard.log
-        self.links = [Link(name, address, offset=Offset(drift_ppm)) for name, address in peers]
+        self.links = [Link(name, address, offset=ClockOffset(drift_ppm)) for name, address in peers]
         self.by_cache: dict[Cache, Link] = {}
-        self.hearing = Hearing(MOST_MARKS)
+        self.purge_receiver = PurgeReceiver(MOST_MARKS)
         self.aloft: Counter[Cache] = Counter()
         self.number = self.chances = 0
         self.front = None
@@ -213,8 +213,8 @@
         return carry
 
     def _oldest(self, link: Link, ask: Ask, go: Go) -> int:
-        """The oldest copy that will do: as decisions and asker say, and none that the region purged."""
-        asked, last = oldest(ask, go), self.hearing.last(int(ask.thing, 16), ask.group)
+        """The oldest copy that will do: as decisions and requester say, and none that the region purged."""
+        asked, last = oldest(ask, go), self.purge_receiver.last(int(ask.thing, 16), ask.group)
         if not last:
             return asked
         since = max(1, link.offset.theirs(clock.unix_ns(), clock.unix_ns())[0] // MS - last - 1)
@@ -228,7 +228,7 @@
         had = ending is not None and ending.answer is not None
         for link in self.links:
             if link.open.pop(carry.number, None) is not None and link.connection:
-                link.connection.outbox.drop(carry.number)
+                link.connection.send_queue.drop(carry.number)
                 say = link.connection.later if had else link.connection.say
                 say(undo=Undo(number=carry.number, had=had))
             link.adrift.pop(carry.number, None)
@@ -237,7 +237,7 @@
             self.room.give(carry.held)
         else:
             self.parts.drop(carry.key)
-        carry.held, carry.inflow = 0, None
+        carry.held, carry.receiver = 0, None
         outcome = ending.outcome if ending else Outcome.TIMEOUT
         if outcome is Outcome.OK:
             self.owed.settled()
@@ -245,10 +245,12 @@
             self.owed.ended(outcome in (Outcome.FULL, Outcome.TIMEOUT), clock.now())
 
     def _keep_part(self, carry: Carry) -> None:
-        if carry.inflow and carry.inflow.came and carry.head:
+        if carry.receiver and carry.receiver.came and carry.head:
             # Whoever asks for the object next goes on from there: most often the same client again.
             until = clock.now() + carry.retrieval.profile.client_timeout
-            self.parts.put(carry.key, Part(carry.head.tag, carry.head.issued_ms, carry.inflow.data(), until))
+            self.parts.put(
+                carry.key, PartialBody(carry.head.tag, carry.head.issued_ms, carry.receiver.data(), until)
+            )
 
     def _end(self, carry: Carry, ending: Ending) -> None:
         if carry.go.ended.ready():
@@ -313,13 +315,13 @@
             self.log.say("link.cut", link=link.name, why=connection.why, open=len(link.open))
         for carry in list(link.open.values()):
             launch = carry.go.launch
-            verdict = returns.after_cut(
+            verdict = link_recovery.after_cut(
                 launch.retrieval.profile, launch.sent, clock.now(), carry.limit, self.account
             )
             self.counters.add("carry.cut")
-            if carry.inflow:
-                self.counters.add("carry.cut_bytes", carry.inflow.came)
-            if isinstance(verdict, Wait):
+            if carry.receiver:
+                self.counters.add("carry.cut_bytes", carry.receiver.came)
+            if isinstance(verdict, AwaitLink):
                 carry.wait_until = verdict.until
                 link.adrift[carry.number] = carry
                 del link.open[carry.number]
@@ -347,21 +349,21 @@
 
     def _hear_hello(self, link: Link, message: Message) -> None:
         if message.region != self.region or message.gateway != link.name or message.to_region != self.home:
-            raise BadFrame("not whom the deployment names")
+            raise InvalidFrameError("not whom the deployment names")
         link.connection.agree(message)
         if message.start_ms != link.start_ms:
             # Another start knows nothing of what the one before took.
             for carry in list(link.adrift.values()):
                 del link.adrift[carry.number]
-                self._end(carry, Ending(returns.after_start(carry.retrieval.profile)))
+                self._end(carry, Ending(link_recovery.after_start(carry.retrieval.profile)))
             link.start_ms, link.index, link.cache = message.start_ms, 0, None
-            link.offset = Offset(link.offset.drift * 1e6)
+            link.offset = ClockOffset(link.offset.drift * 1e6)
 
     def _hear_purge(self, link: Link, message: Message) -> None:
         if message.index <= link.index:
-            raise BadFrame("a purge out of turn")
+            raise InvalidFrameError("a purge out of turn")
         link.index = message.index
-        self.hearing.add(Marked(message.index, message.thing, message.group, message.at_ms))
+        self.purge_receiver.add(PurgeMark(message.index, message.thing, message.group, message.at_ms))
         self.counters.add("purge.across")
         # By our clock it was at the latest moment that the bounds allow. What asks goes by the region's own.
         at_ms = message.at_ms
@@ -373,16 +375,16 @@
 
     def _hear_caught(self, link: Link, message: Message) -> None:
         if message.index < link.index:
-            raise BadFrame("less than what was told")
+            raise InvalidFrameError("less than what was told")
         link.index, link.caught = message.index, message
 
     def _hear_beat(self, link: Link, message: Message) -> None:
         if message.echo_ns and not link.offset.add(
             message.echo_ns, message.came_ns, message.sent_ns, clock.unix_ns()
         ):
-            raise BadFrame("an exchange that contradicts itself")
+            raise InvalidFrameError("an exchange that contradicts itself")
         if link.up and not message.deaf:
-            self.hearing.heard(message.sent_ns // MS, clock.now())
+            self.purge_receiver.heard(message.sent_ns // MS, clock.now())
             self._move_on()
         elif not link.up and not message.deaf:
             self._maybe_up(link, message.sent_ns // MS)
@@ -391,7 +393,7 @@
         """One link was heard: what waits for another to return may not have to."""
         for link in self.links:
             for carry in list(link.adrift.values()) if not link.up else ():
-                if outcome := returns.after_others(carry.retrieval.profile):
+                if outcome := link_recovery.after_others(carry.retrieval.profile):
                     del link.adrift[carry.number]
                     self._end(carry, Ending(outcome))
 
@@ -400,11 +402,11 @@
         if not link.caught or not link.offset.known or not link.start_ms:
             return
         region_up = any(one.up for one in self.links)
-        before = self.hearing.before
-        if not self.hearing.caught_up(link.caught.since_ms, said_ms, clock.now()):
+        before = self.purge_receiver.before
+        if not self.purge_receiver.caught_up(link.caught.since_ms, said_ms, clock.now()):
             self.counters.add("purge.may_be_missing")
-        if self.hearing.before > before:
-            self.forget(link.offset.ours(self.hearing.before * MS, clock.unix_ns())[1] // MS + 1)
+        if self.purge_receiver.before > before:
+            self.forget(link.offset.ours(self.purge_receiver.before * MS, clock.unix_ns())[1] // MS + 1)
         if not region_up:
             self.owed.returned(clock.now())
         link.up, link.tries = True, 0
@@ -420,9 +422,9 @@
         self._move_on()
         for carry in list(link.adrift.values()):
             query = Query(number=carry.number)
-            if carry.inflow and carry.inflow.came:
+            if carry.receiver and carry.receiver.came:
                 query.had.CopyFrom(
-                    Had(tag=carry.head.tag, issued_ms=carry.head.issued_ms, bytes=carry.inflow.came)
+                    Had(tag=carry.head.tag, issued_ms=carry.head.issued_ms, bytes=carry.receiver.came)
                 )
             elif carry.had:
                 query.had.CopyFrom(
@@ -460,7 +462,7 @@
             return
         fate = Fate(message.state)
         self.counters.add(f"carry.fate_{fate.name.lower()}")
-        outcome = returns.after_fate(fate)
+        outcome = link_recovery.after_fate(fate)
         if outcome is None:
             carry.wait_until = 0
             link.open[carry.number] = carry
@@ -472,16 +474,16 @@
         if carry is None:
             self._unwanted(link, message.number)
             return
-        word, profile = Word(message.word), carry.retrieval.profile
-        outcome = returns.after_word(word, message.ran, profile)
+        word, profile = FinalStatus(message.word), carry.retrieval.profile
+        outcome = link_recovery.after_word(word, message.ran, profile)
         self.counters.add(f"carry.{word.name.lower()}")
         if outcome is not Outcome.OK:
             if outcome not in NEVER_RAN and carry.had:
                 self.parts.drop(carry.key)
             self._end(carry, Ending(outcome))
-        elif word is Word.SAME:
+        elif word is FinalStatus.SAME:
             if not carry.ask.copy or message.tag != carry.ask.copy:
-                raise BadFrame("not the copy that its client holds")
+                raise InvalidFrameError("not the copy that its client holds")
             self._whole(link, carry, message, b"")
         else:
             self._body(link, carry, message)
@@ -489,25 +491,25 @@
     def _unwanted(self, link: Link, number: int) -> None:
         """Guards against answers to what was never asked; to what ended meanwhile they are usual."""
         if number > self.number:
-            raise BadFrame("an answer to a carry that never was")
+            raise InvalidFrameError("an answer to a carry that never was")
         self.counters.add("carry.late")
 
     def _body(self, link: Link, carry: Carry, head: Message) -> None:
         """A body begins, where what came before a cut ended or anew."""
         old, data = carry.head, b""
         had, copy = (
-            (carry.inflow.came, (old.tag, old.issued_ms))
-            if carry.inflow
+            (carry.receiver.came, (old.tag, old.issued_ms))
+            if carry.receiver
             else ((len(carry.had.data), (carry.had.tag, carry.had.issued_ms)) if carry.had else (0, None))
         )
         self.counters.add("carry.had_bytes", had)
         if head.at:
-            if carry.inflow and old and (old.tag, old.issued_ms) == (head.tag, head.issued_ms):
-                data = carry.inflow.data()
+            if carry.receiver and old and (old.tag, old.issued_ms) == (head.tag, head.issued_ms):
+                data = carry.receiver.data()
             elif carry.had and (carry.had.tag, carry.had.issued_ms) == (head.tag, head.issued_ms):
                 data = carry.had.data
             if len(data) < head.at:
-                raise BadFrame("a body that goes on from what never came")
+                raise InvalidFrameError("a body that goes on from what never came")
             self.counters.add("carry.resumed")
             self.counters.add("carry.resumed_bytes", head.at)
         else:
@@ -516,11 +518,11 @@
             self.counters.add("carry.again_bytes" if same else "carry.anew_bytes", had)
         self.room.give(carry.held)
         carry.head, carry.held = head, 0
-        carry.inflow = Inflow(head.size, head.at, OPENING, data)
-        if carry.inflow.whole:
+        carry.receiver = BodyReceiver(head.size, head.at, OPENING, data)
+        if carry.receiver.whole:
             self.room.overdraw(head.size)
             carry.held = head.size
-            self._whole(link, carry, head, carry.inflow.data())
+            self._whole(link, carry, head, carry.receiver.data())
         elif head.size - head.at <= OPENING:
             self.room.overdraw(head.size)
             carry.held = head.size
@@ -529,55 +531,55 @@
             carry.held = head.size
             self._grant(link, carry)
         else:
-            gevent.spawn(self.guard.run, "room", self._grant_later, link, carry, carry.inflow)
+            gevent.spawn(self.guard.run, "room", self._grant_later, link, carry, carry.receiver)
 
     def _grant(self, link: Link, carry: Carry) -> None:
-        if (more := carry.inflow.grant()) and link.connection:
+        if (more := carry.receiver.grant()) and link.connection:
             link.connection.say(credit=Credit(number=carry.number, bytes=more))
 
-    def _grant_later(self, link: Link, carry: Carry, inflow: Inflow) -> None:
+    def _grant_later(self, link: Link, carry: Carry, receiver: BodyReceiver) -> None:
         """Asks for the rest of a body once there is room for it."""
         self.counters.add("carry.waited_for_room")
         with gevent.Timeout(max(0, carry.limit - clock.now()) / 1e9, False):
-            self.room.take(inflow.size)
-            if carry.inflow is inflow and link.open.get(carry.number) is carry:
-                carry.held = inflow.size
+            self.room.take(receiver.size)
+            if carry.receiver is receiver and link.open.get(carry.number) is carry:
+                carry.held = receiver.size
                 self._grant(link, carry)
             else:
-                self.room.give(inflow.size)
+                self.room.give(receiver.size)
 
     def _hear_chunk(self, link: Link, message: Message) -> None:
         carry = link.open.get(message.number)
         more = (
             carry is not None
-            and carry.inflow is not None
-            and (message.at + len(message.data) < carry.inflow.size)
+            and carry.receiver is not None
+            and (message.at + len(message.data) < carry.receiver.size)
         )
         link.connection.credited(len(message.data), more)
         if carry is None:
             self._unwanted(link, message.number)
             return
-        if carry.inflow is None:
-            raise BadFrame("a chunk without its head")
-        carry.inflow.put(message.at, message.data)
+        if carry.receiver is None:
+            raise InvalidFrameError("a chunk without its head")
+        carry.receiver.put(message.at, message.data)
         self.counters.add("carry.bytes", len(message.data))
-        if carry.inflow.whole:
-            self._whole(link, carry, carry.head, carry.inflow.data())
+        if carry.receiver.whole:
+            self._whole(link, carry, carry.head, carry.receiver.data())
 
     def _whole(self, link: Link, carry: Carry, head: Message, body: bytes) -> None:
         """An answer is here. It is passed on only if it is one copy, and younger than every purge known."""
         if head.word == head.SETTLED and xxhash.xxh3_64_intdigest(body) != head.check:
             self.counters.add("carry.spoilt")
-            carry.inflow = None
-            raise BadFrame("a body that is not its copy")
+            carry.receiver = None
+            raise InvalidFrameError("a body that is not its copy")
         ask = carry.ask
         early, _ = link.offset.ours(head.issued_ms * MS, clock.unix_ns())
         at_home = self.front.purges.latest(carry.retrieval.object, ask.group)
-        if self.hearing.purged(carry.retrieval.object, ask.group, head.issued_ms) or (
+        if self.purge_receiver.purged(carry.retrieval.object, ask.group, head.issued_ms) or (
             at_home and clock.from_unix_ms(early // MS) <= at_home + MS
         ):
             self.counters.add("carry.purged")
-            carry.inflow = None
+            carry.receiver = None
             self._end(carry, Ending(Outcome.CALLED_OFF))
             return
         fields = {"entity": head.tag, "issued": str(max(0, early // MS))}
--- a/marbleglade/gateway/answerer.py
+++ b/marbleglade/gateway/responder.py
@@ -16,15 +16,15 @@
 from ..life.guard import Guard
 from ..wire.resp import Ask
 from ..wire.sockets import accepted
-from . import frames, returns
-from .book import Account, Book, Entry, Fate
+from . import frames, link_recovery
+from .request_journal import PeerSession, RequestJournal, JournalEntry, Fate
 from .connection import OPENING, WINDOW, Connection
-from .crossing import Crossing, Journey
-from .frames import VERSION, BadFrame
+from .region_router import RegionRouter, RoutedRequest
+from .frames import VERSION, InvalidFrameError
 from .link_pb2 import Carry, Caught, Credit, Head, Hello, Leaving, Purge, Refused
 from .link_pb2 import Fate as FateFrame
-from .purgelog import Marked, Telling
-from .windows import Inflow
+from .purge_log import PurgeMark, PurgeSender
+from .flow_control import BodyReceiver
 
 MS = 1_000_000
 WORDS = {End.PUSHED_BACK: Head.PUSHED_BACK, End.BROKEN_OFF: Head.BROKEN_OFF}
@@ -34,20 +34,20 @@
     """One connection from another region's gateway."""
 
     def __init__(self) -> None:
-        self.account: Account | None = None
+        self.account: PeerSession | None = None
         self.connection: Connection | None = None
         self.region = ""
-        self.bodies: dict[int, tuple[Message, Inflow]] = {}  # carries whose own body is still coming
+        self.bodies: dict[int, tuple[Message, BodyReceiver]] = {}  # carries whose own body is still coming
 
 
 class Work:
-    """What runs for an entry of the book, and what its asker has of the answer."""
+    """What runs for an entry of the book, and what its requester has of the answer."""
 
-    def __init__(self, journey: Journey | None, had: Message | None, copy: tuple[int, int]) -> None:
+    def __init__(self, journey: RoutedRequest | None, had: Message | None, copy: tuple[int, int]) -> None:
         self.journey, self.had, self.copy = journey, had, copy  # `copy`: the object's part
 
 
-class Answerer:
+class Responder:
     """`known`: the gateways that may come, with their regions. `deaf`: the coordinator is not heard."""
 
     def __init__(
@@ -57,15 +57,15 @@
         start_ms: int,
         known: dict[str, str],
         silent: int,
-        crossing: Crossing,
-        book: Book,
-        telling: Telling,
+        router: RegionRouter,
+        book: RequestJournal,
+        purge_sender: PurgeSender,
         deaf: Callable[[], bool],
         most: int,
         guard: Guard,
     ) -> None:
         self.home, self.gateway, self.start_ms, self.known = home, gateway, start_ms, known
-        self.silent, self.crossing, self.book, self.telling = silent, crossing, book, telling
+        self.silent, self.router, self.book, self.purge_sender = silent, router, book, purge_sender
         self.deaf, self.most, self.guard, self.counters = deaf, most, guard, guard.counters
         self.peers: dict[str, Peer] = {}  # by gateway: the latest connection
         self.connections: set[Connection] = set()
@@ -131,7 +131,7 @@
         for connection in list(self.connections):
             connection.finish()
 
-    def told(self, mark: Marked) -> None:
+    def told(self, mark: PurgeMark) -> None:
         """A purge that this side was told goes to every other region at once."""
         for peer in self.peers.values():
             peer.connection.say(purge=_purge(mark))
@@ -182,10 +182,12 @@
             )
         )
         held = message.known_index if message.known_start_ms == self.start_ms else 0
-        held = min(held, self.telling.index)
-        for mark in self.telling.after(held):
+        held = min(held, self.purge_sender.index)
+        for mark in self.purge_sender.after(held):
             peer.connection.say(purge=_purge(mark))
-        peer.connection.say(caught=Caught(index=self.telling.index, since_ms=self.telling.reaches(held)))
+        peer.connection.say(
+            caught=Caught(index=self.purge_sender.index, since_ms=self.purge_sender.reaches(held))
+        )
         peer.connection.beat(self.deaf())
         if self.leaving:
             peer.connection.say(leaving=Leaving())
@@ -203,31 +205,31 @@
     def _hear_carry(self, peer: Peer, message: Message) -> None:
         self.counters.add("carried.taken")
         if message.passed[-1] != peer.region:
-            raise BadFrame("a carry of another region")
+            raise InvalidFrameError("a carry of another region")
         if (
             self.leaving
             or self.book.full
-            or self.crossing.refuse()
-            or (message.profile not in self.crossing.profiles)
+            or self.router.refuse()
+            or (message.profile not in self.router.profiles)
         ):
             if not self.book.skip(peer.account, message.number):
-                raise BadFrame("a carry that was there before")
+                raise InvalidFrameError("a carry that was there before")
             self.counters.add("carried.turned_away")
-            known = message.profile in self.crossing.profiles
+            known = message.profile in self.router.profiles
             peer.connection.say(
                 head=Head(number=message.number, word=Head.PUSHED_BACK if known else Head.BROKEN_OFF)
             )
             return
         entry = self.book.take(peer.account, message.number, clock.now() + 2 * message.within_ms * MS)
         if entry is None:
-            raise BadFrame("a carry that was there before")
+            raise InvalidFrameError("a carry that was there before")
         entry.work = Work(
             None, message.had if message.HasField("had") else None, (message.thing, message.part)
         )
         if message.body:
-            inflow = Inflow(message.body, 0, OPENING)
-            peer.bodies[message.number] = message, inflow
-            if more := inflow.grant():
+            receiver = BodyReceiver(message.body, 0, OPENING)
+            peer.bodies[message.number] = message, receiver
+            if more := receiver.grant():
                 peer.connection.say(credit=Credit(number=message.number, bytes=more))
         else:
             self._begin(peer.account, entry, message, b"")
@@ -236,17 +238,17 @@
         peer.connection.credited(len(message.data), True)
         if message.number not in peer.bodies:
             if message.number > peer.account.last:
-                raise BadFrame("a chunk of no carry")
+                raise InvalidFrameError("a chunk of no carry")
             return  # it was given up or turned away
-        carry, inflow = peer.bodies[message.number]
-        inflow.put(message.at, message.data)
-        if inflow.whole:
+        carry, receiver = peer.bodies[message.number]
+        receiver.put(message.at, message.data)
+        if receiver.whole:
             del peer.bodies[message.number]
             if entry := peer.account.entries.get(message.number):
-                self._begin(peer.account, entry, carry, inflow.data())
+                self._begin(peer.account, entry, carry, receiver.data())
 
     def _hear_undo(self, peer: Peer, message: Message) -> None:
-        peer.connection.outbox.drop(message.number)
+        peer.connection.send_queue.drop(message.number)
         peer.bodies.pop(message.number, None)
         if entry := self.book.drop(peer.account, message.number):
             self.counters.add("carried.had" if message.had else "carried.undone")
@@ -264,8 +266,8 @@
 
     # What runs.
 
-    def _begin(self, account: Account, entry: Entry, message: Carry, body: bytes) -> None:
-        profile = self.crossing.profiles[message.profile]
+    def _begin(self, account: PeerSession, entry: JournalEntry, message: Carry, body: bytes) -> None:
+        profile = self.router.profiles[message.profile]
         ask = Ask(
             message.number,
             profile,
@@ -286,15 +288,15 @@
             self.counters.add("carried.from_book")
             self._answered(account, entry, reply)
             return
-        journey = self.crossing.take(ask)
+        journey = self.router.take(ask)
         entry.work.journey = journey
-        if reply := self.crossing.answer_now(ask, journey):
+        if reply := self.router.answer_now(ask, journey):
             self._answered(account, entry, reply)
         else:
             gevent.spawn_raw(
                 self.guard.run,
                 "carried",
-                self.crossing.serve,
+                self.router.serve,
                 ask,
                 journey,
                 partial(self._answered, account, entry),
@@ -305,9 +307,9 @@
         reply, had = self.book.kept((message.thing, message.part)), message.had
         if reply is None or (reply.tag, reply.issued) != (had.tag, had.issued_ms):
             return None
-        purges = self.crossing.home.purges
+        purges = self.router.home.purges
         at = purges.latest(message.thing, message.group)
-        good = returns.still_good(
+        good = link_recovery.still_good(
             reply.issued,
             clock.unix_ns() // MS,
             clock.to_unix_ms(at) if at else 0,
@@ -316,12 +318,12 @@
         )
         return reply if good else None
 
-    def _stop(self, entry: Entry) -> None:
-        """Its asker wants it no more."""
+    def _stop(self, entry: JournalEntry) -> None:
+        """Its requester wants it no more."""
         if isinstance(entry.work, Work) and entry.work.journey:
-            self.guard.run("leave", self.crossing.leave, entry.work.journey)
+            self.guard.run("leave", self.router.leave, entry.work.journey)
 
-    def _answered(self, account: Account, entry: Entry, reply: Reply) -> None:
+    def _answered(self, account: PeerSession, entry: JournalEntry, reply: Reply) -> None:
         if account.entries.get(entry.number) is not entry:
             return
         had, body = entry.work.had, reply.body
@@ -330,7 +332,7 @@
         if peer and peer.account is account and not peer.connection.closed:
             self._say(peer, entry, had, reply)
 
-    def _say(self, peer: Peer, entry: Entry, had: Message | None, reply: Reply | None = None) -> None:
+    def _say(self, peer: Peer, entry: JournalEntry, had: Message | None, reply: Reply | None = None) -> None:
         reply = reply or entry.answer
         self.counters.add(f"carried.{reply.end.name.lower()}")
         if reply.end is not End.SETTLED:
@@ -344,7 +346,9 @@
             )
         else:
             at = (
-                returns.goes_on(had.tag, had.issued_ms, had.bytes, reply.tag, reply.issued, len(reply.body))
+                link_recovery.goes_on(
+                    had.tag, had.issued_ms, had.bytes, reply.tag, reply.issued, len(reply.body)
+                )
                 if had
                 else 0
             )
@@ -374,5 +378,5 @@
         ]
 
 
-def _purge(mark: Marked) -> Purge:
+def _purge(mark: PurgeMark) -> Purge:
     return Purge(index=mark.index, thing=mark.thing, group=mark.group, at_ms=mark.at_ms)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -348,7 +348,7 @@
     until(
         lambda: (
             not any(
-                peer.account.entries for name in BOTH for peer in two.gateways[name].answerer.peers.values()
+                peer.account.entries for name in BOTH for peer in two.gateways[name].responder.peers.values()
             )
         )
     )
--- a/tests/test_gateway_doors.py
+++ b/tests/test_gateway_doors.py
@@ -14,7 +14,7 @@
 from marbleglade.deployment.reading import Unfit, faults, load, read
 from marbleglade.gateway import frames
 from marbleglade.gateway.link_pb2 import Beat, Carry, Caught, Chunk, Credit, Hello, Purge, Query, Undo
-from marbleglade.gateway.windows import CHUNK
+from marbleglade.gateway.flow_control import CHUNK
 from marbleglade.standins.clients import Client
 from marbleglade.standins.places import listening
 from marbleglade.standins.regions import StandInRegions
@@ -81,7 +81,7 @@
     """The west is gone, so that who comes under its names is taken."""
     for name in ("west-1", "west-2"):
         two.kill(name)
-    until(lambda: not two.gateways["east-1"].answerer.peers)
+    until(lambda: not two.gateways["east-1"].responder.peers)
     return two
 
 
--- a/tests/test_gateway_models.py
+++ b/tests/test_gateway_models.py
@@ -11,9 +11,9 @@
 
 from benchmarks.rig import Book as Purges
 from benchmarks.rig import Door, Stream, Tally
-from marbleglade.gateway import returns
-from marbleglade.gateway.book import Book, Fate
-from marbleglade.gateway.returns import Wait
+from marbleglade.gateway import link_recovery
+from marbleglade.gateway.request_journal import RequestJournal, Fate
+from marbleglade.gateway.link_recovery import AwaitLink
 from marbleglade.interface import NEVER_RAN, Outcome, Profile, Repeat
 from marbleglade.standins.places import listening
 from marbleglade.standins.world import body_of, group_of
@@ -26,7 +26,7 @@
 
     def __init__(self):
         super().__init__()
-        self.book, self.now, self.turn = Book(6, 100), 0, 1
+        self.book, self.now, self.turn = RequestJournal(6, 100), 0, 1
         self.account, _ = self.book.meet("g", 1, 1, False)
         self.state, self.void = {}, set()
 
@@ -97,7 +97,7 @@
 TestBook.settings = settings(max_examples=150, stateful_step_count=40, derandomize=True, deadline=None)
 
 
-class Careless(Book):
+class Careless(RequestJournal):
     """A seeded fault: a number that was said never to have come may come after all."""
 
     def fate(self, account, number):
@@ -107,7 +107,7 @@
         return told
 
 
-class Forgetful(Book):
+class Forgetful(RequestJournal):
     """A seeded fault: what is no more in the book is said never to have come."""
 
     def expire(self, now):
@@ -119,11 +119,11 @@
 
 
 class Simulation:
-    """One asker, one answerer, a link that is cut at any moment; effects are counted. Time is a number.
+    """One requester, one responder, a link that is cut at any moment; effects are counted. Time is a number.
 
-    The shells' steps are as in `asker` and `answerer`, with messages in two queues. A cut loses what is under
-    way, or the answerer reads it late, when the next connection is up already (`late`). Entries of the book
-    expire soon, some while they are still asked after.
+    The shells' steps are as in `requester` and `responder`, with messages in two queues. A cut loses what
+    is under way, or the responder reads it late, when the next connection is up already (`late`). Entries of
+    the journal expire soon, some while they are still asked after.
     """
 
     def __init__(self, seed, book):
@@ -153,8 +153,8 @@
         self.late = self.there
         self.back.clear()
         for number, (order, sent) in self.open.items():
-            verdict = returns.after_cut(self.profile, sent, self.now, sent + 2000 * MS, True)
-            assert isinstance(verdict, Wait)
+            verdict = link_recovery.after_cut(self.profile, sent, self.now, sent + 2000 * MS, True)
+            assert isinstance(verdict, AwaitLink)
             self.adrift[number] = order, sent, verdict.until
         self.open.clear()
 
@@ -214,7 +214,7 @@
                 self.there.append(("had", number))
             elif kind == "fate" and number in self.adrift:
                 order, sent, _ = self.adrift.pop(number)
-                outcome = returns.after_fate(fate)
+                outcome = link_recovery.after_fate(fate)
                 if outcome is None:
                     self.open[number] = order, sent
                 else:
@@ -242,7 +242,7 @@
 
 
 def test_no_effect_twice_in_a_thousand_runs():
-    wrong = simulate(Book, range(1000))
+    wrong = simulate(RequestJournal, range(1000))
     assert not wrong["twice"] and not wrong["false"] and wrong["settled"] > 10_000
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,16 +5,16 @@
 
 import pytest
 
-from marbleglade.gateway import frames, returns
-from marbleglade.gateway.book import Book, Fate
+from marbleglade.gateway import frames, link_recovery
+from marbleglade.gateway.request_journal import RequestJournal, Fate
 from marbleglade.gateway.link_pb2 import Carry, Chunk, Credit, Frame, Head, Hello
-from marbleglade.gateway.owed import Owed
-from marbleglade.gateway.parts import Part, Parts
-from marbleglade.gateway.purgelog import Hearing, Telling
-from marbleglade.gateway.returns import Wait, Word
+from marbleglade.gateway.concurrency_limit import ConcurrencyLimit
+from marbleglade.gateway.partial_bodies import PartialBody, PartialBodies
+from marbleglade.gateway.purge_log import PurgeReceiver, PurgeSender
+from marbleglade.gateway.link_recovery import AwaitLink, FinalStatus
 from marbleglade.gateway.routes import UNKNOWN, Routes, rule
-from marbleglade.gateway.timebase import Offset
-from marbleglade.gateway.windows import CHUNK, Inflow, Outbox, Overrun
+from marbleglade.gateway.clock_offset import ClockOffset
+from marbleglade.gateway.flow_control import CHUNK, BodyReceiver, SendQueue, FlowControlError
 from marbleglade.interface import Outcome, Profile, Repeat
 from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.purges import Purges
@@ -81,7 +81,7 @@
 @pytest.mark.parametrize("ppm", [-400, 0, 400])
 def test_the_offset_always_lies_within_its_bounds(offset_s, ppm):
     """Ways that are unlike and change; the other clock drifts for a minute."""
-    one, now = Offset(500), 10**18
+    one, now = ClockOffset(500), 10**18
 
     def theirs(at):
         return at + offset_s * 10**9 + (at - 10**18) * ppm // 10**6
@@ -99,7 +99,7 @@
 
 
 def test_a_clock_that_is_set_is_taken_as_it_is_now():
-    one = Offset(500)
+    one = ClockOffset(500)
     assert one.add(0, 100 * MS, 100 * MS, 10 * MS)
     assert one.add(20 * MS, 5120 * MS, 5120 * MS, 30 * MS)
     assert one.steps == 1 and one.bounds(30 * MS) == (5090 * MS, 5100 * MS)
@@ -107,37 +107,39 @@
 
 
 def test_purges_told_once_each_and_what_was_missed_counts_as_purged():
-    telling, hearing = Telling(1000, 500, 4), Hearing(3)
+    sender, receiver = PurgeSender(1000, 500, 4), PurgeReceiver(3)
     for number in range(3):
-        telling.add(number + 1, 0, 1100 + number, 1100 + number)
-    assert [one.index for one in telling.after(0)] == [1, 2, 3]
-    assert [one.index for one in telling.after(2)] == [3]
-    assert (telling.reaches(0), telling.reaches(2)) == (1000, 0)
-    for one in telling.after(0):
-        hearing.add(one)
-    assert hearing.caught_up(telling.reaches(0), 1200, 5)  # the first ever: nothing was held before
-    assert hearing.purged(1, 9, 1100) and not hearing.purged(1, 9, 1101)
-    assert not hearing.purged(4, 9, 1) and hearing.lately(10, 5) and not hearing.lately(11, 5)
-    telling.add(0, 7, 2000, 2000)  # the first three are too long ago by now
-    assert telling.reaches(3) == 0 and telling.reaches(2) == 1102
-    hearing.add(next(telling.after(3)))
-    assert hearing.purged(4, 7, 2000) and hearing.purged(4, UNKNOWN, 2000) and not hearing.purged(4, 8, 2000)
-    assert hearing.caught_up(1102, 2001, 20)
+        sender.add(number + 1, 0, 1100 + number, 1100 + number)
+    assert [one.index for one in sender.after(0)] == [1, 2, 3]
+    assert [one.index for one in sender.after(2)] == [3]
+    assert (sender.reaches(0), sender.reaches(2)) == (1000, 0)
+    for one in sender.after(0):
+        receiver.add(one)
+    assert receiver.caught_up(sender.reaches(0), 1200, 5)  # the first ever: nothing was held before
+    assert receiver.purged(1, 9, 1100) and not receiver.purged(1, 9, 1101)
+    assert not receiver.purged(4, 9, 1) and receiver.lately(10, 5) and not receiver.lately(11, 5)
+    sender.add(0, 7, 2000, 2000)  # the first three are too long ago by now
+    assert sender.reaches(3) == 0 and sender.reaches(2) == 1102
+    receiver.add(next(sender.after(3)))
+    assert (
+        receiver.purged(4, 7, 2000) and receiver.purged(4, UNKNOWN, 2000) and not receiver.purged(4, 8, 2000)
+    )
+    assert receiver.caught_up(1102, 2001, 20)
     # Away until 5000: what was told to a side that began at 4000 may be missing.
-    assert not hearing.caught_up(4000, 5000, 30)
-    assert hearing.purged(4, 8, 4000) and not hearing.purged(4, 8, 4001)
+    assert not receiver.caught_up(4000, 5000, 30)
+    assert receiver.purged(4, 8, 4000) and not receiver.purged(4, 8, 4001)
 
 
 def test_marks_that_are_forgotten_still_count():
-    hearing, telling = Hearing(2), Telling(0, 10**9, 100)
+    receiver, sender = PurgeReceiver(2), PurgeSender(0, 10**9, 100)
     for number in range(5):
-        hearing.add(telling.add(number + 1, 0, 100 + number, 100))
-    assert len(hearing.things) == 2
-    assert all(hearing.purged(number + 1, 0, 100 + number) for number in range(5))
+        receiver.add(sender.add(number + 1, 0, 100 + number, 100))
+    assert len(receiver.things) == 2
+    assert all(receiver.purged(number + 1, 0, 100 + number) for number in range(5))
 
 
 def test_what_the_book_says_of_each_carry():
-    book = Book(100, 50)
+    book = RequestJournal(100, 50)
     account, ended = book.meet("east-1", 1, 1, False)
     assert not ended
     entries = {n: book.take(account, n, 10 * n) for n in (1, 2, 3, 5)}
@@ -162,7 +164,7 @@
 
 
 def test_the_book_stays_as_large_as_what_is_open():
-    book = Book(10_000, 1 << 20)
+    book = RequestJournal(10_000, 1 << 20)
     account, _ = book.meet("east-1", 1, 1, False)
     for number in range(1, 20_000):
         entry = book.take(account, number, 10**9)
@@ -181,33 +183,33 @@
 @pytest.mark.parametrize(
     "profile, account, verdict, others",
     [
-        (PURE, True, Wait(410 * MS), Outcome.RESET),
+        (PURE, True, AwaitLink(410 * MS), Outcome.RESET),
         (PURE, False, Outcome.RESET, Outcome.RESET),
-        (ORDERS, True, Wait(1500 * MS), None),
+        (ORDERS, True, AwaitLink(1500 * MS), None),
         (ORDERS, False, Outcome.RESET, None),
-        (VOTES, True, Wait(1500 * MS), None),
+        (VOTES, True, AwaitLink(1500 * MS), None),
     ],
 )
 def test_after_a_cut(profile, account, verdict, others):
-    assert returns.after_cut(profile, 10 * MS, 60 * MS, 1500 * MS, account) == verdict
-    assert returns.after_others(profile) is others
+    assert link_recovery.after_cut(profile, 10 * MS, 60 * MS, 1500 * MS, account) == verdict
+    assert link_recovery.after_others(profile) is others
 
 
 @pytest.mark.parametrize(
     "word, ran, profile, outcome",
     [
-        (Word.SETTLED, True, ORDERS, Outcome.OK),
-        (Word.SAME, False, PURE, Outcome.OK),
-        (Word.PUSHED_BACK, False, ORDERS, Outcome.FULL),
-        (Word.PUSHED_BACK, True, ORDERS, Outcome.ERROR),
-        (Word.PUSHED_BACK, True, PURE, Outcome.FULL),
-        (Word.LACKING, False, VOTES, Outcome.MISS),
-        (Word.LACKING, True, VOTES, Outcome.ERROR),
-        (Word.BROKEN_OFF, False, PURE, Outcome.ERROR),
+        (FinalStatus.SETTLED, True, ORDERS, Outcome.OK),
+        (FinalStatus.SAME, False, PURE, Outcome.OK),
+        (FinalStatus.PUSHED_BACK, False, ORDERS, Outcome.FULL),
+        (FinalStatus.PUSHED_BACK, True, ORDERS, Outcome.ERROR),
+        (FinalStatus.PUSHED_BACK, True, PURE, Outcome.FULL),
+        (FinalStatus.LACKING, False, VOTES, Outcome.MISS),
+        (FinalStatus.LACKING, True, VOTES, Outcome.ERROR),
+        (FinalStatus.BROKEN_OFF, False, PURE, Outcome.ERROR),
     ],
 )
 def test_a_last_word_proves_no_more_than_it_says(word, ran, profile, outcome):
-    assert returns.after_word(word, ran, profile) is outcome
+    assert link_recovery.after_word(word, ran, profile) is outcome
 
 
 @pytest.mark.parametrize(
@@ -222,7 +224,7 @@
     ],
 )
 def test_a_body_goes_on_only_within_one_copy(had, copy, at):
-    assert returns.goes_on(*had, *copy) == at
+    assert link_recovery.goes_on(*had, *copy) == at
 
 
 @pytest.mark.parametrize(
@@ -240,11 +242,11 @@
     ],
 )
 def test_what_is_kept_is_given_only_while_it_is_good(issued, purged, oldest, profile, good):
-    assert returns.still_good(issued, 1000, purged, oldest, profile) is good
+    assert link_recovery.still_good(issued, 1000, purged, oldest, profile) is good
 
 
 def test_a_region_that_returns_is_owed_little_and_then_more():
-    owed = Owed(640, 10, 100)
+    owed = ConcurrencyLimit(640, 10, 100)
     owed.returned(0)
     peak = []
     for _ in range(8):
@@ -260,46 +262,46 @@
     assert owed.allowed == before * 0.7
 
 
-def drain(outbox, now=0):
-    return list(itertools.takewhile(lambda one: one is not None, (outbox.next(now) for _ in range(10_000))))
+def drain(queue, now=0):
+    return list(itertools.takewhile(lambda one: one is not None, (queue.next(now) for _ in range(10_000))))
 
 
 def test_bodies_take_turns_and_frames_go_first():
-    outbox = Outbox(1 << 20, 1 << 20, 10)
-    outbox.give(1, bytes(200_000))
-    outbox.give(2, bytes(3000))
-    outbox.say(b"purge")
-    said = drain(outbox)
+    queue = SendQueue(1 << 20, 1 << 20, 10)
+    queue.give(1, bytes(200_000))
+    queue.give(2, bytes(3000))
+    queue.say(b"purge")
+    said = drain(queue)
     assert said[0] == b"purge" and said[1][0] == 1 and said[2][:2] == (2, 0)
     assert sum(len(one[2]) for one in said[1:]) <= CHUNK
 
 
 def test_windows_bound_what_is_under_way_and_shrink_where_it_is_slow():
-    outbox = Outbox(16 * CHUNK, CHUNK, 10 * MS)
-    outbox.give(1, bytes(200_000))
-    assert sum(len(one[2]) for one in drain(outbox)) == CHUNK  # nothing beyond the opening credit
-    outbox.credit(1, 200_000, 0)
-    assert outbox.pace.flying <= outbox.pace.limit
+    queue = SendQueue(16 * CHUNK, CHUNK, 10 * MS)
+    queue.give(1, bytes(200_000))
+    assert sum(len(one[2]) for one in drain(queue)) == CHUNK  # nothing beyond the opening credit
+    queue.credit(1, 200_000, 0)
+    assert queue.pace.flying <= queue.pace.limit
     now = 100 * MS
-    outbox.credit(0, outbox.pace.flying, now)  # a long way
+    queue.credit(0, queue.pace.flying, now)  # a long way
     for _ in range(8):
-        outbox.give(1, bytes(1 << 20))
-        outbox.credit(1, 1 << 20, now)
-        drain(outbox, now)
+        queue.give(1, bytes(1 << 20))
+        queue.credit(1, 1 << 20, now)
+        drain(queue, now)
         now += 100 * MS
-        outbox.credit(0, outbox.pace.flying, now)
-    assert outbox.pace.limit == 16 * CHUNK  # is no wait
+        queue.credit(0, queue.pace.flying, now)
+    assert queue.pace.limit == 16 * CHUNK  # is no wait
     for _ in range(8):  # 100 bytes a millisecond: the more is under way, the longer the last of it takes
-        drain(outbox, now)
-        now += 100 * MS + outbox.pace.flying * MS // 100
-        outbox.credit(0, outbox.pace.flying, now)
-    assert outbox.pace.limit <= 2 * outbox.pace.least
-    drain(outbox, now)
-    with pytest.raises(Overrun):
-        outbox.credit(0, 1 << 20, now)
-    with pytest.raises(Overrun):
+        drain(queue, now)
+        now += 100 * MS + queue.pace.flying * MS // 100
+        queue.credit(0, queue.pace.flying, now)
+    assert queue.pace.limit <= 2 * queue.pace.least
+    drain(queue, now)
+    with pytest.raises(FlowControlError):
+        queue.credit(0, 1 << 20, now)
+    with pytest.raises(FlowControlError):
         for _ in range(1 << 10):
-            outbox.say(bytes(1 << 13))
+            queue.say(bytes(1 << 13))
 
 
 @pytest.mark.parametrize(
@@ -314,20 +316,20 @@
     ],
 )
 def test_chunks_that_do_not_belong(size, at, opening, chunks):
-    inflow = Inflow(size, at, opening, bytes(at))
-    with pytest.raises(Overrun):
+    inflow = BodyReceiver(size, at, opening, bytes(at))
+    with pytest.raises(FlowControlError):
         for place, length in chunks:
             inflow.put(place, bytes(length))
 
 
 def test_parts_are_bounded_and_expire():
-    parts = Parts(1000)
+    parts = PartialBodies(1000)
     for number in range(5):
-        parts.put(number, Part("t", 1, bytes(300), 100 + number))
+        parts.put(number, PartialBody("t", 1, bytes(300), 100 + number))
     assert list(parts.kept) == [2, 3, 4] and parts.bytes == 900
-    parts.put(4, Part("t", 1, bytes(200), 100))
+    parts.put(4, PartialBody("t", 1, bytes(200), 100))
     assert len(parts.get(4).data) == 300  # more of the same copy is here already
-    parts.put(4, Part("u", 1, bytes(200), 100))
+    parts.put(4, PartialBody("u", 1, bytes(200), 100))
     assert parts.get(4).tag == "u"
     parts.expire(103)
     assert list(parts.kept) == [3] and parts.bytes == 300
@@ -397,7 +399,7 @@
     ],
 )
 def test_frames_that_are_none(data):
-    with pytest.raises(frames.BadFrame):
+    with pytest.raises(frames.InvalidFrameError):
         frames.Frames().feed(data)
 
 
