Control node: event log, sessions, confirmation and a server that follows the discovery service

Need: one process for many fronts that numbers events of its region's discovery service, serves plain watchers and fronts from one shared log, and keeps which front has applied what.

The heartbeat of the discovery service is passed on as it comes, so that a node that does not hear it is silent.

--- /dev/null
+++ b/marbleglade/control/confirmation.py
@@ -0,0 +1,210 @@
+"""Which front has applied what of one node's stream, without I/O. Times are nanoseconds of one clock.
+
+A set of fronts is an integer with one bit for each listed front, in the order of the settings.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from ..wire.coordlines import Purge
+from .latency import LatencyHistogram
+
+RECENT_PURGES = 1024
+
+
+class UnknownFrontError(Exception):
+    """The settings do not list a front of this name."""
+
+
+class EarlierStartError(Exception):
+    """The front has started again since the start that is named."""
+
+
+@dataclass(slots=True)
+class FrontRecord:
+    """What a front has said, all of it in its present start.
+
+    Attributes:
+        start_ms: When it started, in Unix milliseconds; 0: it never came.
+        connection: The number of its present connection; 0: it has none.
+        connected_at: When that began.
+        left: It has ended as planned.
+        sent: The highest event that any connection of this start was sent.
+        applied: The highest event that it has applied.
+        version: The configuration version that is in force there; 0: none.
+        refused: The last configuration version that it could not use; 0: none.
+        reason: Why not.
+    """
+
+    name: str
+    bit: int
+    start_ms: int = 0
+    connection: int = 0
+    connected_at: int = 0
+    left: bool = False
+    sent: int = 0
+    applied: int = 0
+    version: int = 0
+    refused: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class PurgeRecord:
+    """A purge and the fronts that have not applied it.
+
+    Attributes:
+        index: Its number in the stream.
+        received_at: When the node received it.
+        received_ms: The same as a Unix millisecond.
+        live: It came as it was told, not in a replay of what the discovery service had told before.
+        lacking: Fronts that have not applied it in their present start.
+        once: Fronts that had applied it, in whichever start.
+        last_word: Nanoseconds from its receipt to the last front's first word.
+    """
+
+    index: int
+    purge: Purge
+    received_at: int
+    received_ms: int
+    live: bool
+    lacking: int
+    once: int = 0
+    last_word: int = 0
+
+
+@dataclass(slots=True)
+class ConfigurationRecord:
+    """The newest configuration version, its times as those of a purge. Version 0: there is none."""
+
+    version: int = 0
+    received_at: int = 0
+    received_ms: int = 0
+    once: int = 0
+    last_word: int = 0
+
+
+class Confirmation:
+    """Keeps what each listed front has applied and, for the latest purges, which fronts lack them.
+
+    Args:
+        fronts: Names of all fronts that the settings list.
+        recent: How many purges are kept.
+    """
+
+    def __init__(self, fronts: Sequence[str], recent: int = RECENT_PURGES) -> None:
+        self.fronts = {name: FrontRecord(name, 1 << number) for number, name in enumerate(fronts)}
+        self.purges: deque[PurgeRecord] = deque(maxlen=recent)
+        self.configuration = ConfigurationRecord()
+        self.latency = LatencyHistogram()  # from a purge received to applied, over all fronts
+        self._all = (1 << len(self.fronts)) - 1
+        self._left = 0
+
+    # What the node receives.
+
+    def add_purge(self, index: int, purge: Purge, now: int, received_ms: int, live: bool) -> None:
+        """Every listed front lacks a new purge."""
+        self.purges.append(PurgeRecord(index, purge, now, received_ms, live, self._all))
+
+    def add_configuration(self, version: int, now: int, received_ms: int) -> None:
+        """Every listed front lacks a new configuration version."""
+        self.configuration = ConfigurationRecord(version, now, received_ms)
+
+    # What fronts say.
+
+    def admit(self, name: str, start_ms: int) -> FrontRecord:
+        """The record of a front that connects.
+
+        Raises:
+            UnknownFrontError: It is not listed.
+            EarlierStartError: A later start of it was here already.
+        """
+        record = self.fronts.get(name)
+        if record is None:
+            raise UnknownFrontError(f"front {name} is not listed")
+        if start_ms < record.start_ms:
+            raise EarlierStartError(f"front {name} started at {record.start_ms}, later than {start_ms}")
+        return record
+
+    def connected(self, name: str, start_ms: int, connection: int, now: int) -> None:
+        """A connection of a front that was admitted begins; a new start counts from nothing."""
+        record = self.admit(name, start_ms)
+        if start_ms > record.start_ms:
+            self._began_anew(record, start_ms)
+        record.connection, record.connected_at = connection, now
+        self._set_left(record, False)
+
+    def _began_anew(self, record: FrontRecord, start_ms: int) -> None:
+        record.start_ms = start_ms
+        record.sent = record.applied = record.version = record.refused = 0
+        record.reason = ""
+        for purge in self.purges:
+            purge.lacking |= record.bit
+
+    def disconnected(self, name: str, connection: int, sent: int) -> None:
+        """A connection of a front ended; `sent` is the last event that it was sent."""
+        record = self.fronts[name]
+        if record.connection == connection:
+            record.connection = 0
+            record.sent = max(record.sent, sent)
+
+    def left(self, name: str, connection: int) -> None:
+        """The front ends as planned: it does not count until it is back."""
+        record = self.fronts[name]
+        if record.connection == connection:
+            self._set_left(record, True)
+
+    def _set_left(self, record: FrontRecord, left: bool) -> None:
+        record.left = left
+        self._left = self._left | record.bit if left else self._left & ~record.bit
+
+    def applied(self, name: str, connection: int, index: int, now: int) -> None:
+        """The front has applied all events up to a number."""
+        record = self.fronts[name]
+        if record.connection != connection or index <= record.applied:
+            return
+        for purge in self._purges_within(record.applied, index):
+            self._confirm(purge, record, now)
+        record.applied = index
+
+    def _purges_within(self, after: int, upto: int) -> Iterator[PurgeRecord]:
+        for purge in reversed(self.purges):
+            if purge.index <= after:
+                return
+            if purge.index <= upto:
+                yield purge
+
+    def _confirm(self, purge: PurgeRecord, record: FrontRecord, now: int) -> None:
+        purge.lacking &= ~record.bit
+        if purge.once & record.bit:
+            return
+        purge.once |= record.bit
+        purge.last_word = now - purge.received_at
+        if purge.live and record.connected_at <= purge.received_at:
+            self.latency.add(purge.last_word)
+
+    def configured(self, name: str, connection: int, version: int, now: int) -> None:
+        """A configuration version is in force at the front."""
+        record = self.fronts[name]
+        if record.connection != connection:
+            return
+        record.version = version
+        newest = self.configuration
+        if version == newest.version and not newest.once & record.bit:
+            newest.once |= record.bit
+            newest.last_word = now - newest.received_at
+
+    def refused(self, name: str, connection: int, version: int, reason: str) -> None:
+        """The front can't use a configuration version."""
+        record = self.fronts[name]
+        if record.connection == connection:
+            record.refused, record.reason = version, reason
+
+    # What is asked.
+
+    def lacking(self, purge: PurgeRecord) -> int:
+        """The fronts that count and have not applied a purge."""
+        return purge.lacking & ~self._left
--- /dev/null
+++ b/marbleglade/control/latency.py
@@ -0,0 +1,46 @@
+"""A histogram of times with a fixed number of buckets, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+SMALLEST = 1_000_000  # nanoseconds: the first bucket ends here
+STEPS = 4  # buckets for each doubling
+BUCKETS = 88  # the last one but one ends after about an hour
+
+
+class LatencyHistogram:
+    """Counts times in buckets whose bounds grow by 2 ** 0.25: a percentile is at most 19% too high."""
+
+    bounds = tuple(round(SMALLEST * 2 ** (number / STEPS)) for number in range(BUCKETS))
+
+    def __init__(self, counts: Sequence[int] = ()) -> None:
+        self.counts = [0] * (BUCKETS + 1)
+        for number, count in enumerate(counts):
+            self.counts[number] = count
+
+    def add(self, nanoseconds: int) -> None:
+        """Counts one time."""
+        low, high = 0, BUCKETS
+        while low < high:
+            middle = (low + high) // 2
+            if self.bounds[middle] < nanoseconds:
+                low = middle + 1
+            else:
+                high = middle
+        self.counts[low] += 1
+
+    @property
+    def total(self) -> int:
+        """How many times were counted."""
+        return sum(self.counts)
+
+    def percentile(self, share: float) -> int | None:
+        """A bound in nanoseconds that this share of all times does not pass; None if there are none."""
+        needed = share * self.total
+        passed = 0
+        for number, count in enumerate(self.counts):
+            passed += count
+            if count and passed >= needed:
+                return self.bounds[min(number, BUCKETS - 1)]
+        return None
--- a/marbleglade/control/messages.py
+++ b/marbleglade/control/messages.py
@@ -86,7 +86,10 @@
         node: The node's name.
         stream: The stream that the node's numbers belong to.
         snapshot_to: Events up to this number come as a snapshot: numbers are left out, and only once this one
-            was reached are all events up to it applied. 0: no snapshot, events follow without a gap.
+            was reached are all events up to it applied. 0: no snapshot, events follow without a gap. The
+            numbers of a snapshot rise from any number on, also from one below those that the front holds, and
+            its last line has this number. Events after it that happen meanwhile may be told ahead, as further
+            lines of the snapshot; they come again, under their own numbers, behind it.
     """
 
     deployment: str
--- /dev/null
+++ b/marbleglade/control/node.py
@@ -0,0 +1,173 @@
+"""One control node from its start to its end. This file only puts the parts together."""
+
+from __future__ import annotations
+
+import gc
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+import orjson
+from gevent.event import Event
+
+from ..life import clock
+from ..life.counters import Counters
+from ..life.guard import Guard
+from ..life.log import Log
+from ..wire.coordlines import ListChange, Purge
+from .confirmation import Confirmation
+from .discovery import DiscoveryFollower
+from .event_log import EventLog
+from .server import Server
+from .settings import ControlSettings
+from .status import NodeStatus, encode_status
+from .status_report import StatusReport
+
+MILLISECOND = 1_000_000  # nanoseconds
+CURRENT_WITHIN = 2_500 * MILLISECOND  # the discovery service promises a heartbeat each second
+
+
+class ConfigurationSource(Protocol):
+    """Where a node learns which configuration version is in force.
+
+    Attributes:
+        on_change: Set by the node; called with a version and its document whenever a newer one is in force.
+    """
+
+    on_change: Callable[[int, str], None]
+
+    def run(self) -> None:
+        """Runs in a greenlet of its own until it is killed."""
+
+    def current(self) -> tuple[int, str] | None:
+        """The version that is in force and its document; None: there is none yet."""
+
+
+class NodeLog(Log):
+    """The log of a control node: as that of a front, with the node's name as `node`."""
+
+    def say(self, event: str, **fields: object) -> None:
+        """Writes one line."""
+        head = {"at": time.time_ns() // MILLISECOND, "node": self.name, "event": event}
+        self.write(orjson.dumps(head | fields, default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+
+class ControlNode:
+    """All parts of one control node, with no listener open yet.
+
+    Args:
+        settings: The control plane.
+        name: Which of its nodes this is.
+        configuration: Where configuration versions come from; None: there are none.
+        sink: File descriptor of the log; None: standard error.
+
+    Raises:
+        ValueError: The settings list no node of this name.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        name: str,
+        configuration: ConfigurationSource | None = None,
+        sink: int | None = None,
+    ) -> None:
+        node = settings.node(name)
+        if node is None:
+            raise ValueError(f"no node is named {name}")
+        self.settings, self.node, self.configuration = settings, node, configuration
+        self.counters = Counters()
+        self.guard = Guard(self.counters, NodeLog(name, self.counters, sink=sink))
+        self.log = EventLog(secrets.token_hex(8))
+        self.confirmation = Confirmation([front for region in settings.regions for front in region.fronts])
+        self.heard_at = 0  # when the discovery service's last heartbeat came; 0: never
+        self.report = StatusReport(
+            settings.deployment,
+            name,
+            clock.unix_ns() // MILLISECOND,
+            self.log,
+            self.confirmation,
+            self.counters,
+        )
+        region = next(region for region in settings.regions if region.name == node.region)
+        self.follower = DiscoveryFollower(
+            region.discovery, self._purged, self._listed, self._heartbeat, self.guard
+        )
+        self.server = Server(
+            settings.deployment,
+            name,
+            self.log,
+            self.confirmation,
+            settings.catch_up_bytes_per_s,
+            lambda: bool(self.heard_at),
+            lambda: encode_status(self.status()),
+            self.guard,
+        )
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Opens the listener and starts all that runs. Raises OSError."""
+        self.server.listen(self.node.address)
+        self.greenlets = [gevent.spawn(self.follower.run)]
+        if self.configuration:
+            self.configuration.on_change = self._configured
+            if current := self.configuration.current():
+                self._configured(*current)
+            self.greenlets.append(gevent.spawn(self.configuration.run))
+
+    def close(self) -> None:
+        """Ends all that runs."""
+        gevent.killall(self.greenlets)
+        self.server.close()
+
+    # What comes in.
+
+    def _purged(self, purge: Purge, live: bool) -> None:
+        if entry := self.log.append_purge(purge):
+            received_ms = clock.unix_ns() // MILLISECOND
+            self.confirmation.add_purge(entry.index, purge, clock.now(), received_ms, live)
+            self.server.appended()
+
+    def _listed(self, change: ListChange) -> None:
+        self.log.append_list(change)
+        self.server.appended()
+
+    def _configured(self, version: int, text: str) -> None:
+        if self.log.append_configuration(version, text):
+            self.confirmation.add_configuration(version, clock.now(), clock.unix_ns() // MILLISECOND)
+            self.server.appended()
+
+    def _heartbeat(self) -> None:
+        """Passed on as it comes: a node that does not hear its discovery service is silent as well."""
+        first, self.heard_at = not self.heard_at, clock.now()
+        if first:
+            self.guard.log.say("ready", stream=self.log.stream, last=self.log.last)
+        self.server.heartbeat()
+
+    # What is asked.
+
+    def status(self) -> NodeStatus:
+        """What the node knows now."""
+        age = clock.now() - self.heard_at if self.heard_at else None
+        return self.report.now(age, age is not None and age <= CURRENT_WITHIN)
+
+
+def run(
+    settings: ControlSettings,
+    name: str,
+    configuration: ConfigurationSource | None = None,
+) -> None:
+    """One control node in a process of its own, until SIGTERM or SIGINT. Raises OSError, ValueError."""
+    node = ControlNode(settings, name, configuration)
+    stop = Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    node.start()
+    gc.freeze()
+    node.guard.log.say("listening", address=":".join(map(str, node.node.address)))
+    stop.wait()
+    node.close()
+    node.guard.log.say("stopped", counts=node.counters.table())
