marbleglade control check, run and status; statuses of several nodes merged

Need: an operator asks for each purge and the configuration whether they are done everywhere, how long it took and who lacks them. Each node gives its status as one JSON line with sets of fronts as bits; the command asks all nodes and merges by the identity of a purge.

--- a/marbleglade/command/control.py
+++ b/marbleglade/command/control.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import sys
+import time
+from typing import TYPE_CHECKING
+
 import click
 
 from .line import give_up
 
+if TYPE_CHECKING:
+    from ..control.settings import ControlSettings
+
 FILE = click.Path(dir_okay=False)
+ANSWER_TIMEOUT = 2.0  # seconds
 
 
-def read_settings(file: str):
+def read_settings(file: str) -> ControlSettings:
     """The control plane that FILE describes; a file that can't be used ends the command with exit code 2."""
     from ..control.settings import InvalidSettingsError, read
 
@@ -24,16 +32,75 @@
     """Control nodes: distribution of purges and configuration to fronts, with confirmation."""
 
 
+@control.command()
+@click.argument("file", type=FILE)
+def check(file: str) -> None:
+    """Name all faults of FILE, a control plane; print what is in force where there is none."""
+    settings = read_settings(file)
+    for region in settings.regions:
+        click.echo(
+            f"region {region.name}: discovery {_address(region.discovery)}, {len(region.fronts)} fronts"
+        )
+    for node in settings.nodes:
+        click.echo(
+            f"node {node.name}: region {node.region}, zone {node.zone}, "
+            f"{_address(node.address)}, quorum {_address(node.quorum_address)}"
+        )
+    click.echo(
+        f"deployment {settings.deployment}: a purge within {settings.purge_deadline / 1e9:g} s, "
+        f"a configuration within {settings.configuration_deadline / 1e9:g} s, "
+        f"{settings.catch_up_bytes_per_s} bytes a second to a front that catches up"
+    )
+
+
+def _address(address: tuple[str, int]) -> str:
+    host, port = address
+    return f"{host}:{port}"
+
+
 @control.command()
 @click.argument("file", type=FILE)
 @click.option("--name", required=True, help="Which node of FILE this is.")
 @click.option("--store", type=click.Path(file_okay=False), help="Directory of the node's durable state.")
 def run(file: str, name: str, store: str | None) -> None:
-    """Run one control node of FILE until SIGTERM."""
+    """Run one control node of FILE until SIGTERM.
+
+    It follows the discovery service of its region and serves fronts. What it distributes it learns anew at
+    each start; --store is for configuration versions.
+    """
     settings = read_settings(file)
     from ..control import node
 
     try:
-        node.run(settings, name)
+        node.run(settings, name, store)
     except (OSError, ValueError) as error:
         give_up([f"node {name}: {error}"])
+
+
+@control.command()
+@click.argument("file", type=FILE)
+@click.option("--json", "json_wanted", is_flag=True, help="One JSON object.")
+@click.option(
+    "--timeout",
+    type=click.FloatRange(0.05, 60.0),
+    default=ANSWER_TIMEOUT,
+    show_default=True,
+    help="Seconds that a node may take to answer.",
+)
+def status(file: str, json_wanted: bool, timeout: float) -> None:
+    """Ask all nodes of FILE which purges and which configuration are done everywhere, and who lacks them.
+
+    The exit code is 1 if a node does not answer, or if something is lacking beyond its deadline.
+    """
+    settings = read_settings(file)
+    from ..control.status_merge import merge
+    from ..control.status_query import ask_all
+    from .control_status import as_json, as_text, healthy
+
+    merged = merge(settings, ask_all(settings, timeout))
+    if json_wanted:
+        click.echo(as_json(merged))
+    else:
+        for text in as_text(merged):
+            click.echo(text)
+    sys.exit(0 if healthy(merged, settings, time.time_ns() // 1_000_000) else 1)
--- a/marbleglade/control/confirmation.py
+++ b/marbleglade/control/confirmation.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..wire.coordlines import Purge
 from .latency import LatencyHistogram
@@ -52,6 +52,38 @@
     reason: str = ""
 
 
+@dataclass(slots=True)
+class FirstWords:
+    """When fronts first said that they have something, in nanoseconds from its receipt.
+
+    A front that moves here from another node says again what it has told there before. So those fronts are
+    kept apart that were connected here all the time since the receipt.
+
+    Attributes:
+        prompt: Fronts that were connected since the receipt.
+        prompt_time: The latest first word of these.
+        all: All fronts that have said it.
+        time: The latest first word of all.
+    """
+
+    prompt: int = 0
+    prompt_time: int = 0
+    all: int = 0
+    time: int = 0
+
+    def note(self, front: FrontRecord, received_at: int, now: int) -> bool:
+        """Takes in a front's word; True for the first one of a front that was connected since the receipt."""
+        if self.all & front.bit:
+            return False
+        self.all |= front.bit
+        self.time = now - received_at
+        if front.connected_at > received_at:
+            return False
+        self.prompt |= front.bit
+        self.prompt_time = self.time
+        return True
+
+
 @dataclass(slots=True)
 class PurgeRecord:
     """A purge and the fronts that have not applied it.
@@ -62,8 +94,7 @@
         received_ms: The same as a Unix millisecond.
         live: It came as it was told, not in a replay of what the discovery service had told before.
         lacking: Fronts that have not applied it in their present start.
-        once: Fronts that had applied it, in whichever start.
-        last_word: Nanoseconds from its receipt to the last front's first word.
+        words: When fronts had applied it, in whichever start.
     """
 
     index: int
@@ -72,8 +103,7 @@
     received_ms: int
     live: bool
     lacking: int
-    once: int = 0
-    last_word: int = 0
+    words: FirstWords = field(default_factory=FirstWords)
 
 
 @dataclass(slots=True)
@@ -83,8 +113,7 @@
     version: int = 0
     received_at: int = 0
     received_ms: int = 0
-    once: int = 0
-    last_word: int = 0
+    words: FirstWords = field(default_factory=FirstWords)
 
 
 class Confirmation:
@@ -179,12 +208,8 @@
 
     def _confirm(self, purge: PurgeRecord, record: FrontRecord, now: int) -> None:
         purge.lacking &= ~record.bit
-        if purge.once & record.bit:
-            return
-        purge.once |= record.bit
-        purge.last_word = now - purge.received_at
-        if purge.live and record.connected_at <= purge.received_at:
-            self.latency.add(purge.last_word)
+        if purge.words.note(record, purge.received_at, now) and purge.live:
+            self.latency.add(now - purge.received_at)
 
     def configured(self, name: str, connection: int, version: int, now: int) -> None:
         """A configuration version is in force at the front."""
@@ -193,9 +218,8 @@
             return
         record.version = version
         newest = self.configuration
-        if version == newest.version and not newest.once & record.bit:
-            newest.once |= record.bit
-            newest.last_word = now - newest.received_at
+        if version == newest.version:
+            newest.words.note(record, newest.received_at, now)
 
     def refused(self, name: str, connection: int, version: int, reason: str) -> None:
         """The front can't use a configuration version."""
--- a/marbleglade/control/latency.py
+++ b/marbleglade/control/latency.py
@@ -14,10 +14,8 @@
 
     bounds = tuple(round(SMALLEST * 2 ** (number / STEPS)) for number in range(BUCKETS))
 
-    def __init__(self, counts: Sequence[int] = ()) -> None:
+    def __init__(self) -> None:
         self.counts = [0] * (BUCKETS + 1)
-        for number, count in enumerate(counts):
-            self.counts[number] = count
 
     def add(self, nanoseconds: int) -> None:
         """Counts one time."""
@@ -30,6 +28,11 @@
                 high = middle
         self.counts[low] += 1
 
+    def include(self, counts: Sequence[int]) -> None:
+        """Adds the counts of another histogram of this kind."""
+        for number, count in enumerate(counts[: BUCKETS + 1]):
+            self.counts[number] += count
+
     @property
     def total(self) -> int:
         """How many times were counted."""
--- a/marbleglade/control/node.py
+++ b/marbleglade/control/node.py
@@ -158,9 +158,21 @@
 def run(
     settings: ControlSettings,
     name: str,
+    store: str | None = None,
     configuration: ConfigurationSource | None = None,
 ) -> None:
-    """One control node in a process of its own, until SIGTERM or SIGINT. Raises OSError, ValueError."""
+    """One control node in a process of its own, until SIGTERM or SIGINT.
+
+    Args:
+        settings: The control plane.
+        name: Which of its nodes this is.
+        store: Directory of durable state, for a configuration source; nothing else is kept there.
+        configuration: Where configuration versions come from; None: there are none.
+
+    Raises:
+        OSError: An address can't be listened on.
+        ValueError: The settings list no node of this name.
+    """
     node = ControlNode(settings, name, configuration)
     stop = Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
--- a/marbleglade/control/status.py
+++ b/marbleglade/control/status.py
@@ -11,7 +11,6 @@
 import orjson
 
 from ..wire.coordlines import NEVER
-from .latency import LatencyHistogram
 
 LONGEST_STATUS = 1 << 24  # bytes of one status line
 
@@ -44,9 +43,24 @@
     node: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class FirstWordsStatus:
+    """When fronts first said that they have something, in milliseconds from its receipt by the node.
+
+    Attributes:
+        prompt: Fronts that were connected to the node since the receipt.
+        prompt_ms: The latest first word of these.
+        all_ms: The latest first word of any front.
+    """
+
+    prompt: int = 0
+    prompt_ms: int = 0
+    all_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class PurgeStatus:
-    """What a node knows of one purge. `last_word_ms` is counted from `received_ms`, a Unix millisecond."""
+    """What a node knows of one purge; `lacking` does not leave out fronts that ended as planned."""
 
     index: int
     thing: int
@@ -55,7 +69,7 @@
     received_ms: int
     live: bool
     lacking: int
-    last_word_ms: int
+    words: FirstWordsStatus
 
     def identity(self, node: str) -> PurgeIdentity:
         """What it is known by at other nodes; without a moment it is never taken for that of another."""
@@ -70,7 +84,7 @@
 
     version: int
     received_ms: int
-    last_word_ms: int
+    words: FirstWordsStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +127,11 @@
         "discovery_age_ms": status.discovery_age_ms,
         "fronts": [_front_row(front) for front in status.fronts],
         "purges": [_purge_row(purge) for purge in status.purges],
-        "configuration": status.configuration,
+        "configuration": [
+            status.configuration.version,
+            status.configuration.received_ms,
+            *_words_row(status.configuration.words),
+        ],
         "latency": status.latency,
         "counters": status.counters,
     }
@@ -142,15 +160,18 @@
         purge.received_ms,
         int(purge.live),
         f"{purge.lacking:x}",
-        purge.last_word_ms,
+        *_words_row(purge.words),
     ]
 
 
+def _words_row(words: FirstWordsStatus) -> list[str | int]:
+    return [f"{words.prompt:x}", words.prompt_ms, words.all_ms]
+
+
 def decode_status(line: bytes) -> NodeStatus:
     """Reads the status line of a node. Raises `InvalidStatusError`."""
     try:
         content = orjson.loads(line)
-        configuration = content["configuration"]
         return NodeStatus(
             str(content["deployment"]),
             str(content["node"]),
@@ -161,11 +182,7 @@
             None if content["discovery_age_ms"] is None else int(content["discovery_age_ms"]),
             tuple(_front(row) for row in content["fronts"]),
             tuple(_purge(row) for row in content["purges"]),
-            ConfigurationStatus(
-                int(configuration["version"]),
-                int(configuration["received_ms"]),
-                int(configuration["last_word_ms"]),
-            ),
+            _configuration(content["configuration"]),
             tuple(map(int, content["latency"])),
             {str(name): int(count) for name, count in content["counters"].items()},
         )
@@ -188,7 +205,7 @@
 
 
 def _purge(row: Sequence) -> PurgeStatus:
-    index, thing, group, unix_ms, received_ms, live, lacking, last_word_ms = row
+    index, thing, group, unix_ms, received_ms, live, lacking, *words = row
     return PurgeStatus(
         int(index),
         int(thing, 16),
@@ -197,10 +214,15 @@
         int(received_ms),
         bool(live),
         int(lacking, 16),
-        int(last_word_ms),
+        _words(words),
     )
 
 
-def latency_of(status: NodeStatus) -> LatencyHistogram:
-    """The node's histogram of times from a purge received to applied."""
-    return LatencyHistogram(status.latency)
+def _configuration(row: Sequence) -> ConfigurationStatus:
+    version, received_ms, *words = row
+    return ConfigurationStatus(int(version), int(received_ms), _words(words))
+
+
+def _words(row: Sequence) -> FirstWordsStatus:
+    prompt, prompt_ms, all_ms = row
+    return FirstWordsStatus(int(prompt, 16), int(prompt_ms), int(all_ms))
--- /dev/null
+++ b/marbleglade/control/status_query.py
@@ -0,0 +1,40 @@
+"""Asks control nodes for their status, all at once: a thin shell."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import socket
+
+from .messages import StatusQuery, encode_request
+from .settings import ControlSettings, NodeSettings
+from .status import LONGEST_STATUS, InvalidStatusError, decode_status
+from .status_merge import NodeAnswer
+
+
+def ask_all(settings: ControlSettings, timeout: float) -> list[NodeAnswer]:
+    """What each node of the settings answers within `timeout` seconds, in their order."""
+    greenlets = [gevent.spawn(_ask, node, timeout) for node in settings.nodes]
+    gevent.joinall(greenlets)
+    return [greenlet.value for greenlet in greenlets]
+
+
+def _ask(node: NodeSettings, timeout: float) -> NodeAnswer:
+    try:
+        with gevent.Timeout(timeout, TimeoutError(f"no answer within {timeout:g} s")):
+            return NodeAnswer(node.name, decode_status(_line(node.address)))
+    except (OSError, InvalidStatusError) as error:
+        return NodeAnswer(node.name, None, str(error))
+
+
+def _line(address: tuple[str, int]) -> bytes:
+    with socket.create_connection(address) as sock:
+        sock.sendall(encode_request(StatusQuery()))
+        answer = bytearray()
+        while not answer.endswith(b"\n"):
+            data = sock.recv(1 << 16)
+            if not data:
+                raise InvalidStatusError("the connection ended before the status did")
+            answer += data
+            if len(answer) > LONGEST_STATUS:
+                raise InvalidStatusError(f"a status of more than {LONGEST_STATUS} bytes")
+        return bytes(answer)
--- a/marbleglade/control/status_report.py
+++ b/marbleglade/control/status_report.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from .confirmation import Confirmation, FrontRecord, PurgeRecord
-from .event_log import EventLog
-from .status import ConfigurationStatus, FrontStatus, NodeStatus, PurgeStatus
 from ..life.counters import Counters
+from .confirmation import Confirmation, FirstWords, FrontRecord, PurgeRecord
+from .event_log import EventLog
+from .status import ConfigurationStatus, FirstWordsStatus, FrontStatus, NodeStatus, PurgeStatus
 
 MILLISECOND = 1_000_000  # nanoseconds
 
@@ -47,9 +47,7 @@
             discovery_age_ms=None if discovery_age is None else discovery_age // MILLISECOND,
             fronts=tuple(map(_front, self.confirmation.fronts.values())),
             purges=tuple(map(_purge, self.confirmation.purges)),
-            configuration=ConfigurationStatus(
-                newest.version, newest.received_ms, newest.last_word // MILLISECOND
-            ),
+            configuration=ConfigurationStatus(newest.version, newest.received_ms, _words(newest.words)),
             latency=tuple(self.confirmation.latency.counts),
             counters=self.counters.table(),
         )
@@ -78,5 +76,9 @@
         record.received_ms,
         record.live,
         record.lacking,
-        record.last_word // MILLISECOND,
+        _words(record.words),
     )
+
+
+def _words(words: FirstWords) -> FirstWordsStatus:
+    return FirstWordsStatus(words.prompt, words.prompt_time // MILLISECOND, words.time // MILLISECOND)
