Control client of a front: two nodes, first word applied, applied numbers confirmed

Change: decisions without I/O (selection of nodes, progress of a stream and confirmation, net list changes, which source's list is in force, repeated purges, configuration versions) and the shell around them (connection, client). The client knows the front only through a protocol of four callbacks. The watch client of the discovery service can stand by and resume; nothing uses that yet.

--- /dev/null
+++ b/marbleglade/control/client.py
@@ -0,0 +1,380 @@
+"""A front's side of the control plane: keeps connections to two nodes and hands on what they tell.
+
+The thin shell around the decisions of `selection`, `applied`, `lists`, `repetition` and `versions`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import gevent
+from gevent.event import Event as Signal
+
+from ..life import clock
+from ..life.guard import Guard
+from ..wire.coordlines import Other, ListChange, Purge
+from .applied import PurgeCoverage, SequenceError, StreamProgress
+from .connection import NodeConnection, NotAControlNodeError, SilentNodeError
+from .lists import DISCOVERY, ListSources
+from .messages import (
+    NO_STREAM,
+    Configured,
+    ConfigurationEvent,
+    FrontHello,
+    Greeting,
+    InvalidLineError,
+    Leave,
+    Refused,
+    StreamLine,
+)
+from .repetition import RecentPurges
+from .selection import NodeSelection, next_primary, preference, silence_bound
+from .settings import ControlSettings, NodeSettings
+from .versions import ConfigurationRefusedError, ConfigurationVersions
+
+__all__ = ["ConfigurationRefusedError", "ControlClient", "Discovery", "Target"]
+
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+LONGEST_TURN = SECOND // 4  # between two looks at what is due
+
+
+class Target(Protocol):
+    """What a front does with what it is told."""
+
+    def apply(self, event: ListChange | Purge) -> None:
+        """Applies an event; once it returns the event counts as applied."""
+
+    def take_away(self, change: ListChange) -> None:
+        """Caches that leave or have left, by the first word of a node whose list is not in force."""
+
+    def configure(self, version: int, text: str) -> None:
+        """Puts a configuration in force, or raises `ConfigurationRefusedError` and keeps the last one."""
+
+    def limit_age(self, oldest: int) -> None:
+        """No copy older than this many nanoseconds may be given from now on; 0: no limit."""
+
+
+class Discovery(Protocol):
+    """The front's own watch of the discovery service, used while no control node is up to date."""
+
+    def resume(self) -> None:
+        """Goes on from the last number."""
+
+    def stand_by(self) -> None:
+        """Ends the connection until `resume`."""
+
+
+class NoDiscovery:
+    """Where the front has no discovery service of its own."""
+
+    def resume(self) -> None:
+        """Does nothing."""
+
+    def stand_by(self) -> None:
+        """Does nothing."""
+
+
+@dataclass(slots=True)
+class NodeState:
+    """What is kept of a node between connections."""
+
+    progress: StreamProgress
+    configuration: Configured | Refused | None = None  # the answer to the last version that it told
+    reason: str = ""  # why the last connection ended
+
+
+class ControlClient:
+    """Follows the control plane on behalf of one front.
+
+    Args:
+        settings: The control plane.
+        name: The front's name, as the settings list it.
+        start_ms: When the front started, in Unix milliseconds.
+        target: The front.
+        guard: Counters, log, and where unexpected errors are noted.
+        discovery: The front's own watch of the discovery service; it is taken to be running.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        name: str,
+        start_ms: int,
+        target: Target,
+        guard: Guard,
+        discovery: Discovery | None = None,
+    ) -> None:
+        self._settings, self._target, self._guard = settings, target, guard
+        self._counters, self._log = guard.counters, guard.log
+        self._discovery = discovery or NoDiscovery()
+        self._hello = FrontHello(name, start_ms, NO_STREAM)
+        self._silence = silence_bound(settings.purge_deadline)
+        self._preferred = preference(settings, name)
+        self._selection = NodeSelection(name, self._preferred)
+        self._states = {node.name: NodeState(StreamProgress()) for node in settings.nodes}
+        self._connections: dict[str, NodeConnection] = {}
+        self._lists = ListSources(target.apply, target.take_away)
+        self._recent = RecentPurges()
+        self._versions = ConfigurationVersions(target.configure)
+        self._coverage = PurgeCoverage(settings.purge_deadline, clock.now())
+        self._wake = Signal()
+        self.primary: str | None = None
+        self.age_limit = 0
+        self.discovery_running = True
+        self.leaving = False
+
+    # The loop.
+
+    def run(self) -> None:
+        """Keeps the connections; never returns."""
+        while True:
+            self._guard.run("control", self._turn)
+            self._wake.wait(self._time_to_next_turn(clock.now()) / SECOND)
+            self._wake.clear()
+
+    def _turn(self) -> None:
+        now = clock.now()
+        if not self.leaving:
+            self._release_surplus(now)
+            self._dial(now)
+        self._choose_primary()
+        self._choose_discovery()
+        self._choose_age_limit(now)
+
+    def _time_to_next_turn(self, now: int) -> int:
+        due = [now + LONGEST_TURN, self._selection.next_retry(now)]
+        if not self.age_limit:
+            due.append(self._coverage.expires_at)
+        return max(MILLISECOND, min(one for one in due if one is not None) - now)
+
+    def _release_surplus(self, now: int) -> None:
+        for name in self._selection.surplus(now, self._names("greeted"), self._names("current")):
+            self._connections[name].released = True
+            self._connections[name].close()
+
+    def _dial(self, now: int) -> None:
+        for node in self._selection.wanted(now, self._names("greeted")):
+            if node.name not in self._connections:
+                self._connect(node)
+
+    def _connect(self, node: NodeSettings) -> None:
+        connection = NodeConnection(
+            node,
+            self._states[node.name].progress,
+            self._hello,
+            self._settings.deployment,
+            self._silence,
+            self,
+        )
+        self._connections[node.name] = connection
+        gevent.spawn(self._follow, connection)
+
+    def _follow(self, connection: NodeConnection) -> None:
+        name, reason = connection.node.name, ""
+        try:
+            connection.run()
+        except NotAControlNodeError as error:
+            reason = str(error)
+            self._selection.rejected(name, clock.now())
+            self._counters.add("control.rejected")
+        except (OSError, InvalidLineError, SequenceError, SilentNodeError) as error:
+            reason = f"{type(error).__name__}: {error}"
+        except Exception as error:
+            reason = repr(error)
+            self._guard.note("control", error)
+        self._ended(connection, reason)
+
+    def _ended(self, connection: NodeConnection, reason: str) -> None:
+        name = connection.node.name
+        del self._connections[name]
+        connection.greeted = connection.current = connection.listed = False
+        if not connection.released and self._selection.health[name].retry_at <= clock.now():
+            self._selection.disconnected(name, clock.now())
+            self._counters.add("control.lost")
+        if self._states[name].reason != reason:
+            self._states[name].reason = reason
+            self._log.say("control", node=name, lost="given up" if connection.released else reason)
+        self._wake.set()
+
+    def _names(self, attribute: str) -> set[str]:
+        return {name for name, one in self._connections.items() if getattr(one, attribute)}
+
+    # Which source is in force.
+
+    def _choose_primary(self) -> None:
+        greeted = self._names("greeted")
+        listed = {name for name in self._names("listed") if self._lists.has_list(self._stream(name))}
+        chosen = next_primary(self._preferred, self.primary, greeted, listed, self._names("current"))
+        stream = self._stream(chosen) if chosen else None
+        if chosen and self._lists.in_force != stream:
+            self._lists.use(stream)
+            self._log.say("control", lists_from=chosen)
+        self.primary = chosen
+
+    def _stream(self, name: str) -> str:
+        return self._states[name].progress.stream
+
+    def _choose_discovery(self) -> None:
+        current = self._names("current")
+        if self.discovery_running and self.primary in current:
+            self.discovery_running = False
+            self._discovery.stand_by()
+            self._counters.add("control.discovery_left")
+            self._log.say("control", source="nodes")
+        elif not self.discovery_running and not current:
+            self.discovery_running = True
+            self._discovery.resume()
+            self._counters.add("control.discovery_used")
+            self._log.say("control", source="discovery")
+
+    def _choose_age_limit(self, now: int) -> None:
+        limit = self._coverage.limit(now)
+        if limit == self.age_limit:
+            return
+        self._target.limit_age(limit)
+        self.age_limit = limit
+        self._counters.add("control.age_limited" if limit else "control.age_limit_ended")
+        self._log.say("control", age_limit_ms=limit // MILLISECOND)
+
+    def _complete(self) -> None:
+        self._coverage.complete(clock.now())
+        if self.age_limit:
+            self._wake.set()
+
+    # What nodes tell.
+
+    def greeted(self, connection: NodeConnection, greeting: Greeting) -> None:
+        """The node greeted the front."""
+        name, state = connection.node.name, self._states[connection.node.name]
+        self._selection.connected(name, clock.now())
+        self._begin_list(connection, greeting)
+        connection.confirming = not self.leaving
+        state.reason = ""
+        self._counters.add("control.connected")
+        self._log.say("control", node=name, stream=greeting.stream, snapshot_to=greeting.snapshot_to)
+        if state.configuration and not self.leaving:
+            connection.send(state.configuration)
+        self._wake.set()
+
+    def _begin_list(self, connection: NodeConnection, greeting: Greeting) -> None:
+        if greeting.snapshot_to:
+            self._lists.begin_snapshot(greeting.stream)
+        elif not connection.progress.applied:
+            self._lists.begin_empty(greeting.stream)
+
+    def event(self, connection: NodeConnection, event: StreamLine) -> None:
+        """A node told an event: it is applied at most once and counted as applied by its number."""
+        progress = connection.progress
+        if not progress.is_new(event.index):
+            self._counters.add("control.repeated_event")
+            return
+        try:
+            self._apply(connection, event)
+        except Exception as error:
+            self._guard.note("control_event", error)
+            if progress.not_applied(event.index):
+                raise SequenceError(f"event {event.index} could not be applied") from error
+            return
+        progress.done(event.index)
+
+    def heartbeat(self, connection: NodeConnection, index: int) -> None:
+        """A node told its last number."""
+        connection.progress.heartbeat(index)
+        if connection.progress.complete:
+            self._complete()
+            if not connection.current:
+                connection.current = connection.listed = True
+                self._lists.complete(connection.progress.stream)
+                self._wake.set()
+
+    def _apply(self, connection: NodeConnection, event: StreamLine) -> None:
+        match event:
+            case Purge():
+                self._purge(event)
+            case ListChange():
+                self._lists.change(connection.progress.stream, event)
+                if event.whole:
+                    connection.listed = True
+                    self._wake.set()
+            case ConfigurationEvent():
+                self._configure(connection, event)
+            case Other():
+                self._counters.add("control.unknown_event")
+
+    def _purge(self, purge: Purge) -> None:
+        if self._recent.is_repetition(purge):
+            self._counters.add("control.repeated_purge")
+            return
+        self._target.apply(purge)
+        self._recent.note(purge)
+        self._counters.add("control.purge")
+
+    def _configure(self, connection: NodeConnection, event: ConfigurationEvent) -> None:
+        before = self._versions.in_force
+        answer = self._versions.take(event)
+        if answer is None:
+            self._counters.add("control.old_version")
+            return
+        if isinstance(answer, Refused):
+            self._counters.add("control.refused_version")
+            self._log.say("control", refused_version=answer.version, reason=answer.reason)
+        elif self._versions.in_force != before:
+            self._counters.add("control.version")
+            self._log.say("control", version=answer.version)
+        self._states[connection.node.name].configuration = answer
+        if not self.leaving:
+            connection.send(answer)
+
+    # What the discovery service tells.
+
+    def discovery_event(self, event: ListChange | Purge) -> None:
+        """The front's own watch of the discovery service told an event."""
+        if isinstance(event, Purge):
+            self._purge(event)
+        else:
+            self._lists.change(DISCOVERY, event)
+
+    def discovery_complete(self) -> None:
+        """The discovery service told its last number, and all events up to it were taken in."""
+        self._complete()
+        if self.discovery_running and self.primary is None and self._lists.in_force != DISCOVERY:
+            self._lists.use(DISCOVERY)
+            self._log.say("control", lists_from="discovery")
+
+    # The end, and what operators see.
+
+    def leave(self) -> None:
+        """The front ends as planned: the nodes are told, and nothing is confirmed any more."""
+        self.leaving = True
+        for connection in self._connections.values():
+            connection.confirming = False
+            if connection.greeted:
+                connection.send(Leave())
+
+    @property
+    def heard_at(self) -> int:
+        """When a node last wrote a line; 0: never."""
+        return max((one.heard_at for one in self._connections.values() if one.greeted), default=0)
+
+    def survey(self) -> dict[str, object]:
+        """The state for the log line of counters."""
+        return {
+            "primary": self.primary,
+            "discovery": self.discovery_running,
+            "version": self._versions.in_force,
+            "age_limit_ms": self.age_limit // MILLISECOND,
+            "complete_ms": (clock.now() - self._coverage.complete_at) // MILLISECOND,
+            "nodes": [self._survey(one) for one in self._connections.values()],
+        }
+
+    def _survey(self, connection: NodeConnection) -> dict[str, object]:
+        return {
+            "node": connection.node.name,
+            "greeted": connection.greeted,
+            "current": connection.current,
+            "stream": connection.progress.stream,
+            "applied": connection.progress.confirmable,
+            "snapshot_to": connection.progress.snapshot_to,
+        }
--- /dev/null
+++ b/marbleglade/control/connection.py
@@ -0,0 +1,201 @@
+"""One connection from a front to a control node: lines in, lines out, and the bounds on both."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Protocol
+
+import gevent
+from gevent import socket
+
+from ..life import clock
+from ..wire.coordlines import LONGEST_LINE, Beat
+from ..wire.sockets import SCRATCH, send_now
+from .messages import (
+    Applied,
+    FrontHello,
+    Follow,
+    Greeting,
+    InvalidLineError,
+    Request,
+    StreamLine,
+    decode_stream_line,
+    encode_request,
+)
+from .applied import StreamProgress
+from .settings import NodeSettings
+
+SECOND = 1_000_000_000
+CONNECT_TIMEOUT = 1.0  # seconds
+LEAST_WAIT = 0.001  # seconds; what has come is read before a node counts as silent
+LINES_AT_ONCE = 32  # before others get their turn
+
+
+class NotAControlNodeError(Exception):
+    """Who listens there is no control node of this deployment; the message says why."""
+
+
+class SilentNodeError(Exception):
+    """No whole line came for too long."""
+
+
+class LineBuffer:
+    """Cuts bytes into lines of a bounded length."""
+
+    def __init__(self, longest: int = LONGEST_LINE) -> None:
+        self.longest = longest
+        self._rest = bytearray()
+
+    def feed(self, data: bytes | memoryview) -> list[bytes]:
+        """The whole lines. Raises `InvalidLineError` where the one that was begun is too long."""
+        self._rest += data
+        *lines, self._rest = self._rest.split(b"\n")
+        if len(self._rest) > self.longest:
+            raise InvalidLineError(f"a line of more than {self.longest} bytes")
+        return [bytes(line) for line in lines]
+
+
+class Listener(Protocol):
+    """Who is told what comes on a connection; what it raises ends the connection."""
+
+    def greeted(self, connection: NodeConnection, greeting: Greeting) -> None:
+        """The node greeted the front."""
+
+    def event(self, connection: NodeConnection, event: StreamLine) -> None:
+        """The node told an event."""
+
+    def heartbeat(self, connection: NodeConnection, index: int) -> None:
+        """The node told its last number."""
+
+
+class NodeConnection:
+    """Follows one node until the connection ends.
+
+    Args:
+        node: Where to connect.
+        progress: How far this node's stream was applied; survives the connection.
+        hello: The front's name and start; the stream is filled in here.
+        deployment: The deployment that the node must serve.
+        silence: Nanoseconds without a whole line after which the node counts as silent.
+        listener: Who is told what comes.
+    """
+
+    def __init__(
+        self,
+        node: NodeSettings,
+        progress: StreamProgress,
+        hello: FrontHello,
+        deployment: str,
+        silence: int,
+        listener: Listener,
+    ) -> None:
+        self.node, self.progress, self.listener = node, progress, listener
+        self._hello, self._deployment, self._silence = hello, deployment, silence
+        self._sock: socket.socket | None = None
+        self.greeted = False
+        self.current = False  # it was complete once
+        self.listed = False  # it told its whole list, or was complete
+        self.released = False  # closed because it is wanted no more
+        self.confirming = True
+        self.heard_at = 0
+
+    def run(self) -> None:
+        """Connects and follows. Raises what ended the connection: `OSError`, `InvalidLineError`,
+        `SilentNodeError`, `SequenceError` or `NotAControlNodeError`."""
+        sock = self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_TIMEOUT)
+            sock.connect(self.node.address)
+            stream, last = self.progress.resume_from()
+            hello = FrontHello(self._hello.name, self._hello.start_ms, stream)
+            sock.sendall(encode_request(hello) + encode_request(Follow(last)))
+            self.heard_at = clock.now()
+            self._read(sock)
+        finally:
+            self._sock = None
+            sock.close()
+
+    def close(self) -> None:
+        """Ends the connection from another greenlet."""
+        if self._sock:
+            self._sock.close()
+
+    def send(self, request: Request) -> None:
+        """Writes one line at once; a node that takes nothing any more loses the connection."""
+        if not self._sock:
+            return
+        line = encode_request(request)
+        try:
+            if send_now(self._sock, line) < len(line):
+                self._sock.close()
+        except OSError:
+            self._sock.close()
+
+    def _read(self, sock: socket.socket) -> None:
+        lines = LineBuffer()
+        for data in self._chunks(sock):
+            for line in self._in_turns(lines.feed(data)):
+                self.heard_at = clock.now()
+                self._line(line)
+            if clock.now() - self.heard_at > self._silence:
+                raise SilentNodeError("no whole line")
+            self._confirm()
+
+    def _chunks(self, sock: socket.socket) -> Iterator[bytes]:
+        """What comes; nothing where a confirmation is due. Raises `SilentNodeError`."""
+        while True:
+            sock.settimeout(self._wait())
+            try:
+                size = sock.recv_into(SCRATCH)
+            except TimeoutError:
+                if clock.now() - self.heard_at > self._silence:
+                    raise SilentNodeError("no line") from None
+                yield b""
+                continue
+            if not size:
+                raise ConnectionResetError("closed by the node")
+            yield bytes(SCRATCH[:size])
+
+    def _wait(self) -> float:
+        """Seconds until there is something to do, even if nothing comes."""
+        now = clock.now()
+        until = self.heard_at + self._silence
+        due = self.progress.confirmation_due() if self.greeted and self.confirming else None
+        if due is not None:
+            until = min(until, due)
+        return max(LEAST_WAIT, (until - now) / SECOND)
+
+    def _in_turns(self, lines: list[bytes]) -> Iterator[bytes]:
+        for count, line in enumerate(lines, 1):
+            yield line
+            if not count % LINES_AT_ONCE:
+                gevent.sleep(0)
+
+    def _line(self, line: bytes) -> None:
+        message = decode_stream_line(line)
+        if not self.greeted:
+            self._greeting(message)
+        elif isinstance(message, Beat):
+            self.listener.heartbeat(self, message.index)
+        elif isinstance(message, Greeting):
+            raise InvalidLineError("a second greeting")
+        else:
+            self.listener.event(self, message)
+
+    def _greeting(self, message: StreamLine) -> None:
+        if not isinstance(message, Greeting):
+            raise NotAControlNodeError("its first line is no greeting")
+        if message.deployment != self._deployment:
+            raise NotAControlNodeError(f"it serves the deployment {message.deployment}")
+        if message.node != self.node.name:
+            raise NotAControlNodeError(f"it is the node {message.node}")
+        self.progress.begin(message)
+        self.greeted = True
+        self.listener.greeted(self, message)
+
+    def _confirm(self) -> None:
+        if not (self.greeted and self.confirming):
+            return
+        number = self.progress.confirm(clock.now())
+        if number is not None:
+            self.send(Applied(number))
--- /dev/null
+++ b/marbleglade/control/replay.py
@@ -0,0 +1,58 @@
+"""Changes of the list of caches added up to the one change that they amount to, without I/O.
+
+Held while the history of the discovery service is replayed, so that no cache that has left meanwhile comes
+back; kept for every control node, so that another one's list can be used at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..ground import STATES
+from ..interface import State
+from ..wire.coordlines import ListChange, Member
+
+MOST_CACHES = 1 << 14  # in one list; one over it is not taken in
+
+
+class ListTooLongError(Exception):
+    """The list of caches is over its bound."""
+
+
+@dataclass(slots=True)
+class NetListChange:
+    """The sum of list changes; `whole` once a whole list is among them: who left is forgotten then."""
+
+    whole: bool = False
+    index: int = 0
+    members: dict[str, Member] = field(default_factory=dict)
+    unclear: dict[str, None] = field(default_factory=dict)
+
+    def add(self, change: ListChange) -> None:
+        """Adds the next change. Raises `ListTooLongError`, with nothing added, where it would not fit."""
+        kept = {} if change.whole else self.members
+        if len(kept) + len(change.members) + len(change.unclear) > MOST_CACHES:
+            raise ListTooLongError(f"over {MOST_CACHES} caches")
+        if change.whole:
+            self.whole, self.members, self.unclear = True, {}, {}
+        for member in change.members:
+            self._put(member)
+        for name in change.unclear:
+            self.unclear[name] = None
+        self.index = change.index
+
+    def _put(self, member: Member) -> None:
+        self.unclear.pop(member.id, None)
+        if self.whole and STATES[member.state] is State.LEFT:
+            self.members.pop(member.id, None)
+        else:
+            self.members[member.id] = member
+
+    @property
+    def empty(self) -> bool:
+        """True where nothing was added."""
+        return not (self.whole or self.members or self.unclear)
+
+    def total(self) -> ListChange:
+        """All of it as one change."""
+        return ListChange(self.index, self.whole, list(self.members.values()), list(self.unclear))
--- /dev/null
+++ b/marbleglade/control/selection.py
@@ -0,0 +1,139 @@
+"""Which control nodes a front is connected to, free of I/O, clocks and chance.
+
+A front uses two nodes in different zones, its own region's first. The order of preference comes from
+rendezvous hashing of the front's and the node's names, so that nodes carry equal shares of the fronts, also
+after one of them is gone, without any word between fronts. Times are nanoseconds of a monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Set
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from .settings import ControlSettings, NodeSettings
+
+SECOND = 1_000_000_000
+HEARTBEAT = SECOND  # a node writes a line as often
+NODES_IN_USE = 2
+FIRST_PAUSE = SECOND // 4  # before a node is dialled again
+LONGEST_PAUSE = 15 * SECOND
+REJECTED_PAUSE = 60 * SECOND  # after it proved to be no control node of this deployment
+STEADY_AFTER = 10 * SECOND  # a connection that lasted as long proves that the node is well
+MOST_DOUBLINGS = 16
+
+
+def silence_bound(purge_deadline: int) -> int:
+    """How long a node may write no whole line: two heartbeats, less where the purge deadline is short."""
+    return max(HEARTBEAT * 3 // 2, min(2 * HEARTBEAT, purge_deadline * 3 // 4))
+
+
+def hashed(*names: str) -> int:
+    """A number of 64 bits that only the names decide; the same in every process."""
+    return int.from_bytes(blake2b("\0".join(names).encode(), digest_size=8).digest(), "big")
+
+
+def preference(settings: ControlSettings, front: str) -> list[NodeSettings]:
+    """All nodes, the front's own region first, each part in the order of rendezvous hashing."""
+    region = settings.region_of(front)
+    home = region.name if region else None
+    return sorted(settings.nodes, key=lambda node: (node.region != home, -hashed(front, node.name)))
+
+
+def best_pair(preferred: list[NodeSettings]) -> list[NodeSettings]:
+    """The first node and the next of another zone; the next of the same zone where there is no other."""
+    if len(preferred) <= 1:
+        return list(preferred)
+    first, *others = preferred
+    elsewhere = (node for node in others if (node.region, node.zone) != (first.region, first.zone))
+    return [first, next(elsewhere, others[0])]
+
+
+@dataclass(slots=True)
+class NodeHealth:
+    """What dials and connections to one node have shown."""
+
+    failures: int = 0  # one after another
+    retry_at: int = 0
+    connected_at: int = 0
+
+
+@dataclass(slots=True)
+class NodeSelection:
+    """Says which nodes to dial and which connections to give up."""
+
+    front: str
+    preferred: list[NodeSettings]
+    health: dict[str, NodeHealth] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.health = {node.name: NodeHealth() for node in self.preferred}
+
+    def wanted(self, now: int, connected: Set[str]) -> list[NodeSettings]:
+        """The nodes to use: the best pair among those connected and those that may be dialled."""
+        usable = [
+            node
+            for node in self.preferred
+            if node.name in connected or self.health[node.name].retry_at <= now
+        ]
+        return best_pair(usable)
+
+    def surplus(self, now: int, connected: Set[str], current: Set[str]) -> set[str]:
+        """Connections to give up: those that are not wanted, once all that are wanted are up to date."""
+        wanted = {node.name for node in self.wanted(now, connected)}
+        return set(connected - wanted) if wanted <= current else set()
+
+    def next_retry(self, now: int) -> int | None:
+        """When the next node may be dialled again; None where none waits."""
+        return min((one.retry_at for one in self.health.values() if one.retry_at > now), default=None)
+
+    def connected(self, name: str, now: int) -> None:
+        """The node greeted the front."""
+        self.health[name].connected_at = now
+
+    def disconnected(self, name: str, now: int) -> None:
+        """A dial failed or a connection ended: the node is left alone, longer each time."""
+        health = self.health[name]
+        if health.connected_at and now - health.connected_at >= STEADY_AFTER:
+            health.failures = 0
+        health.connected_at = 0
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE << min(health.failures, MOST_DOUBLINGS))
+        health.failures += 1
+        health.retry_at = now + self._spread(name, pause)
+
+    def rejected(self, name: str, now: int) -> None:
+        """The node is none of this deployment: it is left alone for a long while."""
+        health = self.health[name]
+        health.failures += 1
+        health.connected_at = 0
+        health.retry_at = now + self._spread(name, REJECTED_PAUSE)
+
+    def _spread(self, name: str, pause: int) -> int:
+        """Between half of the pause and all of it, different for each front, node and attempt."""
+        part = hashed(self.front, name, str(self.health[name].failures)) % 1024
+        return pause // 2 + pause // 2 * part // 1024
+
+
+def next_primary(
+    preferred: list[NodeSettings],
+    primary: str | None,
+    greeted: Set[str],
+    listed: Set[str],
+    current: Set[str],
+) -> str | None:
+    """Whose lists are in force.
+
+    The best node that is up to date, else the present one while it is connected, else the best with a list.
+
+    Args:
+        preferred: All nodes in the front's order of preference.
+        primary: The present one, if any.
+        greeted: The nodes that greeted the front and are connected.
+        listed: Those among them that have told a whole list.
+        current: Those among them that were up to date once on this connection.
+    """
+    names = [node.name for node in preferred]
+    best = next((name for name in names if name in current & listed), None)
+    if best or primary in greeted:
+        return best or primary
+    return next((name for name in names if name in greeted & listed), None)
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -27,11 +27,15 @@
         silent: float = SILENT,
         pause: float = BEAT / 4,
         anew: bool = False,
+        complete: Callable[[], None] | None = None,
     ) -> None:
         self.address, self.last, self.apply, self.guard = address, last, apply, guard
         self.counters, self.silent, self.pause = guard.counters, silent, pause
         self.sock: socket.socket | None = None
         self.moved = Signal()
+        self.complete = complete  # called at each heartbeat up to whose number all was taken in
+        self.wanted = Signal()
+        self.wanted.set()
         self.anew = anew  # a coordinator may begin anew, and count from 1 again
         self.heard_at = 0  # when it last said something; 0: never
         self.gap = -1  # the last number after which one was found to be missing
@@ -40,6 +44,7 @@
 
     def run(self) -> None:
         while True:
+            self.wanted.wait()
             self.moved.clear()
             try:
                 self._follow()
@@ -56,6 +61,17 @@
         if self.sock:
             self.sock.close()
 
+    def stand_by(self) -> None:
+        """Ends the connection and waits for `resume`; the last number is kept."""
+        self.wanted.clear()
+        if self.sock:
+            self.sock.close()
+
+    def resume(self) -> None:
+        """Follows again from the last number, at once."""
+        self.wanted.set()
+        self.moved.set()
+
     def catch_up(self, events: Iterable[Event]) -> None:
         """Events told another way, by a new configuration; only what follows on is taken."""
         for event in events:
@@ -112,6 +128,8 @@
             raise BadLine("an event is missing")
         if beat or event.index <= self.last:
             self.counters.add("coordinator.doubled", not beat)
+            if beat and self.complete and event.index == self.last:
+                self.complete()
             return
         if isinstance(event, Other):
             self.counters.add("coordinator.unknown")
