--- /dev/null
+++ b/marbleglade/life/assembly.py
@@ -0,0 +1,148 @@
+"""The parts of one front, made in their order and tied to one another. Nothing runs here."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ..choice import Choice
+from ..facade import Facade
+from ..fleet.hearsay import Hearsay
+from ..front import Front
+from ..memory.copies import Copies
+from ..memory.places import Places
+from ..memory.purges import Purges, lasting
+from ..memory.room import Room
+from ..wire.caches import Caches
+from ..wire.clients import Clients
+from ..wire.coordinator import BEAT, Follower
+from ..wire.peers import Peers
+from . import clock
+from .assignment import Assignment
+from .counters import Counters
+from .guard import Guard
+from .log import Log
+from .stop import Stop
+
+if TYPE_CHECKING:
+    from ..fleet.shell import Shell
+    from ..fleet.workshell import Work
+
+SECOND = 1_000_000_000
+
+# Shares of the limits: a sixth of the memory for bodies, which are held up to three times over while they
+# are passed on, a sixth for copies, and half of that for what clients send; a third of the descriptors for
+# clients and half for connections to caches. The rest is for the process itself and for a margin.
+BODIES_SHARE = COPIES_SHARE = 6
+REQUESTS_SHARE = 12
+CLIENTS_SHARE = 3
+CACHES_SHARE = 2
+
+
+class Assembly:
+    """All parts of one front.
+
+    Args:
+        told: What the front is told at its start.
+    """
+
+    def __init__(self, told: Assignment) -> None:
+        self.told = told
+        self.counters = Counters()
+        self.log = Log(told.name, self.counters, bool(os.environ.get("MARBLEGLADE_DEBUG")))
+        self.guard = Guard(self.counters, self.log)
+        self.stop = Stop(max(profile.client_timeout for profile in told.around.ground.profiles))
+        self.facade = self._make_facade()
+        self.caches, self.front = self._make_front()
+        self.clients = self._make_clients()
+        for event in told.known:
+            self.guard.run("known", self.front.apply, event)
+        self.follower = Follower(told.coordinator, told.last, self.front.follow, self.guard)
+        self.work: list[Callable[[], object]] = [self.follower.run, self.front.probe]
+        self.peers = self._make_peers()
+        self.fleet = self._make_fleet()
+        self.orders: Work | None = self.fleet.work if self.fleet else None
+
+    def _make_facade(self) -> Facade:
+        around = self.told.around
+        return Facade(
+            around.ground,
+            Choice,
+            clock.now,
+            around.most_open,
+            self.counters,
+            lambda text: self.log.say("note", text=text),
+        )
+
+    def _make_front(self) -> tuple[Caches, Front]:
+        told, around = self.told, self.told.around
+        places, purges = Places(around, clock.from_unix_ms), Purges(lasting(around.ground))
+        caches = Caches(
+            places.by_cache,
+            Room(told.memory // BODIES_SHARE),
+            told.descriptors // CACHES_SHARE,
+            around.connect_timeout,
+            around.idle_close,
+            around.streams,
+            clock.now,
+            self.guard,
+            lambda retrieval, since: purges.since(retrieval.object, retrieval.group, since),
+        )
+        copies = Copies(told.memory // COPIES_SHARE)
+        return caches, Front(self.facade, caches, places, purges, copies, told.pace, self.guard)
+
+    def _make_clients(self) -> Clients:
+        return Clients(
+            self.front,
+            self.told.descriptors // CLIENTS_SHARE,
+            self.told.memory // REQUESTS_SHARE,
+            self.told.around.answer_slack,
+            self._ready,
+            clock.now,
+            self.guard,
+        )
+
+    def _ready(self) -> bool:
+        """True while new clients are welcome."""
+        return not (self.stop.asked_at or (self.orders and self.orders.going))
+
+    def _make_peers(self) -> Peers | None:
+        told, ground = self.told, self.told.around.ground
+        if not (told.around.peer_messages and told.peer_listen and told.peers):
+            return None
+        hearsay = Hearsay(int(BEAT * SECOND), ground.purge_time * 2, clock.now())
+        peers = Peers(
+            told.peer_listen,
+            told.peers,
+            ground.seed,
+            hearsay,
+            self.front.heed,
+            self._heard_at,
+            self.guard,
+            told.peers_all,
+        )
+        self.front.told, self.front.unsaid = peers.told, hearsay.unsaid
+        self.work.append(peers.run)
+        return peers
+
+    def _heard_at(self) -> int:
+        """When the discovery service was last heard; 0: never."""
+        return self.follower.heard_at
+
+    def _make_fleet(self) -> Shell | None:
+        text = os.environ.get("MARBLEGLADE_FLEET")
+        if not (self.peers and text and self.told.peer_listen in self.told.peers):
+            return None
+        from ..fleet.reading import read as read_part
+        from ..fleet.shell import Shell
+
+        return Shell(
+            self.told.name,
+            read_part(text).beat_ms * 1_000_000,
+            self.facade,
+            self.front,
+            self.peers,
+            self.log.say,
+            os.environ.get("MARBLEGLADE_WORK", ""),
+        )
