A front joins the control plane where MARBLEGLADE_CONTROL names its settings

SIGTERM tells the nodes; SIGUSR1 shows the client's state. The client's events pass one module without I/O (control/intake.py).

--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -1,26 +1,25 @@
 """A front's side of the control plane: keeps connections to two nodes and hands on what they tell.
 
-The thin shell around the decisions of `selection`, `applied`, `lists`, `repetition` and `versions`.
+The thin shell around the decisions of `selection`, `applied` and `intake`.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
 
 import gevent
 from gevent.event import Event as Signal
 
 from ..life import clock
 from ..life.guard import Guard
-from ..wire.coordlines import Other, ListChange, Purge
+from ..wire.coordlines import ListChange, Purge
 from .applied import PurgeCoverage, SequenceError, StreamProgress
 from .connection import NodeConnection, NotAControlNodeError, SilentNodeError
-from .lists import DISCOVERY, ListSources
+from .intake import EventIntake
+from .lists import DISCOVERY
 from .messages import (
     NO_STREAM,
     Configured,
-    ConfigurationEvent,
     FrontHello,
     Greeting,
     InvalidLineError,
@@ -28,10 +27,10 @@
     Refused,
     StreamLine,
 )
-from .repetition import RecentPurges
 from .selection import NodeSelection, next_primary, preference, silence_bound
 from .settings import ControlSettings, NodeSettings
-from .versions import ConfigurationRefusedError, ConfigurationVersions
+from .target import Discovery, NoDiscovery, Target
+from .versions import ConfigurationRefusedError
 
 __all__ = ["ConfigurationRefusedError", "ControlClient", "Discovery", "Target"]
 
@@ -40,42 +39,6 @@
 LONGEST_TURN = SECOND // 4  # between two looks at what is due
 
 
-class Target(Protocol):
-    """What a front does with what it is told."""
-
-    def apply(self, event: ListChange | Purge) -> None:
-        """Applies an event; once it returns the event counts as applied."""
-
-    def take_away(self, change: ListChange) -> None:
-        """Caches that leave or have left, by the first word of a node whose list is not in force."""
-
-    def configure(self, version: int, text: str) -> None:
-        """Puts a configuration in force, or raises `ConfigurationRefusedError` and keeps the last one."""
-
-    def limit_age(self, oldest: int) -> None:
-        """No copy older than this many nanoseconds may be given from now on; 0: no limit."""
-
-
-class Discovery(Protocol):
-    """The front's own watch of the discovery service, used while no control node is up to date."""
-
-    def resume(self) -> None:
-        """Goes on from the last number."""
-
-    def stand_by(self) -> None:
-        """Ends the connection until `resume`."""
-
-
-class NoDiscovery:
-    """Where the front has no discovery service of its own."""
-
-    def resume(self) -> None:
-        """Does nothing."""
-
-    def stand_by(self) -> None:
-        """Does nothing."""
-
-
 @dataclass(slots=True)
 class NodeState:
     """What is kept of a node between connections."""
@@ -115,9 +78,8 @@
         self._selection = NodeSelection(name, self._preferred)
         self._states = {node.name: NodeState(StreamProgress()) for node in settings.nodes}
         self._connections: dict[str, NodeConnection] = {}
-        self._lists = ListSources(target.apply, target.take_away)
-        self._recent = RecentPurges()
-        self._versions = ConfigurationVersions(target.configure)
+        self._intake = EventIntake(target, guard)
+        self._lists = self._intake.lists
         self._coverage = PurgeCoverage(settings.purge_deadline, clock.now())
         self._wake = Signal()
         self.primary: str | None = None
@@ -249,7 +211,7 @@
         """The node greeted the front."""
         name, state = connection.node.name, self._states[connection.node.name]
         self._selection.connected(name, clock.now())
-        self._begin_list(connection, greeting)
+        self._intake.begin(connection.progress, greeting)
         connection.confirming = not self.leaving
         state.reason = ""
         self._counters.add("control.connected")
@@ -258,12 +220,6 @@
             connection.send(state.configuration)
         self._wake.set()
 
-    def _begin_list(self, connection: NodeConnection, greeting: Greeting) -> None:
-        if greeting.snapshot_to:
-            self._lists.begin_snapshot(greeting.stream)
-        elif not connection.progress.applied:
-            self._lists.begin_empty(greeting.stream)
-
     def event(self, connection: NodeConnection, event: StreamLine) -> None:
         """A node told an event: it is applied at most once and counted as applied by its number."""
         progress = connection.progress
@@ -271,13 +227,23 @@
             self._counters.add("control.repeated_event")
             return
         try:
-            self._apply(connection, event)
+            answer = self._intake.apply(progress.stream, event)
         except Exception as error:
             self._guard.note("control_event", error)
             if progress.not_applied(event.index):
                 raise SequenceError(f"event {event.index} could not be applied") from error
             return
         progress.done(event.index)
+        if answer:
+            self._answer(connection, answer)
+        if isinstance(event, ListChange) and event.whole:
+            connection.listed = True
+            self._wake.set()
+
+    def _answer(self, connection: NodeConnection, answer: Configured | Refused) -> None:
+        self._states[connection.node.name].configuration = answer
+        if not self.leaving:
+            connection.send(answer)
 
     def heartbeat(self, connection: NodeConnection, index: int) -> None:
         """A node told its last number."""
@@ -289,52 +255,11 @@
                 self._lists.complete(connection.progress.stream)
                 self._wake.set()
 
-    def _apply(self, connection: NodeConnection, event: StreamLine) -> None:
-        match event:
-            case Purge():
-                self._purge(event)
-            case ListChange():
-                self._lists.change(connection.progress.stream, event)
-                if event.whole:
-                    connection.listed = True
-                    self._wake.set()
-            case ConfigurationEvent():
-                self._configure(connection, event)
-            case Other():
-                self._counters.add("control.unknown_event")
-
-    def _purge(self, purge: Purge) -> None:
-        if self._recent.is_repetition(purge):
-            self._counters.add("control.repeated_purge")
-            return
-        self._target.apply(purge)
-        self._recent.note(purge)
-        self._counters.add("control.purge")
-
-    def _configure(self, connection: NodeConnection, event: ConfigurationEvent) -> None:
-        before = self._versions.in_force
-        answer = self._versions.take(event)
-        if answer is None:
-            self._counters.add("control.old_version")
-            return
-        if isinstance(answer, Refused):
-            self._counters.add("control.refused_version")
-            self._log.say("control", refused_version=answer.version, reason=answer.reason)
-        elif self._versions.in_force != before:
-            self._counters.add("control.version")
-            self._log.say("control", version=answer.version)
-        self._states[connection.node.name].configuration = answer
-        if not self.leaving:
-            connection.send(answer)
-
     # What the discovery service tells.
 
     def discovery_event(self, event: ListChange | Purge) -> None:
         """The front's own watch of the discovery service told an event."""
-        if isinstance(event, Purge):
-            self._purge(event)
-        else:
-            self._lists.change(DISCOVERY, event)
+        self._intake.discovery_event(event)
 
     def discovery_complete(self) -> None:
         """The discovery service told its last number, and all events up to it were taken in."""
@@ -363,18 +288,8 @@
         return {
             "primary": self.primary,
             "discovery": self.discovery_running,
-            "version": self._versions.in_force,
+            "version": self._intake.versions.in_force,
             "age_limit_ms": self.age_limit // MILLISECOND,
             "complete_ms": (clock.now() - self._coverage.complete_at) // MILLISECOND,
-            "nodes": [self._survey(one) for one in self._connections.values()],
-        }
-
-    def _survey(self, connection: NodeConnection) -> dict[str, object]:
-        return {
-            "node": connection.node.name,
-            "greeted": connection.greeted,
-            "current": connection.current,
-            "stream": connection.progress.stream,
-            "applied": connection.progress.confirmable,
-            "snapshot_to": connection.progress.snapshot_to,
+            "nodes": [one.survey() for one in self._connections.values()],
         }
--- a/marbleglade/control/connection.py
+++ b/marbleglade/control/connection.py
@@ -131,6 +131,17 @@
         except OSError:
             self._sock.close()
 
+    def survey(self) -> dict[str, object]:
+        """The state for the log line of counters."""
+        return {
+            "node": self.node.name,
+            "greeted": self.greeted,
+            "current": self.current,
+            "stream": self.progress.stream,
+            "applied": self.progress.confirmable,
+            "snapshot_to": self.progress.snapshot_to,
+        }
+
     def _read(self, sock: socket.socket) -> None:
         lines = LineBuffer()
         for data in self._chunks(sock):
--- /dev/null
+++ b/marbleglade/control/intake.py
@@ -0,0 +1,78 @@
+"""Every event of every source on its way to the front, without I/O: once, in order, or not at all."""
+
+from __future__ import annotations
+
+from ..life.guard import Guard
+from ..wire.coordlines import ListChange, Other, Purge
+from .applied import StreamProgress
+from .lists import DISCOVERY, ListSources
+from .messages import ConfigurationEvent, Configured, Greeting, Refused, StreamLine
+from .repetition import RecentPurges
+from .target import Target
+from .versions import ConfigurationVersions
+
+
+class EventIntake:
+    """Hands on purges once, lists from the source in force, and configuration versions in rising order.
+
+    Args:
+        target: The front.
+        guard: Counters and log.
+    """
+
+    def __init__(self, target: Target, guard: Guard) -> None:
+        self._target, self._counters, self._log = target, guard.counters, guard.log
+        self._recent = RecentPurges()
+        self.lists = ListSources(target.apply, target.take_away)
+        self.versions = ConfigurationVersions(target.configure)
+
+    def begin(self, progress: StreamProgress, greeting: Greeting) -> None:
+        """A node greeted the front; `progress` has taken that in."""
+        if greeting.snapshot_to:
+            self.lists.begin_snapshot(greeting.stream)
+        elif not progress.applied:
+            self.lists.begin_empty(greeting.stream)
+
+    def apply(self, stream: str, event: StreamLine) -> Configured | Refused | None:
+        """Applies an event of a control node; gives what is to be answered to a configuration version.
+
+        What the front raises is passed on: then the event was not applied.
+        """
+        match event:
+            case Purge():
+                self._purge(event)
+            case ListChange():
+                self.lists.change(stream, event)
+            case ConfigurationEvent():
+                return self._configure(event)
+            case Other():
+                self._counters.add("control.unknown_event")
+        return None
+
+    def discovery_event(self, event: ListChange | Purge) -> None:
+        """Takes in an event of the front's own watch of the discovery service."""
+        if isinstance(event, Purge):
+            self._purge(event)
+        else:
+            self.lists.change(DISCOVERY, event)
+
+    def _purge(self, purge: Purge) -> None:
+        if self._recent.is_repetition(purge):
+            self._counters.add("control.repeated_purge")
+            return
+        self._target.apply(purge)
+        self._recent.note(purge)
+        self._counters.add("control.purge")
+
+    def _configure(self, event: ConfigurationEvent) -> Configured | Refused | None:
+        before = self.versions.in_force
+        answer = self.versions.take(event)
+        if answer is None:
+            self._counters.add("control.old_version")
+        elif isinstance(answer, Refused):
+            self._counters.add("control.refused_version")
+            self._log.say("control", refused_version=answer.version, reason=answer.reason)
+        elif self.versions.in_force != before:
+            self._counters.add("control.version")
+            self._log.say("control", version=answer.version)
+        return answer
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -26,6 +26,7 @@
 from .stop import Stop
 
 if TYPE_CHECKING:
+    from ..control.client import ControlClient
     from ..fleet.shell import Shell
     from ..fleet.workshell import Work
 
@@ -60,6 +61,7 @@
             self.guard.run("known", self.front.apply, event)
         self.follower = Follower(told.coordinator, told.last, self.front.follow, self.guard)
         self.work: list[Callable[[], object]] = [self.follower.run, self.front.probe]
+        self.control = self._make_control()
         self.peers = self._make_peers()
         self.fleet = self._make_fleet()
         self.orders: Work | None = self.fleet.work if self.fleet else None
@@ -107,6 +109,17 @@
         """True while new clients are welcome."""
         return not (self.stop.asked_at or (self.orders and self.orders.going))
 
+    def _make_control(self) -> ControlClient | None:
+        path = os.environ.get("MARBLEGLADE_CONTROL")
+        if not path:
+            return None
+        from .control import make_client, read_settings
+
+        settings = read_settings(path, self.told.name)
+        client = make_client(settings, self.told.name, self.front, self.facade, self.follower, self.guard)
+        self.work.append(client.run)
+        return client
+
     def _make_peers(self) -> Peers | None:
         told, ground = self.told, self.told.around.ground
         if not (told.around.peer_messages and told.peer_listen and told.peers):
@@ -127,8 +140,8 @@
         return peers
 
     def _heard_at(self) -> int:
-        """When the discovery service was last heard; 0: never."""
-        return self.follower.heard_at
+        """When the discovery service or a control node was last heard; 0: never."""
+        return max(self.follower.heard_at, self.control.heard_at if self.control else 0)
 
     def _make_fleet(self) -> Shell | None:
         text = os.environ.get("MARBLEGLADE_FLEET")
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -51,6 +51,7 @@
             places=parts.front.survey(),
             **({"fleet": parts.fleet.together.survey(clock.now())} if parts.fleet else {}),
             **({"work": parts.orders.survey()} if parts.orders else {}),
+            **({"control": parts.control.survey()} if parts.control else {}),
         )
 
     def ask_to_stop(self) -> None:
@@ -59,6 +60,8 @@
         self.log.say("stopping", open=len(self.parts.facade.open))
         if self.parts.fleet:
             self.guard.run("fleet", self.parts.fleet.leave)
+        if self.parts.control:
+            self.guard.run("control", self.parts.control.leave)
 
     def renew(self) -> None:
         """Reads the configuration again."""
