Purges find what they mean by index, at a cost flat in what is held

Cause: one purge looked at each entry of the directory, each own copy, each open request and each purge told, and rebuilt the decisions' table of purges; where the group was not known, each purge told was looked at, too. Dropping the oldest purge from a plain dict also walked over the places of all those dropped before it.

Change: PurgeIndex files items by object and by group; the directory (a class of its own now), the own copies and the open requests that were shown a copy keep one each. The decisions use the same class. Behaviour is as before.

Tests: five state machines compare index, directory, copies, open requests and purges with plain scans; the steps of the interpreter that a purge takes are equal for 64 and 4,096 held.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -15,6 +15,8 @@
 
 from .interface import (NEVER_RAN, Actions, Cache, Fleet, Ground, Group, Launch, Outcome, Profile, Repeat,
                         Retrieval, Role, Seen, State, Told, name_of)
+from .memory.directory import Directory
+from .memory.purges import Purges
 
 SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
 SLOW = 0.6              # pace of a link, against the full one, under which it counts as crowded
@@ -284,7 +286,7 @@
         retrieval, cache, source, now = launch.retrieval, launch.cache, launch.source, self.actions.now()
         if launch.outcome is Outcome.OK and not retrieval.plan.begun:
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
-                self.choice.enter(retrieval, cache, now)
+                self.choice.directory.enter(retrieval.object, retrieval.part, retrieval.group, cache, now)
                 retrieval.plan.sight.kept, retrieval.plan.sight.kept_at = cache, now
             if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
                     not self.ground.tells_hits and source is not cache):
@@ -292,7 +294,7 @@
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
         elif launch.outcome is Outcome.MISS:
             retrieval.plan.sight.kept = None
-            self.choice.directory.get((retrieval.object, retrieval.part), (0, {}))[1].pop(source, None)
+            self.choice.directory.forget(retrieval.object, retrieval.part, source)
         return True
 
 
@@ -403,9 +405,9 @@
         # The caches' links together, that of fills, and that of fills that no place is likely to hold.
         self.edges, self.fills, self.fetches = (Link(ground.crew, now, self.entry_age) for _ in range(3))
         self.listed([], True)
-        self.directory: OrderedDict[tuple[int, int], tuple[int, dict[Cache, int]]] = OrderedDict()
+        self.directory = Directory(LISTED)
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
-        self.purges: dict[tuple[str, int], int] = {}
+        self.purges = Purges(ground.purge_time * 2, unknown_group=None)
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.stages = [kind(self) for kind in (Door, Again, Own, Place, Source, Send)]
         for one, after in zip(self.stages, self.stages[1:], strict=False):
@@ -472,12 +474,8 @@
             self.overdue(heapq.heappop(self.due)[2], now)
 
     def purged(self, thing: int, group: int, at: int) -> None:
-        now, place = self.actions.now(), ("object", thing) if thing else ("group", group)
-        self.purges[place] = max(at, self.purges.get(place, 0))
-        self.purges = {one: t for one, t in self.purges.items() if t + self.ground.purge_time * 2 > now}
-        for key, (of, entries) in self.directory.items():
-            if key[0] == thing or (not thing and of == group):
-                entries.clear()
+        self.purges.add(thing, group, max(at, 0), self.actions.now())
+        self.directory.purge(thing, group)
 
     def saw(self) -> Seen:
         links = {0: self.fetches, 1: self.fills, 2 + self.ground.zone: self.edges}
@@ -535,8 +533,7 @@
 
     def age_limit(self, retrieval: Retrieval, now: int, grace: int = 0) -> int:
         """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
-        at = max(self.purges.get(("object", retrieval.object), 0),
-                 self.purges.get(("group", retrieval.group), 0)) if self.purges else 0
+        at = self.purges.latest(retrieval.object, retrieval.group)
         longest = retrieval.profile.fresh + grace
         age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
         if 0 < longest < age or now - at > self.ground.purge_time * 3 // 2:
@@ -597,17 +594,10 @@
 
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
         """The location's caches that the directory lists for the object."""
-        _, entries = self.directory.get((retrieval.object, retrieval.part), (0, {}))
+        entries = self.directory.caches(retrieval.object, retrieval.part)
         return [one for one, at in entries.items() if now - at < self.entry_age and one.state is State.ACTIVE
                 and at > one.memory.emptied]
 
-    def enter(self, retrieval: Retrieval, cache: Cache, now: int) -> None:
-        key = (retrieval.object, retrieval.part)
-        _, entries = self.directory.pop(key, (0, {}))
-        self.directory[key] = (retrieval.group, entries | {cache: now})
-        if len(self.directory) > LISTED:
-            self.directory.popitem(last=False)
-
     def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
         """Rule 2: what may have run stays where its repeats are dropped, or goes nowhere any more."""
         profile = retrieval.profile
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -15,7 +15,7 @@
 from .interface import Cache, Held, Outcome, Profile, Retrieval, Role, State
 from .life import clock
 from .life.guard import Guard
-from .memory.copies import NEAR, Copies, Copy, meant
+from .memory.copies import Copies, Copy
 from .memory.places import Places
 from .memory.purges import Purges
 from .wire.caches import Caches, Ending
@@ -270,14 +270,7 @@
         self.purges.add(purge.thing, purge.group, at, now)
         self.copies.purge(purge.thing, purge.group, at)
         # Guards against a copy that an open retrieval was shown and gets once the purge is forgotten.
-        for one, case in self.facade.open.cases.items():
-            if (
-                not case.final
-                and one.held
-                and one.held.issued <= at + NEAR
-                and meant(purge.thing, purge.group, one.object, one.group)
-            ):
-                one.held = None
+        self.facade.open.purge(purge.thing, purge.group, at)
         self.facade.purged(purge.thing, purge.group, at)
         self.counters.add("purge.told")
 
--- a/marbleglade/memory/copies.py
+++ b/marbleglade/memory/copies.py
@@ -5,18 +5,16 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from .purge_index import PurgeIndex
 from .purges import UNKNOWN
 
 NEAR = 1_000_000  # ns: a copy given out in the millisecond of a purge counts as older
 
 
-def meant(thing: int, group: int, object: int, of: int) -> bool:
-    """Whether a purge of an object or, where that is 0, of a group is one of this object of that group."""
-    return object == thing or (not thing and of in (group, UNKNOWN))
-
-
 @dataclass(slots=True, eq=False)
 class Copy:
+    """One copy of an object's part."""
+
     body: bytes
     tag: str
     issued: int  # when the origin gave it out, on our clock
@@ -24,11 +22,19 @@
 
 
 class Copies:
+    """The copies kept, by object and part.
+
+    Args:
+        size: bytes of bodies above which the copy used longest ago is dropped.
+    """
+
     def __init__(self, size: int) -> None:
         self.size, self.used = size, 0
         self.kept: OrderedDict[tuple[int, int], Copy] = OrderedDict()
+        self._index: PurgeIndex[tuple[int, int]] = PurgeIndex(UNKNOWN)
 
     def get(self, thing: int, part: int) -> Copy | None:
+        """The copy of a part, which counts as used now; None if there is none."""
         copy = self.kept.get((thing, part))
         if copy:
             self.kept.move_to_end((thing, part))
@@ -45,24 +51,23 @@
             return
         self._drop((thing, part))
         self.kept[thing, part] = copy
+        self._index.add((thing, part), thing, copy.group)
         self.used += len(copy.body)
         while self.used > self.size:
             self._drop(next(iter(self.kept)))
 
     def purge(self, thing: int, group: int, at: int) -> None:
         """Drops what is older than a purge of an object or, where that is 0, of a group."""
-        for key in [
-            key
-            for key, copy in self.kept.items()
-            if copy.issued <= at + NEAR and meant(thing, group, key[0], copy.group)
-        ]:
-            self._drop(key)
+        for key in self._index.meant(thing, group):
+            if self.kept[key].issued <= at + NEAR:
+                self._drop(key)
 
     def older(self, at: int) -> None:
-        """Drops all that was given out by then."""
+        """Drops all that was given out by then, whatever it is; looks at each copy."""
         for key in [key for key, copy in self.kept.items() if copy.issued <= at + NEAR]:
             self._drop(key)
 
     def _drop(self, key: tuple[int, int]) -> None:
-        copy = self.kept.pop(key, None)
-        self.used -= len(copy.body) if copy else 0
+        if copy := self.kept.pop(key, None):
+            self.used -= len(copy.body)
+            self._index.discard(key)
--- a/marbleglade/memory/open.py
+++ b/marbleglade/memory/open.py
@@ -9,6 +9,9 @@
 from gevent.event import Event
 
 from ..interface import Launch, Retrieval
+from .copies import NEAR
+from .purge_index import PurgeIndex
+from .purges import UNKNOWN
 
 
 @dataclass(slots=True, eq=False)
@@ -23,20 +26,42 @@
 
 
 class Open:
+    """The open retrievals, of which those that were shown a copy of the front's own are found by a purge.
+
+    Args:
+        most: the number from which on no more should be taken; 0: no bound told.
+    """
+
     def __init__(self, most: int) -> None:
-        self.most = most  # 0: no bound told
+        self.most = most
         self.cases: dict[Retrieval, Case] = {}
+        self._shown: PurgeIndex[Retrieval] = PurgeIndex(UNKNOWN)
 
     def __len__(self) -> int:
         return len(self.cases)
 
     @property
     def full(self) -> bool:
+        """True if no more should be taken."""
         return bool(self.most) and len(self.cases) >= self.most
 
     def add(self, retrieval: Retrieval) -> Case:
+        """Opens a retrieval; a copy of the front's own is shown to it before that."""
         case = self.cases[retrieval] = Case(retrieval)
+        if retrieval.held:
+            self._shown.add(retrieval, retrieval.object, retrieval.group)
         return case
 
     def drop(self, retrieval: Retrieval) -> None:
+        """Forgets a retrieval."""
         self.cases.pop(retrieval, None)
+        self._shown.discard(retrieval)
+
+    def purge(self, thing: int, group: int, at: int) -> None:
+        """Takes back the copies that were shown and are older than a purge of an object or, where that is 0,
+        of a group. What is decided keeps its copy: it was given before."""
+        for retrieval in self._shown.meant(thing, group):
+            held = retrieval.held
+            if held and held.issued <= at + NEAR and not self.cases[retrieval].final:
+                retrieval.held = None
+                self._shown.discard(retrieval)
--- /dev/null
+++ b/tests/test_purge_index.py
@@ -0,0 +1,337 @@
+"""Purges by index: against a plain scan, whatever the order of operations, and the steps that one takes."""
+
+import gc
+import sys
+from collections import OrderedDict
+
+import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from marbleglade.facade import Facade
+from marbleglade.interface import Cache, Held, Retrieval
+from marbleglade.life.counters import Counters
+from marbleglade.memory.copies import NEAR, Copies, Copy
+from marbleglade.memory.directory import Directory
+from marbleglade.memory.open import Open
+from marbleglade.memory.purge_index import PurgeIndex
+from marbleglade.memory.purges import UNKNOWN, Purges
+
+from .conftest import ERA, MS, Paper
+
+OBJECTS = strategies.integers(0, 5)
+PARTS = strategies.integers(0, 2)
+GROUPS = strategies.sampled_from([0, 1, 2, 7, UNKNOWN])
+STEPS = strategies.sampled_from([0, 1, NEAR - 1, NEAR, NEAR + 1, 40 * MS])
+AGES = strategies.sampled_from([-1, 0, 1, NEAR, 41 * MS, 90 * MS])
+LASTING = 100 * MS
+
+
+def means(thing, group, object, of):
+    """Whether a purge of an object or, where that is 0, of a group is one of this object of that group."""
+    return object == thing or (not thing and of in (group, UNKNOWN))
+
+
+class Clocked(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = ERA
+
+    @rule(step=STEPS)
+    def pass_time(self, step):
+        self.now += step
+
+
+class IndexMachine(RuleBasedStateMachine):
+    """The index gives what a scan over all items gives."""
+
+    def __init__(self):
+        super().__init__()
+        self.known, self.strict, self.items = PurgeIndex(UNKNOWN), PurgeIndex(), {}
+
+    numbers = strategies.integers(0, 9)
+
+    @rule(item=numbers, thing=OBJECTS, group=GROUPS)
+    def add(self, item, thing, group):
+        self.items[item] = thing, group
+        for index in (self.known, self.strict):
+            index.add(item, thing, group)
+
+    @rule(item=numbers)
+    def discard(self, item):
+        self.items.pop(item, None)
+        for index in (self.known, self.strict):
+            index.discard(item)
+
+    @rule(thing=OBJECTS, group=GROUPS)
+    def look(self, thing, group):
+        expected = {one for one, (object, of) in self.items.items() if means(thing, group, object, of)}
+        exact = {one for one in expected if UNKNOWN not in (group, self.items[one][1])}
+        assert self.known.meant(thing, group) == expected
+        if group != UNKNOWN:
+            named = {one for one in expected if self.items[one][0] == thing}
+            assert self.strict.meant(thing, group) == exact | named
+
+    @invariant()
+    def nothing_is_left_behind(self):
+        assert len(self.known) == len(self.strict) == len(self.items)
+        filed = {group for _, group in self.items.values()}
+        assert set(self.known._by_group) == filed and len(self.known._by_object) <= len(self.items)
+
+
+class DirectoryMachine(Clocked):
+    """A purge clears what a scan over the whole directory would clear, and moves nothing in its order."""
+
+    MOST = 4
+
+    def __init__(self):
+        super().__init__()
+        self.directory, self.model = Directory(self.MOST), OrderedDict()
+        self.caches = [Cache(b"c%d" % n) for n in range(3)]
+
+    @rule(thing=OBJECTS, part=PARTS, group=GROUPS, cache=strategies.integers(0, 2))
+    def enter(self, thing, part, group, cache):
+        _, entries = self.model.pop((thing, part), (0, {}))
+        self.model[thing, part] = group, entries | {self.caches[cache]: self.now}
+        if len(self.model) > self.MOST:
+            self.model.popitem(last=False)
+        self.directory.enter(thing, part, group, self.caches[cache], self.now)
+
+    @rule(thing=OBJECTS, part=PARTS, cache=strategies.integers(0, 2))
+    def forget(self, thing, part, cache):
+        self.model.get((thing, part), (0, {}))[1].pop(self.caches[cache], None)
+        self.directory.forget(thing, part, self.caches[cache])
+
+    @rule(thing=OBJECTS, group=GROUPS)
+    def purge(self, thing, group):
+        for key, (of, entries) in self.model.items():
+            if key[0] == thing or (not thing and of == group):
+                entries.clear()
+        self.directory.purge(thing, group)
+
+    @invariant()
+    def same(self):
+        filed = [(key, list(caches.items())) for key, caches in self.directory._entries.items()]
+        assert filed == [(key, list(entries.items())) for key, (_, entries) in self.model.items()]
+        assert len(self.directory._index) <= len(self.model) <= self.MOST
+
+
+class CopiesMachine(Clocked):
+    """The copies that a scan over all of them would keep, in the same order of use."""
+
+    SIZE = 12
+
+    def __init__(self):
+        super().__init__()
+        self.copies, self.model = Copies(self.SIZE), OrderedDict()
+
+    @rule(thing=OBJECTS, part=PARTS, group=GROUPS, age=AGES, size=strategies.integers(0, 14), purged=AGES)
+    def put(self, thing, part, group, age, size, purged):
+        copy, at = Copy(b"x" * size, "", self.now - age, group), self.now - purged
+        known = self.model.get((thing, part))
+        if not (known and known.issued >= copy.issued or copy.issued <= at + NEAR or size > self.SIZE):
+            self.model.pop((thing, part), None)
+            self.model[thing, part] = copy
+            while sum(len(one.body) for one in self.model.values()) > self.SIZE:
+                self.model.popitem(last=False)
+        self.copies.put(thing, part, copy, at)
+
+    @rule(thing=OBJECTS, part=PARTS)
+    def use(self, thing, part):
+        copy = self.copies.get(thing, part)
+        assert copy is self.model.get((thing, part))
+        if copy:
+            self.model.move_to_end((thing, part))
+
+    @rule(thing=OBJECTS, group=GROUPS, age=AGES)
+    def purge(self, thing, group, age):
+        at = self.now - age
+        for key, copy in list(self.model.items()):
+            if copy.issued <= at + NEAR and means(thing, group, key[0], copy.group):
+                del self.model[key]
+        self.copies.purge(thing, group, at)
+
+    @rule(age=AGES)
+    def older(self, age):
+        for key, copy in list(self.model.items()):
+            if copy.issued <= self.now - age + NEAR:
+                del self.model[key]
+        self.copies.older(self.now - age)
+
+    @invariant()
+    def same(self):
+        assert list(self.copies.kept.items()) == list(self.model.items())
+        assert self.copies.used == sum(len(one.body) for one in self.model.values())
+        assert len(self.copies._index) == len(self.model)
+
+
+class OpenMachine(Clocked):
+    """A purge takes back the copies that a scan over all open retrievals would take back."""
+
+    def __init__(self):
+        super().__init__()
+        self.open, self.retrievals, self.shown = Open(0), [], {}
+
+    def pick(self, number):
+        return self.retrievals[number % len(self.retrievals)] if self.retrievals else None
+
+    @rule(thing=OBJECTS, group=GROUPS, age=AGES, held=strategies.booleans())
+    def add(self, thing, group, age, held):
+        copy = Held(1, self.now - age) if held else None
+        one = Retrieval(None, thing, 0, group, 0.0, self.now, self.now, held=copy)
+        self.retrievals.append(one)
+        self.open.add(one)
+        self.shown[one] = copy
+
+    @rule(number=strategies.integers(0, 20))
+    def decide(self, number):
+        if one := self.pick(number):
+            self.open.cases[one].final = True
+
+    @rule(number=strategies.integers(0, 20))
+    def drop(self, number):
+        if one := self.pick(number):
+            self.retrievals.remove(one)
+            self.open.drop(one)
+
+    @rule(thing=OBJECTS, group=GROUPS, age=AGES)
+    def purge(self, thing, group, age):
+        at = self.now - age
+        for one in self.retrievals:
+            held, final = self.shown[one], self.open.cases[one].final
+            old = held and held.issued <= at + NEAR
+            if old and not final and means(thing, group, one.object, one.group):
+                self.shown[one] = None
+        self.open.purge(thing, group, at)
+
+    @invariant()
+    def same(self):
+        assert all(one.held is self.shown[one] for one in self.retrievals)
+        assert len(self.open._shown) <= len(self.open) == len(self.retrievals)
+
+
+class PurgesMachine(Clocked):
+    """What is met of the purges told is what a scan over all of them would meet."""
+
+    def __init__(self):
+        super().__init__()
+        self.purges, self.strict, self.model = Purges(LASTING), Purges(LASTING, None), {}
+
+    @rule(thing=OBJECTS, group=GROUPS, age=AGES)
+    def add(self, thing, group, age):
+        at, place = self.now - age, ("object", thing) if thing else ("group", group)
+        self.model[place] = self.now, max(at, self.model.get(place, (0, at))[1])
+        self.model = {key: mark for key, mark in self.model.items() if self.now - mark[0] <= LASTING}
+        for purges in (self.purges, self.strict):
+            purges.add(thing, group, at, self.now)
+
+    def scan(self, thing, group, unknown):
+        return [
+            mark
+            for (kind, number), mark in self.model.items()
+            if (number == thing if kind == "object" else number == group or group == unknown)
+        ]
+
+    @rule(thing=OBJECTS, group=GROUPS, age=AGES)
+    def look(self, thing, group, age):
+        for purges, unknown in ((self.purges, UNKNOWN), (self.strict, None)):
+            marks = self.scan(thing, group, unknown)
+            assert purges.latest(thing, group) == max((at for _, at in marks), default=0)
+            since = any(told > self.now - age for told, _ in marks)
+            assert purges.since(thing, group, self.now - age) == since
+        assert self.purges.any_group() == max((at for _, at in self.scan(0, UNKNOWN, UNKNOWN)), default=0)
+
+    @invariant()
+    def same(self):
+        assert {key: tuple(mark) for key, mark in self.purges.told.items()} == self.model
+        assert len(self.purges._group_marks) <= sum(kind == "group" for kind, _ in self.model)
+
+
+MACHINES = [IndexMachine, DirectoryMachine, CopiesMachine, OpenMachine, PurgesMachine]
+for machine in MACHINES:
+    case = machine.TestCase
+    case.settings = settings(max_examples=100, stateful_step_count=40, deadline=None, derandomize=True)
+    globals()[f"Test{machine.__name__}"] = case
+del case
+
+
+def test_too_many_purges_are_merged_into_one_that_holds_for_all():
+    purges = Purges(LASTING, most=3)
+    for thing in range(1, 6):
+        purges.add(thing, 0, 10 * thing, ERA + thing)
+    assert len(purges.told) == 3
+    assert [purges.latest(thing, 0) for thing in (1, 2, 3, 5, 99)] == [20, 20, 30, 50, 20]
+    assert purges.since(99, UNKNOWN, ERA + 1) and not purges.since(99, UNKNOWN, ERA + 2)
+    purges.add(7, 0, 80, ERA + 5 + LASTING)
+    assert (purges.latest(1, 0), purges.latest(5, 0), purges.latest(7, 0)) == (0, 50, 80)
+
+
+# Cost: the steps of the interpreter that one purge takes, which no clock and no other load changes.
+
+
+def steps(call, *told):
+    """How many instructions of the interpreter a call runs."""
+    count = 0
+
+    def trace(frame, event, _):
+        nonlocal count
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        count += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    gc.disable()  # the collector's callbacks would be counted, too
+    sys.settrace(trace)
+    try:
+        call(*told)
+    finally:
+        sys.settrace(before)
+        gc.enable()
+    return count
+
+
+def group_of(thing, entries):
+    """A group of four objects, other than the one that stands for "not known"."""
+    return UNKNOWN + 1 + thing % (entries // 4)
+
+
+def full_directory(entries):
+    paper = Paper()
+    for thing in range(1, entries + 1):
+        paper.choice.directory.enter(thing, 0, group_of(thing, entries), paper.caches[0], ERA)
+    return lambda thing, group: paper.choice.purged(thing, group, ERA)
+
+
+def full_copies(entries):
+    copies = Copies(entries)
+    for thing in range(1, entries + 1):
+        copies.put(thing, 0, Copy(b"x", "", ERA, group_of(thing, entries)), 0)
+    return lambda thing, group: copies.purge(thing, group, ERA)
+
+
+def many_open(entries):
+    facade = Facade(Paper().ground, lambda *_: None, lambda: ERA, 0, Counters(), lambda _: None)
+    for thing in range(1, entries + 1):
+        facade.open.add(Retrieval(None, thing, 0, group_of(thing, entries), 0.0, 0, 0, held=Held(1, ERA)))
+    return lambda thing, group: facade.open.purge(thing, group, ERA)
+
+
+def many_told(entries):
+    purges = Purges(entries * 2)
+    for number in range(entries * 4):  # all told longer ago than they last are dropped on the way
+        purges.add(*((number, 0) if number % 4 else (0, number)), ERA + number, ERA + number)
+    end = ERA + entries * 4
+
+    def told(thing, group):
+        purges.add(thing, group, end, end)
+        purges.latest(thing, UNKNOWN)
+        purges.since(thing, UNKNOWN, end)
+
+    return told
+
+
+@pytest.mark.parametrize("purge", [(9, 0), (0, UNKNOWN + 9), (10**9, 0), (0, 10**9)])
+@pytest.mark.parametrize("filled", [full_directory, full_copies, many_open, many_told])
+def test_the_steps_of_a_purge_do_not_grow_with_what_is_held(filled, purge):
+    few, many = (steps(filled(entries), *purge) for entries in (64, 4096))
+    assert few == many < 1200
