The decisions take a limit on the age of every copy while purges may go unheard

Need: a front that hears no purges, or may miss some, has to answer only from what cannot have been purged unheard. Nothing could tell the decisions so.

Change: Choice.limit_age(oldest) in nanoseconds, passed through by Facade.limit_age; 0 ends the limit and is the default. While it acts, age_limit allows nothing older than that, whether by purges told, fresh or grace time. What goes through age_limit is bound with it: each launch and retry, an answer from an ageing copy, the front's own copies. A sibling is named as source only where age_limit leaves the age to the profile, as after a purge. What is under way when the limit comes was asked for without it; the limit binds the next launch.

Tests: tests/test_age_limit.py.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -408,6 +408,7 @@
         self.directory = Directory(LISTED)
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges = Purges(ground.purge_time * 2, unknown_group=None)
+        self.oldest = 0         # no copy may be older while purges may be unheard; 0: they are heard
         self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
         self.stages = [kind(self) for kind in (Door, Again, Own, Place, Source, Send)]
         for one, after in zip(self.stages, self.stages[1:], strict=False):
@@ -477,6 +478,9 @@
         self.purges.add(thing, group, max(at, 0), self.actions.now())
         self.directory.purge(thing, group)
 
+    def limit_age(self, oldest: int) -> None:
+        self.oldest = max(oldest, 1000) if oldest else 0
+
     def saw(self) -> Seen:
         links = {0: self.fetches, 1: self.fills, 2 + self.ground.zone: self.edges}
         now, places = self.actions.now(), [(name_of(one.mark), one.memory) for one in self.known]
@@ -532,13 +536,15 @@
         return int(profile.memory or profile.agreed / 4)
 
     def age_limit(self, retrieval: Retrieval, now: int, grace: int = 0) -> int:
-        """The oldest copy allowed by the purges told; 0 leaves it to the profile's fresh time."""
-        at = self.purges.latest(retrieval.object, retrieval.group)
+        """The oldest copy allowed by purges, told or unheard; 0 leaves it to the profile's fresh time."""
+        since = now - self.purges.latest(retrieval.object, retrieval.group)
+        age = max(since - 1000, 1000) if since <= self.ground.purge_time * 3 // 2 else 0
+        if self.oldest:
+            age = min(age, self.oldest) if age else self.oldest
         longest = retrieval.profile.fresh + grace
-        age = max(now - at - 1000, 1000)      # never 0, which would mean "default" at the door
-        if 0 < longest < age or now - at > self.ground.purge_time * 3 // 2:
+        if not age or 0 < longest < age:
             return longest if grace else 0
-        return age
+        return age      # never 0, which would mean "default" at the door
 
     score = staticmethod(lru_cache(LISTED)(lambda thing, part, mark: int.from_bytes(
         blake2b(b"%d %d " % (thing, part) + mark, digest_size=8).digest())))
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -179,6 +179,10 @@
     def purged(self, thing: int, group: int, at: int) -> None:
         self._call(self.decisions.purged, thing, group, at)
 
+    def limit_age(self, oldest: int) -> None:
+        """Allows no copy older than that, in nanoseconds; 0 ends the limit. See `interface.Decisions`."""
+        self._call(self.decisions.limit_age, oldest)
+
     def seen(self) -> Seen:
         """What the decisions saw so far."""
         return self.decisions.saw()
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -288,6 +288,16 @@
 
     def purged(self, thing: int, group: int, at: int) -> None: ...
 
+    def limit_age(self, oldest: int) -> None:
+        """Allows no copy older than that, whatever the purges told allow, until it is called again.
+
+        It is for as long as purges may go unheard; the front's own copies are meant as well.
+
+        Args:
+            oldest: age in nanoseconds, of which less than 1,000 counts as 1,000; 0 ends the limit, which is
+                how an instance starts.
+        """
+
     def give_up(self, retrieval: Retrieval) -> None: ...
 
     def settled(self, fleet: Fleet) -> None: ...
--- /dev/null
+++ b/tests/test_age_limit.py
@@ -0,0 +1,104 @@
+"""The bound on the age of every copy while purges may go unheard."""
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from marbleglade.facade import Facade
+from marbleglade.interface import Held, Outcome
+from marbleglade.life.counters import Counters
+
+from .conftest import MS, Paper
+
+
+@pytest.mark.parametrize(
+    "fresh, purged, oldest, age",
+    [
+        (0, None, 700, 700),  # no limit but this one
+        (0, 300, 700, 300),  # the purge is later
+        (0, 8000, 700, 700),  # a purge told long ago
+        (0, None, 20_000, 20_000),  # a limit longer than purges are remembered
+        (5000, None, 700, 700),  # stricter than the profile
+        (500, None, 700, 0),  # the profile is stricter: the cache knows its fresh time
+    ],
+)
+def test_what_is_launched_names_the_strictest_limit(fresh, purged, oldest, age):
+    paper = Paper(fresh=fresh * MS)
+    if purged is not None:
+        paper.choice.purged(5, 5, paper.clock - purged * MS)
+    paper.choice.limit_age(oldest * MS)
+    paper.ask(5)
+    assert abs(paper.ages[0] - age * MS) <= 1000
+
+
+@pytest.mark.parametrize("grace, age", [(400, 900), (4000, 2000)])
+def test_an_ageing_copy_that_is_given_while_fills_are_slow_is_within_the_limit(grace, age):
+    paper = Paper(fresh=500 * MS)
+    paper.ground.profiles[0].grace = grace * MS
+    paper.choice.limit_age(2000 * MS)
+    paper.choice.fills.room, paper.choice.fills.held = 1.0, 50
+    paper.ask(5)
+    assert paper.held_only and paper.ages == [age * MS]
+
+
+@pytest.mark.parametrize("age, own", [(699, True), (700, False), (1500, False)])
+def test_a_copy_of_the_fronts_own_is_given_within_the_limit(age, own):
+    paper = Paper(fresh=2000 * MS, own_width=4.0)
+    paper.choice.limit_age(700 * MS)
+    one = paper.ask(5, held=Held(50 * MS, paper.clock - age * MS))
+    assert (paper.said == [("settle", one)]) is own and (not paper.sent) is own
+
+
+@pytest.mark.parametrize("oldest, sibling", [(700 * MS, False), (0, True)])
+def test_no_sibling_fills_while_the_limit_acts_as_after_a_purge(oldest, sibling):
+    paper = Paper()
+    first = paper.ask(5).launches[0]
+    paper.end(first)
+    paper.choice.limit_age(700 * MS)
+    paper.choice.limit_age(oldest)
+    first.cache.memory.link.room, first.cache.memory.link.held = 0.01, 4  # too crowded to answer itself
+    assert (paper.ask(5).launches[0].source is first.cache) is sibling
+
+
+def test_a_retry_is_bound_by_a_limit_that_came_since():
+    paper = Paper()
+    first = paper.ask(5).launches[0]
+    paper.choice.limit_age(700 * MS)
+    paper.end(first, Outcome.FULL, 40)
+    assert paper.ages == [0, 700 * MS]
+
+
+def test_the_limit_ends_and_is_never_so_short_that_it_reads_as_none():
+    paper = Paper()
+    for oldest in (1, 700 * MS, 0):
+        paper.choice.limit_age(oldest)
+        paper.ask(5)
+    assert paper.ages == [1000, 700 * MS, 0]
+
+
+TIMES = strategies.integers(0, 12_000)
+
+
+@settings(deadline=None, derandomize=True)
+@given(TIMES, TIMES, TIMES, strategies.integers(1, 12_000), strategies.booleans())
+def test_the_limit_never_allows_more_than_is_allowed_without_it(fresh, grace, purged, oldest, slow):
+    """What may be given is bounded by the launch's age or, where that is 0, by the profile's fresh time."""
+    allowed = []
+    for limit in (0, oldest * MS):
+        paper = Paper(fresh=fresh * MS)
+        if purged:
+            paper.choice.purged(5, 0, paper.clock - purged * MS)
+        paper.choice.limit_age(limit)
+        one = paper.ask(5)
+        age = paper.choice.age_limit(one, paper.clock, grace * MS if slow else 0)
+        allowed.append(age or fresh * MS or float("inf"))
+    assert allowed[1] == min(allowed[0], max(oldest * MS, 1000))
+
+
+def test_the_facade_passes_the_limit_on():
+    paper, heard = Paper(), []
+    facade = Facade(
+        paper.ground, lambda *_: paper.choice, lambda: paper.clock, 0, Counters(), lambda text: None
+    )
+    paper.choice.limit_age = heard.append
+    facade.limit_age(700 * MS)
+    assert heard == [700 * MS]
