A client that has gone is noticed while the front is amid its bytes or writes to it

Seen with tests/test_client_departure.py (22 ways of leaving x 10 states of the request, real doors, facade and policy over loopback, order held by stand-ins): attempts began later than 0.1 s after the client had left where its reader was busy. Cause, all in wire/clients.py: _take_in waited for the flush of answers that the client does not take and read nothing meanwhile (half close and NEVERMIND unheard); it worked through a flood message by message, with the end of the connection behind it (close, half close, reset); _make_room read nothing either.

While answers wait for their reader up to 64 KB are read ahead, and a cancel of an open request among them is heard at once. Messages read and not yet handled count as owed.

--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import deque
 from collections.abc import Callable
 
 import gevent
@@ -15,6 +16,7 @@
 from ..interface import Retrieval
 from ..life.guard import Guard
 from ..memory.traces import Traces
+from .hangup import hung_up
 from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
 from .sockets import SCRATCH, TURN, chunks, send_now, unread
 
@@ -24,6 +26,7 @@
 IDLE = 4_000_000_000
 UNFINISHED = IDLE // 2
 LINGER = UNFINISHED // 8  # how long who was said goodbye to may take to read it and to close
+LOOK = 0.01  # seconds between looks at a client of which nothing is read for now
 WORDS = {End.SETTLED: b"ok", End.PUSHED_BACK: b"full", End.BROKEN_OFF: b"fault"}
 
 
@@ -42,11 +45,13 @@
         self.buffered = 0  # bytes of a frame that is not whole yet
         # It sends no more that counts; it has closed its side; nothing can be written any more.
         self.ended = self.left = self.closed = False
+        self.hung_up = False  # it has closed its side, though bytes that came before that lie unread
+        self.unhandled: deque[list[bytes]] = deque()  # messages that were read and wait for their turn
 
     @property
     def owed(self) -> bool:
         """Something is still to be answered or written."""
-        return bool(self.open or self.due or self.flushing or self.turn.locked())
+        return bool(self.open or self.due or self.flushing or self.turn.locked() or self.unhandled)
 
 
 class Clients:
@@ -147,7 +152,7 @@
                 except BadFrame:
                     # It can't be followed further. What it asked for before is answered first.
                     self.counters.add("client.bad_frame")
-                    client.ended, client.frames = True, Frames()
+                    client.ended, client.frames, client.unhandled = True, Frames(), deque()
                     self.buffered -= client.buffered
                     client.buffered = 0
                     self._flush(client)
@@ -163,34 +168,86 @@
             # It sends no more. It has most likely left, but may still read: what runs for it is answered,
             # and what waits is given up. Guards against launches for who is no longer there.
             client.ended = client.left = True
-            for retrieval in list(client.open.values()):
-                self.guard.run("part", self.front.part, retrieval)
+            self._part(client)
             self._done(client)
 
     def _take_in(self, client: Client, data: memoryview) -> None:
+        if len(data) == len(SCRATCH):  # more lies behind it, and its end may
+            self._look_for_hangup(client)
+        self._cut(client, data)
+        self._handle(client)
+        if client.closed:
+            return
+        if client.frames.bad:
+            raise client.frames.bad
+        self.buffered += len(client.frames.buffer) - client.buffered
+        client.buffered = len(client.frames.buffer)
+        self._make_room(client)
+
+    def _handle(self, client: Client) -> None:
+        """Carries out the messages that have come whole."""
+        messages = client.unhandled
+        for count in itertools.count(1):
+            if not messages or client.closed:
+                break
+            self._heard(client, messages.popleft())
+            if len(client.due) > len(SCRATCH):
+                self._flush(client)
+                if client.flushing:  # nothing more is answered of who does not take its answers
+                    self._read_ahead(client)
+            if messages and not count % TURN:  # a flood from one must not hold up the others
+                self._flush(client)
+                gevent.sleep(0)
+                self._look_for_hangup(client)
+        self._flush(client)
+
+    def _cut(self, client: Client, data: memoryview) -> None:
+        """Files the messages that have come whole."""
         client.last = self.clock()
         frames = client.frames.feed(data)
         if frames:
             client.whole, client.began = True, 0
         if client.frames.amid:
             client.began = client.began or client.last
-        for start in range(0, len(frames), TURN):
-            if start:  # a flood from one must not hold up the others
-                gevent.sleep(0)
-            for words in frames[start : start + TURN]:
-                if client.closed:
-                    return
+        client.unhandled += frames
+
+    def _read_ahead(self, client: Client) -> None:
+        """Waits until the client has taken its answers. A cancel or the close that comes meanwhile is heard:
+        guards against attempts for who has gone. All else waits for its turn, within a bound."""
+        left = len(SCRATCH)
+        while client.flushing and not client.closed:
+            self._look_for_hangup(client)
+            if left and not client.frames.bad and unread(client.sock):
+                size = client.sock.recv_into(SCRATCH[:left])
+                left -= size
+                try:
+                    self._cut(client, SCRATCH[:size])
+                except BadFrame as trouble:  # what stands before it is still answered
+                    client.frames.bad = trouble
+            for words in [one for one in client.unhandled if self._cancels_open(client, one)]:
+                client.unhandled.remove(words)
                 self._heard(client, words)
-                if len(client.due) > len(SCRATCH):
-                    self._flush(client)
-                    if client.flushing:  # nothing more is read of who does not take its answers
-                        client.flushing.wait()
-            self._flush(client)
-        if client.frames.bad:
-            raise client.frames.bad
-        self.buffered += len(client.frames.buffer) - client.buffered
-        client.buffered = len(client.frames.buffer)
-        self._make_room(client)
+            client.flushing.wait(LOOK)
+
+    def _cancels_open(self, client: Client, words: list[bytes]) -> bool:
+        """Tells whether a message cancels a request that is open."""
+        if words[0] != b"NEVERMIND":
+            return False
+        try:
+            return decode(words, self.profiles).tag in client.open
+        except BadFrame:  # it ends the connection once it is its turn
+            return False
+
+    def _look_for_hangup(self, client: Client) -> None:
+        """Gives up what waits for a client that has closed its side, though not all that it sent is read."""
+        if client.hung_up or not hung_up(client.sock):
+            return
+        client.hung_up = True
+        self._part(client)
+
+    def _part(self, client: Client) -> None:
+        for retrieval in list(client.open.values()):
+            self.guard.run("part", self.front.part, retrieval)
 
     def _make_room(self, client: Client) -> None:
         """Where parts of messages take too much room, who has begun most and is owed nothing makes room; if
@@ -199,6 +256,7 @@
             free = [one for one in self.clients if one.buffered and not one.owed]
             if not free:
                 gevent.sleep(self.front.resolution / 1e9)
+                self._look_for_hangup(client)
                 continue
             self.counters.add("client.no_room")
             self._close(max(free, key=lambda one: one.buffered))
@@ -231,6 +289,8 @@
                 client.due += self._encode(message.tag, reply)
             else:
                 gevent.spawn_raw(self.guard.run, "answer", self._serve, client, message, retrieval)
+                if client.hung_up:
+                    self.guard.run("part", self.front.part, retrieval)
         elif isinstance(message, Nevermind):
             if (retrieval := client.open.pop(message.tag, None)) is not None:
                 self.counters.add("retrieval.nevermind")
--- /dev/null
+++ b/tests/departure_rig.py
@@ -0,0 +1,284 @@
+"""A front between stand-in clients and caches, whose order of events is forced by what the stand-ins hold.
+
+The parts are the real ones: the doors, the policy, the facade. Connections to caches come up when the rig
+lets them, a cache reads when it is told to, and each notes when the first byte of an attempt arrived.
+"""
+
+from __future__ import annotations
+
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from marbleglade.choice import Choice
+from marbleglade.facade import Facade
+from marbleglade.front import Front
+from marbleglade.ground import read_ground
+from marbleglade.interface import Retrieval
+from marbleglade.life import clock
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.memory.copies import Copies, Copy
+from marbleglade.memory.places import Places
+from marbleglade.memory.purges import Purges
+from marbleglade.memory.room import Room
+from marbleglade.wire import caches as caches_wire
+from marbleglade.wire.caches import Caches
+from marbleglade.wire.clients import Clients
+from marbleglade.wire.coordlines import ListChange, Member
+
+from .conftest import MS, OPTIONS, WAIT, listening, until, words
+
+GRACE = 0.1  # seconds after a client has left from which on no attempt may begin for it
+LOOP_TURNS = 10  # that the event loop gets beside those seconds: a stalled machine is no fault of the front
+SMALL_BUFFER = 4096  # bytes that the socket of a peer which reads nothing holds, about
+MOST_CONNECTIONS = 400  # of clients, and to caches
+CACHE_IDS = ("s1", "s2", "s3")
+HELD_OBJECT = 0x00000000000000AA  # the front holds a copy of it
+HELD_SIZE = 100_000  # bytes of that copy: more than an unread connection takes, and than the reader waits for
+UNKNOWN_CANCEL = words(b"NEVERMIND", b"99")  # a message that is read and needs no answer
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt that arrived at a stand-in cache; `began`: when its first byte did (monotonic seconds)."""
+
+    trace: str
+    began: float
+    sock: socket.socket
+
+
+@dataclass(slots=True)
+class StandInCache:
+    """Notes the attempts that arrive. It answers none by itself, and reads nothing while `reads` is clear."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    probes: list[tuple[str, socket.socket]] = field(default_factory=list)
+    sockets: list[socket.socket] = field(default_factory=list)
+    listener: socket.socket = field(default_factory=listening)
+    reads: Event = field(default_factory=Event)
+    greenlets: list[gevent.Greenlet] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.reads.set()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        self.listener.listen(MOST_CONNECTIONS)
+        self.greenlets.append(gevent.spawn(self._accept))
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            self.sockets.append(sock)
+            self.greenlets.append(gevent.spawn(self._read, sock))
+
+    def _read(self, sock: socket.socket) -> None:
+        with suppress(OSError):
+            while True:
+                self.reads.wait()
+                first = sock.recv(1)
+                arrived = time.monotonic()
+                if not first:
+                    return
+                line = first + self._line(sock)
+                if line.startswith(b"do "):
+                    attempt = Attempt(line.split()[1].decode(), arrived, sock)
+                    self.attempts.append(attempt)
+                    self._skip(sock, int(line.split()[3]) + 2)
+                elif line.startswith((b"ping ", b"top ")):
+                    self.probes.append((line.split()[1].decode(), sock))
+
+    def _line(self, sock: socket.socket) -> bytes:
+        line = b""
+        while not line.endswith(b"\n") and (byte := sock.recv(1)):
+            line += byte
+        return line
+
+    def _skip(self, sock: socket.socket, size: int) -> None:
+        while size > 0 and (data := sock.recv(min(size, 1 << 16))):
+            size -= len(data)
+            self.reads.wait()
+
+    def close(self) -> None:
+        for greenlet in self.greenlets:
+            greenlet.kill()
+        for sock in (self.listener, *self.sockets):
+            sock.close()
+
+
+class HeldNetwork:
+    """Stands in for the `socket` module where connections to caches are made, and holds them."""
+
+    AF_INET, SOCK_STREAM = socket.AF_INET, socket.SOCK_STREAM
+    IPPROTO_TCP, TCP_NODELAY = socket.IPPROTO_TCP, socket.TCP_NODELAY
+
+    def __init__(self) -> None:
+        self.open, self.refuse_one, self.waiting = Event(), False, 0
+        self.open.set()
+        network = self
+
+        class HeldSocket(socket.socket):
+            def connect(self, address: tuple[str, int]) -> None:
+                network.pass_through()
+                self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+                super().connect(address)
+
+        self.socket = HeldSocket
+
+    def pass_through(self) -> None:
+        """Waits until connections may come up; raises where this one is refused."""
+        self.waiting += 1
+        try:
+            self.open.wait()
+        finally:
+            self.waiting -= 1
+        if self.refuse_one:
+            self.refuse_one = False
+            raise ConnectionRefusedError
+
+
+class ReportFirst(Choice):
+    """A policy that asks for a load report before the first attempt of a request."""
+
+    def __init__(self, *parts: object) -> None:
+        self.pending: list[Retrieval] = []
+        super().__init__(*parts)
+
+    def take(self, retrieval: Retrieval) -> None:
+        if retrieval.held:
+            super().take(retrieval)
+            return
+        self.pending.append(retrieval)
+        self.actions.probe(self.near[0])
+
+    def gone(self, retrieval: Retrieval) -> None:
+        self._forget(retrieval)
+        super().gone(retrieval)
+
+    def give_up(self, retrieval: Retrieval) -> None:
+        self._forget(retrieval)
+        super().give_up(retrieval)
+
+    def _forget(self, retrieval: Retrieval) -> None:
+        if retrieval in self.pending:
+            self.pending.remove(retrieval)
+
+    def woken(self) -> None:
+        super().woken()
+        if self.near[0].reported:
+            pending, self.pending = self.pending, []
+            for retrieval in pending:
+                super().take(retrieval)
+
+
+class DepartureRig:
+    """One front with the real policy, and all that stands around it."""
+
+    def __init__(self, monkeypatch, policy: type[Choice] = Choice) -> None:
+        self.network, self.reading_on = HeldNetwork(), Event()
+        monkeypatch.setattr(caches_wire, "socket", self.network)
+        self.caches = [StandInCache() for _ in CACHE_IDS]
+        self.door, self.client_sockets = listening(), []
+        self.door.listen(MOST_CONNECTIONS)
+        self._build(policy)
+        members = [
+            Member(id, cache.listener.getsockname(), "z", "box", 0, "active", 0)
+            for id, cache in zip(CACHE_IDS, self.caches, strict=True)
+        ]
+        self.front.apply(ListChange(1, True, members))
+        self.work = [gevent.spawn(self.clients.accept, self.door), gevent.spawn(self._tick)]
+        self.work.append(gevent.spawn(self.front.probe))
+
+    def _build(self, policy: type[Choice]) -> None:
+        around = read_ground(OPTIONS, 7)
+        around = replace(around, ground=replace(around.ground, own_width=8.0))
+        self.counters = Counters()
+        guard = Guard(self.counters, Log("departure", self.counters, sink=2))
+        places, purges = Places(around, clock.from_unix_ms), Purges(1000 * MS)
+        self.facade = Facade(around.ground, policy, clock.now, 0, self.counters, lambda text: None)
+        self.upstream = Caches(
+            places.by_cache,
+            Room(8 << 20),
+            MOST_CONNECTIONS,
+            around.connect_timeout,
+            around.idle_close,
+            around.streams,
+            clock.now,
+            guard,
+            lambda request, since: purges.since(request.object, request.group, since),
+        )
+        self.front = Front(self.facade, self.upstream, places, purges, Copies(1 << 20), 10_000_000, guard)
+        self.clients = Clients(self.front, MOST_CONNECTIONS, 4 << 20, 50 * MS, lambda: True, clock.now, guard)
+        self.profile = next(iter(around.profiles))
+
+    def _tick(self) -> None:
+        while True:
+            self.facade.tick()
+            gevent.sleep(0.002)
+
+    # Clients.
+
+    def client(self, receive_buffer: int = 0) -> socket.socket:
+        """A connected client; one with a small receive buffer soon blocks the front's writes."""
+        sock = socket.socket()
+        sock.settimeout(WAIT)
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        known = set(self.clients.clients)
+        sock.connect(self.door.getsockname())
+        self.client_sockets.append(sock)
+        until(lambda: set(self.clients.clients) - known)
+        if receive_buffer:
+            (connection,) = set(self.clients.clients) - known
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        return sock
+
+    def request(self, tag: int, trace: str, thing: int = 0, body: bytes = b"") -> bytes:
+        """The bytes of one request; `thing` tells objects apart."""
+        fields = f"trace={trace},patience=2500,entity={thing or int(trace, 16):016x},block=0,family=17"
+        return words(b"ASK", b"%d" % tag, self.profile.encode(), fields.encode(), body)
+
+    def hold_copy(self) -> None:
+        """The front holds a copy of one object, and answers with it at the door."""
+        copy = Copy(b"x" * HELD_SIZE, "4be0c1927d55a6f3", clock.now(), 17)
+        self.front.copies.put(HELD_OBJECT, 0, copy, 0)
+
+    # What the caches saw.
+
+    def attempts(self, trace: str) -> list[Attempt]:
+        """The attempts for a request at all caches, in the order in which they began."""
+        found = [one for cache in self.caches for one in cache.attempts if one.trace == trace]
+        return sorted(found, key=lambda attempt: attempt.began)
+
+    def wait_for_attempts(self, trace: str, count: int) -> Attempt:
+        """The last of so many attempts, once they have begun."""
+        until(lambda: len(self.attempts(trace)) >= count)
+        return self.attempts(trace)[count - 1]
+
+    def began_after(self, trace: str, left_at: float) -> int:
+        """How many attempts began later after their client had left than is allowed."""
+        return sum(attempt.began - left_at > GRACE for attempt in self.attempts(trace))
+
+    def settle(self, turns: int = LOOP_TURNS) -> None:
+        """Gives the event loop so many turns, with reads of sockets between them."""
+        for _ in range(turns):
+            gevent.sleep(0.001)
+
+    def pass_grace(self, left_at: float) -> None:
+        """Lets the time go by in which an attempt may still begin, and gives the front its turns in it."""
+        gevent.sleep(max(0.0, left_at + GRACE + 0.001 - time.monotonic()))
+        self.settle()
+
+    def close(self) -> None:
+        self.network.open.set()
+        self.reading_on.set()
+        for greenlet in self.work:
+            greenlet.kill()
+        for sock in (self.door, *self.client_sockets):
+            sock.close()
+        for cache in self.caches:
+            cache.close()
--- /dev/null
+++ b/tests/test_client_departure.py
@@ -0,0 +1,321 @@
+"""No attempt begins for a client that has gone: each way of leaving against each state of its request.
+
+A client that closes its connection or cancels has gone, and no attempt, first or further, may begin more
+than `GRACE` later. Each cell brings a request into one state, which stand-ins hold; then the client leaves;
+once the grace is over the stand-ins let go, and the checker counts what still begins at the caches. The same
+state is played with a client that stays, so that each state is known to lead to an attempt.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import pytest
+from gevent import socket
+
+from marbleglade.choice import Choice
+from marbleglade.wire.clients import Client
+from marbleglade.wire.sockets import send_now
+
+from .conftest import full, until, words
+from .departure_rig import (
+    HELD_OBJECT,
+    SMALL_BUFFER,
+    UNKNOWN_CANCEL,
+    Attempt,
+    DepartureRig,
+    ReportFirst,
+)
+
+TAG, TRACE = 7, "9b1f03aa5c7e2d41"
+LARGE_BODY = b"x" * 200_000  # far more than the buffers between the front and a cache hold
+RESET = b"\1\0\0\0\0\0\0\0"  # SO_LINGER on, for no time: the close is a reset
+FLOOD = UNKNOWN_CANCEL * 1500  # 45 KB that the front reads message by message, and the machine takes at once
+AMID = 100  # messages of a flood behind which the front is held where it has to be seen amid them
+HALF_MESSAGE = b"*3\r\n$6\r\nSTATUS\r\n$1"
+FLOODING = 4  # other clients, each of which sends such a flood
+OTHERS, OPEN_EACH = 7, 30  # other clients, and the requests that each has open
+
+
+def answer(attempt: Attempt, text: bytes) -> None:
+    """Says this on the connection of an attempt; it may have been closed meanwhile."""
+    with suppress(OSError):
+        attempt.sock.sendall(attempt.trace.encode() + text)
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+# The states of a request. `arrange` brings it there, `release` lets it go on.
+
+
+@dataclass(frozen=True)
+class State:
+    """One state of a request, and how many attempts follow its release if the client stays."""
+
+    name: str
+    arrange: Callable[[DepartureRig, socket.socket], None]
+    release: Callable[[DepartureRig], None]
+    follow: int = 1
+    policy: type[Choice] = Choice
+
+    def __str__(self) -> str:
+        return self.name
+
+
+def ask(rig: DepartureRig, sock: socket.socket, body: bytes = b"") -> None:
+    sock.sendall(rig.request(TAG, TRACE, body=body))
+
+
+def waits_for_connection(rig: DepartureRig, sock: socket.socket) -> None:
+    rig.network.open.clear()
+    ask(rig, sock)
+    until(lambda: rig.network.waiting)
+
+
+def comes_up(rig: DepartureRig) -> None:
+    rig.network.open.set()
+
+
+def is_refused(rig: DepartureRig) -> None:
+    rig.network.refuse_one = True
+    rig.network.open.set()
+
+
+def waits_for_report(rig: DepartureRig, sock: socket.socket) -> None:
+    ask(rig, sock)
+    until(lambda: any(cache.probes for cache in rig.caches))
+
+
+def report_comes(rig: DepartureRig) -> None:
+    for cache in rig.caches:
+        for tag, sock in cache.probes:
+            sock.sendall(b"%b PONG report=x1:0 0\r\n\r\n" % tag.encode())
+
+
+def between_attempts(rig: DepartureRig, sock: socket.socket) -> None:
+    """The first attempt was turned away; the second one waits for its connection."""
+    ask(rig, sock)
+    first = rig.wait_for_attempts(TRACE, 1)
+    rig.network.open.clear()
+    first.sock.sendall(TRACE.encode() + b" NO")  # this connection ends, and the next attempt needs a new one
+    reset(first.sock)
+    until(lambda: rig.network.waiting)
+
+
+def in_flight(rig: DepartureRig, sock: socket.socket) -> None:
+    ask(rig, sock)
+    rig.wait_for_attempts(TRACE, 1)
+
+
+def turned_away(rig: DepartureRig) -> None:
+    answer(rig.attempts(TRACE)[0], b" SHED - 0\r\n\r\n")
+
+
+def connection_reset(rig: DepartureRig) -> None:
+    reset(rig.attempts(TRACE)[0].sock)
+
+
+def half_written(rig: DepartureRig, sock: socket.socket) -> None:
+    for cache in rig.caches:
+        cache.reads.clear()
+    ask(rig, sock, LARGE_BODY)
+    until(lambda: any(cache.sockets for cache in rig.caches))
+    until(lambda: rig.counters.counts["launch.sent"])
+
+
+def cache_ends_half_written(rig: DepartureRig) -> None:
+    """The cache breaks off what it has read in part, and reads what comes from then on."""
+    for cache in rig.caches:
+        for sock in cache.sockets:
+            reset(sock)
+        cache.sockets.clear()
+        cache.reads.set()
+
+
+def half_answered(rig: DepartureRig, sock: socket.socket) -> None:
+    in_flight(rig, sock)
+    answer(rig.attempts(TRACE)[0], full(b" HIT - 50000\r\n" + b"x" * 100))
+    rig.settle(5)
+
+
+def answer_waits_for_its_turn(rig: DepartureRig, sock: socket.socket) -> None:
+    """The answer of the cache has come whole, behind an own copy that the client does not read."""
+    in_flight(rig, sock)
+    block_writes(rig, sock, 1)
+    answer(rig.attempts(TRACE)[0], full(b" HIT - 9\r\n" + b"x" * 9 + b"\r\n"))
+    until(lambda: rig.counters.counts["launch.ok"])
+
+
+def held_copy(rig: DepartureRig, sock: socket.socket) -> None:
+    """The front's own copy is being written to a client that does not read."""
+    rig.hold_copy()
+    sock.sendall(rig.request(TAG, TRACE, HELD_OBJECT))
+    until(lambda: blocked(rig))
+
+
+def nothing(rig: DepartureRig) -> None:
+    """What holds the request is the client itself."""
+
+
+STATES = [
+    State("waits for a connection that comes up", waits_for_connection, comes_up),
+    State("waits for a connection that is refused", waits_for_connection, is_refused),
+    State("waits for a report", waits_for_report, report_comes, policy=ReportFirst),
+    State("between two attempts", between_attempts, comes_up),
+    State("in flight, then turned away", in_flight, turned_away),
+    State("in flight, then reset", in_flight, connection_reset),
+    State("half written, then reset", half_written, cache_ends_half_written),
+    State("half answered, then reset", half_answered, connection_reset),
+    State("the answer waits for its turn to be written", answer_waits_for_its_turn, nothing, follow=0),
+    State("the front's own copy is being written", held_copy, nothing, follow=0),
+]
+
+
+# The ways of leaving.
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+def cancel(sock: socket.socket) -> None:
+    sock.sendall(words(b"NEVERMIND", b"%d" % TAG))
+
+
+def blocked(rig: DepartureRig) -> bool:
+    """The front has an answer in hand that some client does not take."""
+    return any(connection.flushing for connection in rig.clients.clients)
+
+
+def block_writes(rig: DepartureRig, sock: socket.socket, answers: int) -> None:
+    """The front gets to write more to this client than it reads."""
+    rig.hold_copy()
+    for number in range(answers):
+        sock.sendall(rig.request(50 + number, f"{number + 1:016x}", HELD_OBJECT))
+    until(lambda: blocked(rig))
+
+
+def plainly(rig: DepartureRig, sock: socket.socket) -> None:
+    """Nothing else happens as the client leaves."""
+
+
+def amid_writes(rig: DepartureRig, sock: socket.socket) -> None:
+    block_writes(rig, sock, 3)
+    rig.settle()
+
+
+def where_no_room_is_left(rig: DepartureRig, sock: socket.socket) -> None:
+    """The front reads no more of this client until others have taken their answers."""
+    rig.clients.most_buffered = 0
+    sock.sendall(HALF_MESSAGE)
+    until(lambda: any(connection.frames.amid for connection in rig.clients.clients))
+
+
+def behind_unread_bytes(rig: DepartureRig, sock: socket.socket) -> None:
+    """The front is held amid these bytes, and the end of the connection lies behind them."""
+    hear, heard = rig.clients._heard, itertools.count(1)
+
+    def hear_some(client: Client, message: list[bytes]) -> None:
+        if next(heard) > AMID:
+            rig.reading_on.wait()
+        hear(client, message)
+
+    rig.clients._heard = hear_some
+    assert send_now(sock, FLOOD) == len(FLOOD)
+
+
+def amid_a_flood_of_others(rig: DepartureRig, sock: socket.socket) -> None:
+    """The front works through what others sent when the client leaves."""
+    others = [rig.client() for _ in range(FLOODING)]
+    for other in others:
+        assert send_now(other, FLOOD) == len(FLOOD)
+
+
+def while_hundreds_wait(rig: DepartureRig, sock: socket.socket) -> None:
+    for client in range(OTHERS):
+        other = rig.client()
+        for tag in range(1, OPEN_EACH + 1):
+            other.sendall(rig.request(tag, f"{client + 1:08x}{tag:08x}"))
+    until(lambda: len(rig.facade.open) >= OTHERS * OPEN_EACH // 2)
+
+
+@dataclass(frozen=True)
+class Way:
+    """One way to leave: what goes before it, and what the client does."""
+
+    before: Callable[[DepartureRig, socket.socket], None]
+    leave: Callable[[socket.socket], None]
+
+    def __str__(self) -> str:
+        return f"{self.leave.__name__} {self.before.__name__}"
+
+
+WAYS = [
+    *(Way(plainly, leave) for leave in (close, half_close, reset, cancel)),
+    *(Way(amid_writes, leave) for leave in (close, half_close, reset, cancel)),
+    *(Way(behind_unread_bytes, leave) for leave in (close, half_close, reset)),
+    *(Way(where_no_room_is_left, leave) for leave in (close, half_close, reset)),
+    *(Way(amid_a_flood_of_others, leave) for leave in (close, half_close, reset, cancel)),
+    *(Way(while_hundreds_wait, leave) for leave in (close, half_close, reset, cancel)),
+]
+
+
+@pytest.fixture
+def started(monkeypatch):
+    """Starts a rig with a policy; it is closed at the end."""
+    rigs = []
+
+    def start(policy: type[Choice] = Choice) -> DepartureRig:
+        rigs.append(DepartureRig(monkeypatch, policy))
+        return rigs[0]
+
+    yield start
+    for rig in rigs:
+        rig.close()
+
+
+def client_for(rig: DepartureRig, state: State, before: Callable) -> socket.socket:
+    reads_little = before is amid_writes or not state.follow
+    return rig.client(SMALL_BUFFER if reads_little else 0)
+
+
+@pytest.mark.parametrize("state", STATES, ids=str)
+@pytest.mark.parametrize("way", WAYS, ids=str)
+def test_no_attempt_begins_for_a_client_that_has_gone(started, way, state):
+    rig = started(state.policy)
+    sock = client_for(rig, state, way.before)
+    state.arrange(rig, sock)
+    before = len(rig.attempts(TRACE))
+    way.before(rig, sock)
+    way.leave(sock)
+    left_at = time.monotonic()
+    rig.pass_grace(left_at)
+    state.release(rig)
+    rig.settle()
+    assert rig.began_after(TRACE, left_at) == 0
+    assert len(rig.attempts(TRACE)) == before
+
+
+@pytest.mark.parametrize("state", STATES, ids=str)
+def test_each_state_leads_to_an_attempt_for_a_client_that_stays(started, state):
+    rig = started(state.policy)
+    sock = client_for(rig, state, plainly)
+    state.arrange(rig, sock)
+    before, since = len(rig.attempts(TRACE)), time.monotonic()
+    rig.pass_grace(since)
+    state.release(rig)
+    if state.follow:
+        rig.wait_for_attempts(TRACE, before + state.follow)
+    rig.settle()
+    assert rig.began_after(TRACE, since) == state.follow
