--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -13,42 +13,59 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-from .interface import (NEVER_RAN, Actions, Cache, Fleet, Ground, Group, Launch, Outcome, Profile, Repeat,
-                        Retrieval, Role, Seen, State, Told, name_of)
+from .interface import (
+    NEVER_RAN,
+    Actions,
+    Cache,
+    Fleet,
+    Ground,
+    Group,
+    Launch,
+    Outcome,
+    Profile,
+    Repeat,
+    Retrieval,
+    Role,
+    Seen,
+    State,
+    Told,
+    name_of,
+)
 from .memory.directory import Directory
 from .memory.purges import Purges
 
-SHUT_AT = 0.25          # share of launches gone wrong, lately, above which a place may be left alone
-SLOW = 0.6              # pace of a link, against the full one, under which it counts as crowded
-KEPT = 2.5              # entry ages for which a cache is expected to keep what it answered with
-PEERS_ADD = 1.5         # and that is raised by so many times its peers' share
-LATELY = 1 / 10         # weight of one outcome in that share
-FURTHER_SHARE = 0.2     # further launches that each first one pays for
-FURTHER_BURST = 12      # further launches that may be saved up
-ORIGIN_PART = 0.8       # part of the load at which the origin stops, above which it is asked for less
-DOUBTED = 1 / 4         # part of a location's fronts that leave a place alone, from which others doubt it too
-FLEET_WEIGHS = 8        # what the fleet saw of a link weighs so many times what is held of one never seen
-LISTED = 1 << 13        # most objects in the directory, and in the record of sightings
+SHUT_AT = 0.25  # share of launches gone wrong, lately, above which a place may be left alone
+SLOW = 0.6  # pace of a link, against the full one, under which it counts as crowded
+KEPT = 2.5  # entry ages for which a cache is expected to keep what it answered with
+PEERS_ADD = 1.5  # and that is raised by so many times its peers' share
+LATELY = 1 / 10  # weight of one outcome in that share
+FURTHER_SHARE = 0.2  # further launches that each first one pays for
+FURTHER_BURST = 12  # further launches that may be saved up
+ORIGIN_PART = 0.8  # part of the load at which the origin stops, above which it is asked for less
+DOUBTED = 1 / 4  # part of a location's fronts that leave a place alone, from which others doubt it too
+FLEET_WEIGHS = 8  # what the fleet saw of a link weighs so many times what is held of one never seen
+FILLS = (Told.FILLED, Told.BY_ORIGIN)  # said of what the source supplied for certain
+LISTED = 1 << 13  # most objects in the directory, and in the record of sightings
 
 
 class Standing:
     """What this front has seen of one cache, parent or origin."""
 
     def __init__(self, now: int, born: int, owed: float, spell: int, link: Link) -> None:
-        self.out: dict[Launch, None] = {}    # launches there that are not over, oldest first
-        self.heard = self.emptied = now      # last sign of life; copies seen before `emptied` count as lost
-        self.wrong = 0.0                     # share of launches gone wrong, lately
-        self.shut = 0                        # left alone until then; from then on one trial at a time
+        self.out: dict[Launch, None] = {}  # launches there that are not over, oldest first
+        self.heard = self.emptied = now  # last sign of life; copies seen before `emptied` count as lost
+        self.wrong = 0.0  # share of launches gone wrong, lately
+        self.shut = 0  # left alone until then; from then on one trial at a time
         self.trial, self.link, self.born, self.spell, self.least = None, link, born, spell, spell
         self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
-        self.first_byte = 0.0                # as a source: time that it adds to an answer
-        self.paid, self.paid_at = -owed, now     # budget of a cold start, in sending time
-        self.left_to, self.doubted = 0, 0    # until then another front tries it; others leave it alone
-        self.answered = now - spell          # when a trial of this front's came back
+        self.first_byte = 0.0  # as a source: time that it adds to an answer
+        self.paid, self.paid_at = -owed, now  # budget of a cold start, in sending time
+        self.left_to, self.doubted = 0, 0  # until then another front tries it; others leave it alone
+        self.answered = now - spell  # when a trial of this front's came back
 
     def judge(self, wrong: float, now: int) -> None:
         self.wrong += (wrong - self.wrong) * LATELY
-        if not wrong and self.shut and now >= self.shut:    # a trial came back: open, but on probation
+        if not wrong and self.shut and now >= self.shut:  # a trial came back: open, but on probation
             self.shut, self.wrong, self.answered = 0, SHUT_AT * 0.7, now
         elif not wrong and self.wrong < SHUT_AT / 8:
             self.spell = self.least
@@ -74,9 +91,9 @@
         # Room 0: no limit seen. Lost: the share of launches that no answer came to in time, lately.
         self.crew, self.like, self.held, self.room, self.lost = crew, like, 0, 0.0, 0.0
         self.done, self.spent, self.load = Rate(now, over), Rate(now, over), Rate(now, over)
-        self.tried, self.spell = now, 0     # while held to be crowded: the next trial, and the wait
-        self.seen = [0, 0]                  # sending time, and time taken, since the start
-        self.told, self.until = 1.0, 0      # how slow the fleet saw it, and until when that counts
+        self.tried, self.spell = now, 0  # while held to be crowded: the next trial, and the wait
+        self.seen = [0, 0]  # sending time, and time taken, since the start
+        self.told, self.until = 1.0, 0  # how slow the fleet saw it, and until when that counts
 
     def slow(self, now: int) -> float:
         """Time taken lately over time at full pace; where little was seen, links of its like count."""
@@ -111,7 +128,7 @@
             link.seen[1] += took
         self.load.add(held * took, now)
         pace, busy = self.done.sum / self.spent.sum, self.load.sum / self.spent.sum
-        if pace < SLOW and (self.room or busy > 2):     # never under one: an idle link is always tried
+        if pace < SLOW and (self.room or busy > 2):  # never under one: an idle link is always tried
             self.room = max(1.0, self.room + (busy * pace - self.room) / 8) if self.room else busy
         elif self.room:
             self.room = max(self.room + (0.1 if busy > self.room / 2 else 0), busy * pace)
@@ -122,17 +139,17 @@
 
     def __init__(self) -> None:
         self.uses = self.work = self.kept_at = 0
-        self.kept: Cache | None = None      # the cache that answered last, which most likely keeps it
+        self.kept: Cache | None = None  # the cache that answered last, which most likely keeps it
 
 
 class Plan:
     """What the stages note on one retrieval."""
 
     def __init__(self, sight: Sighting) -> None:
-        self.rank, self.sight, self.work, self.agreed = 1, sight, 0, 0      # sending time; end of agreed time
-        self.sized = self.new = self.begun = False      # that time is its own; new; its answer has started
-        self.trial = False              # sent to see whether fills are quick again
-        self.lost: list[Cache] = []     # places held to have failed it, or that lacked the object
+        self.rank, self.sight, self.work, self.agreed = 1, sight, 0, 0  # sending time; end of agreed time
+        self.sized = self.new = self.begun = False  # that time is its own; new; its answer has started
+        self.trial = False  # sent to see whether fills are quick again
+        self.lost: list[Cache] = []  # places held to have failed it, or that lacked the object
         self.unsure: list[Launch] = []  # ended in an error, which may mean that there is no such object
 
 
@@ -166,7 +183,7 @@
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
         plan.rank = 0 if profile.never_kept else min(3, 1 + sight.uses // 2)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
-        if not retrieval.repeated:      # a client's retry is part of its first try
+        if not retrieval.repeated:  # a client's retry is part of its first try
             self.choice.earn()
         self.next.take(retrieval)
 
@@ -181,16 +198,17 @@
     def back(self, launch: Launch) -> bool:
         retrieval, plan, now = launch.retrieval, launch.retrieval.plan, self.actions.now()
         if retrieval.over or plan.begun or any(one.outcome is None for one in retrieval.launches):
-            return False      # answered, or another launch is out and may still answer
+            return False  # answered, or another launch is out and may still answer
         missed = launch.outcome is Outcome.MISS
         # A stale entry costs nothing, and what was turned away at once little.
-        price = (0 if missed and launch.source.role is Role.CACHE and launch.source is not launch.cache else
-                 1 / 4 if launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed else 1)
+        stale = missed and launch.source.role is Role.CACHE and launch.source is not launch.cache
+        at_once = launch.outcome in NEVER_RAN and launch.lag < self.choice.agreed
+        price = 0 if stale else 1 / 4 if at_once else 1
+        errors = sum(one.outcome is Outcome.ERROR for one in retrieval.launches)
+        lacking = (missed and not stale) or launch.outcome is Outcome.MOOT or (errors > 2 and not plan.sized)
+        spent = len(retrieval.launches) >= self.ground.most_launches or self.choice.budget < price
         # What a client that sends no more still waits for is launched nowhere else: it has most likely left.
-        if ((missed and price) or launch.outcome is Outcome.MOOT or retrieval.parted
-                or (not plan.sized and sum(one.outcome is Outcome.ERROR for one in retrieval.launches) > 2)
-                or len(retrieval.launches) >= self.ground.most_launches
-                or now + plan.work >= retrieval.until or self.choice.budget < price):
+        if lacking or spent or retrieval.parted or now + plan.work >= retrieval.until:
             return True
         self.choice.budget -= price
         self.choice.furthers += price
@@ -201,14 +219,16 @@
 class Own(Stage):
     """Departure: a copy that the front itself holds spares the caches, where its own link is in time."""
 
-    free_at = 0     # when that link has sent what was given to it
+    free_at = 0  # when that link has sent what was given to it
 
     def take(self, retrieval: Retrieval) -> None:
-        copy, plan, now = retrieval.held, retrieval.plan, self.actions.now()
+        copy, now = retrieval.held, self.actions.now()
+        if not copy:
+            return self.next.take(retrieval)
         oldest = self.choice.age_limit(retrieval, now) or retrieval.profile.fresh
-        free = max(now, self.free_at) + int(copy.work / self.ground.own_width) if copy else 0
-        if (not copy or 0 < oldest <= now - copy.issued
-                or max(free, now + copy.work) + self.choice.slack(retrieval) > plan.agreed):
+        free = max(now, self.free_at) + int(copy.work / self.ground.own_width)
+        late = max(free, now + copy.work) + self.choice.slack(retrieval) > retrieval.plan.agreed
+        if late or 0 < oldest <= now - copy.issued:
             return self.next.take(retrieval)
         self.free_at = free
         self.actions.settle(retrieval)
@@ -219,8 +239,11 @@
 
     def take(self, retrieval: Retrieval) -> None:
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
-        allowed = [cache for cache in choice.ranked(choice.near, retrieval.object, retrieval.part)
-                   if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)]
+        allowed = [
+            cache
+            for cache in choice.ranked(choice.near, retrieval.object, retrieval.part)
+            if choice.may_go(retrieval, cache) and choice.in_slice(retrieval, cache, now)
+        ]
         # Where every cache is shut the trouble is not theirs alone: shutting counts for nothing then.
         options = [cache for cache in allowed if cache.memory.usable(now)] or allowed
         # What others doubt goes last, as long as most are left: a front alone would have to find out itself.
@@ -237,14 +260,14 @@
         if (time := choice.predicted(retrieval, pick)) > left:
             times = [(choice.predicted(retrieval, cache), cache) for cache in fresh]
             time, pick = next((one for one in times if one[0] <= left), min(times, key=lambda one: one[0]))
-        if retrieval.profile.repeat is not Repeat.PURE or (time <= left and not (
-                plan.new and choice.origin_full(retrieval, now))):
+        pure = retrieval.profile.repeat is Repeat.PURE
+        if not pure or (time <= left and not (plan.new and choice.origin_full(retrieval, now))):
             return self.next.to(retrieval, pick)
         # Departures: where only fills are crowded a cache, and if the location's link is said to have room a
         # parent too, give what they hold; where the caches' links are crowded, such room is a way past them.
         last = max(choice.near, key=lambda one: one.reported)
         roomy = now - last.reported < choice.entry_age and last.crowd < 1
-        if pick.memory.link.time(plan.work, now) + choice.slack(retrieval) > left:
+        if choice.time(retrieval, pick) > left:
             self.straight(retrieval, left if roomy else 0)
         elif retrieval.launches:
             choice.give_up(retrieval)
@@ -261,10 +284,9 @@
         """No cache of the location will do: a parent answers itself, where that is allowed and in time."""
         now, choice = self.actions.now(), self.choice
         parent = choice.parent_for(retrieval, now) if self.ground.direct else None
-        if (parent is None or not choice.may_go(retrieval, parent)
-                or parent.memory.link.time(retrieval.plan.work, now) + choice.slack(retrieval) > left):
+        if parent is None or not choice.may_go(retrieval, parent) or choice.time(retrieval, parent) > left:
             return choice.give_up(retrieval)
-        source = (choice.fills.slow(now) < 1 / SLOW and choice.origin) or parent   # it fetches only in a calm
+        source = (choice.fills.slow(now) < 1 / SLOW and choice.origin) or parent  # it fetches only in a calm
         self.next.next.send(retrieval, parent, source)
 
 
@@ -275,8 +297,10 @@
         now, plan, choice = self.actions.now(), retrieval.plan, self.choice
         source = parent = choice.parent_for(retrieval, now) or choice.origin or cache
         if self.ground.siblings and not choice.age_limit(retrieval, now) and not retrieval.profile.never_kept:
-            listed = [one for one in choice.holders(retrieval, now) if one is not cache
-                      and one not in plan.lost and not one.memory.shut]
+            others = [
+                one for one in choice.holders(retrieval, now) if one is not cache and not one.memory.shut
+            ]
+            listed = [one for one in others if one not in plan.lost]
             sibling = min(listed, key=lambda one: len(one.memory.out), default=parent)
             if sibling.memory.first_byte <= parent.memory.first_byte or parent is cache:
                 source = sibling
@@ -288,8 +312,7 @@
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.directory.enter(retrieval.object, retrieval.part, retrieval.group, cache, now)
                 retrieval.plan.sight.kept, retrieval.plan.sight.kept_at = cache, now
-            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
-                    not self.ground.tells_hits and source is not cache):
+            if launch.told in FILLS or (not self.ground.tells_hits and source is not cache):
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
         elif launch.outcome is Outcome.MISS:
@@ -306,10 +329,18 @@
         # Departure: while fills are slow an ageing copy is better than none, and is renewed behind.
         slow = held_only or choice.fills.slow(now) > 1 / SLOW
         age = choice.age_limit(retrieval, now, profile.grace if slow else 0)
-        launch = self.actions.launch(retrieval, cache, source, retrieval.until - now,
-                                     plan.rank if cache.role is Role.CACHE else 0, age, self.ground.join,
-                                     held_only=held_only, keep=plan.rank > 1,
-                                     renew=profile.fresh > 0 and source is not cache and (slow or not age))
+        launch = self.actions.launch(
+            retrieval,
+            cache,
+            source,
+            retrieval.until - now,
+            plan.rank if cache.role is Role.CACHE else 0,
+            age,
+            self.ground.join,
+            held_only=held_only,
+            keep=plan.rank > 1,
+            renew=profile.fresh > 0 and source is not cache and (slow or not age),
+        )
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
             if place.shut and now >= place.shut:
@@ -317,7 +348,7 @@
             place.paid -= choice.mean_work(profile)
         choice.asked.add(choice.mean_work(profile), now)
         choice.launched += choice.mean_work(profile)
-        links = choice.links(retrieval, cache)[:1 if source is cache else 2 if held_only else 3]
+        links = choice.links(retrieval, cache)[: 1 if source is cache else 2 if held_only else 3]
         for link in links:
             link.held += 1
         launch.plan = [(link, link.held) for link in links]
@@ -349,23 +380,21 @@
                     choice.blame(place, 1 / len(others), now)
             if filled and launch.told is not Told.HIT:
                 source.memory.judge(0, now)
-            if launch.told in (Told.FILLED, Told.BY_ORIGIN) or (
-                    filled and launch.retrieval.plan.new and launch.told is Told.NOTHING):
-                source.memory.heard = now    # a fill for certain, or all but certain
+            if launch.told in FILLS or (filled and plan.new and launch.told is Told.NOTHING):
+                source.memory.heard = now  # a fill for certain, or all but certain
         elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (erred and source is cache):
             choice.blame(cache, 1, now)
         elif outcome is Outcome.FULL and filled:
-            choice.blame(source, 1 / 2, now)    # the cache is full, or its source cannot be reached
+            choice.blame(source, 1 / 2, now)  # the cache is full, or its source cannot be reached
         elif erred:
             # Either of two: each takes what its own record lately makes likely.
             part = (standing.wrong + SHUT_AT / 8) / (standing.wrong + source.memory.wrong + SHUT_AT / 4)
             choice.blame(cache, part, now)
             choice.blame(source, 1 - part, now)
         # A further launch keeps to the cache and takes the next source; a second failure moves it on.
-        lost = launch.retrieval.plan.lost
         if outcome is not Outcome.CALLED_OFF:
-            lost.append(cache if source in lost or outcome in (
-                Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT) else source)
+            silent = outcome in (Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT)
+            plan.lost.append(cache if silent or source in plan.lost else source)
         self.learn(launch)
         return True
 
@@ -385,7 +414,7 @@
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
                 link.learn(held, plan.work, took, now)
-            elif ok and not late and link is cause and held > link.room > 0:    # it carries more than thought
+            elif ok and not late and link is cause and held > link.room > 0:  # it carries more than thought
                 link.room += LATELY / 4
             if plan.trial and link is not launch.plan[0][0]:
                 link.judge(ok and not late, now, self.choice.agreed)
@@ -399,7 +428,7 @@
     def __init__(self, ground: Ground, actions: Actions) -> None:
         self.ground, self.actions, now = ground, actions, actions.now()
         self.agreed = min(profile.agreed for profile in ground.profiles)
-        self.most = 1, 1    # caches of this location, and parents, that were listed at once
+        self.most = 1, 1  # caches of this location, and parents, that were listed at once
         self.known, self.count, self.budget, self.probe_at = dict[Cache, None](), 0, float(FURTHER_BURST), now
         self.entry_age = max(profile.client_timeout for profile in ground.profiles) * 4 // 5
         # The caches' links together, that of fills, and that of fills that no place is likely to hold.
@@ -408,13 +437,13 @@
         self.directory = Directory(LISTED)
         self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
         self.purges = Purges(ground.purge_time * 2, unknown_group=None)
-        self.oldest = 0         # no copy may be older while purges may be unheard; 0: they are heard
-        self.due: list[tuple[int, int, Launch]] = []    # all due times, in one order
+        self.oldest = 0  # no copy may be older while purges may be unheard; 0: they are heard
+        self.due: list[tuple[int, int, Launch]] = []  # all due times, in one order
         self.stages = [kind(self) for kind in (Door, Again, Own, Place, Source, Send)]
         for one, after in zip(self.stages, self.stages[1:], strict=False):
             one.next = after
-        self.worth = 0.0        # credit for sending time, of what was new lately
-        self.launched = self.firsts = self.furthers = self.pushed = 0      # since the start
+        self.worth = 0.0  # credit for sending time, of what was new lately
+        self.launched = self.firsts = self.furthers = self.pushed = 0  # since the start
         self.fleet: Fleet | None = None
         self.asked, self.pulse = Rate(now, self.entry_age), max(self.agreed // 16, ground.resolution)
         actions.wake(self.pulse)
@@ -429,7 +458,7 @@
         for cache in gone:
             cache.state = State.LEFT
         for cache in [*entries, *gone]:
-            if not cache.memory or cache.memory.born < cache.born:     # new, or no longer what it was
+            if not cache.memory or cache.memory.born < cache.born:  # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
                 link = Link(crew, now, self.entry_age, self.edges if cache.role is Role.CACHE else None)
                 cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
@@ -461,7 +490,7 @@
         launch.cache.memory.heard = self.actions.now()
 
     def ended(self, launch: Launch) -> None:
-        all(stage.back(launch) for stage in reversed(self.stages))      # up to the one that keeps it
+        all(stage.back(launch) for stage in reversed(self.stages))  # up to the one that keeps it
 
     def woken(self) -> None:
         now = self.actions.now()
@@ -484,10 +513,10 @@
     def saw(self) -> Seen:
         links = {0: self.fetches, 1: self.fills, 2 + self.ground.zone: self.edges}
         now, places = self.actions.now(), [(name_of(one.mark), one.memory) for one in self.known]
-        return Seen(self.launched, self.firsts, int(self.furthers), self.pushed,
-                    {key: tuple(link.seen) for key, link in links.items()},
-                    [name for name, standing in places if standing.shut],
-                    [name for name, standing in places if now - standing.answered < self.agreed * 4])
+        seen = {key: tuple(link.seen) for key, link in links.items()}
+        shut = [name for name, standing in places if standing.shut]
+        answered = [name for name, standing in places if now - standing.answered < self.agreed * 4]
+        return Seen(self.launched, self.firsts, int(self.furthers), self.pushed, seen, shut, answered)
 
     def homes(self, most: int) -> list[list[Cache]]:
         """Of so many objects that were asked for most: the caches in the hash's order."""
@@ -499,20 +528,20 @@
         self.fleet, now = fleet, self.actions.now()
         for key, link in ((0, self.fetches), (1, self.fills), (2 + self.ground.zone, self.edges)):
             slow, evidence = fleet.paces.get(key, (1.0, 0))
-            if evidence < self.agreed:      # of a few transfers that may have been odd ones
+            if evidence < self.agreed:  # of a few transfers that may have been odd ones
                 link.until = 0
                 continue
             link.told, link.until = slow, fleet.until
             if link is not self.edges and slow * 2 < link.slow(now) and not link.held:
-                link.judge(True, now, self.agreed)      # as a trial that came back, though another's
+                link.judge(True, now, self.agreed)  # as a trial that came back, though another's
         for cache in self.known:
             name, standing = name_of(cache.mark), cache.memory
             by = fleet.doubted.get(name, 0)
             theirs = by and name not in fleet.mine and name not in fleet.answered
             standing.left_to = fleet.until if theirs else 0
-            if standing.shut and name in fleet.answered:    # so much is allowed: a trial of its own, now
+            if standing.shut and name in fleet.answered:  # so much is allowed: a trial of its own, now
                 standing.shut = min(standing.shut, now)
-            elif standing.shut and by and not theirs:       # one for all need not wait ever longer
+            elif standing.shut and by and not theirs:  # one for all need not wait ever longer
                 standing.shut = min(standing.shut, now + standing.least)
             doubted = theirs and cache.role is Role.CACHE and by > max(1, self.ground.crew * DOUBTED)
             standing.doubted = fleet.until if doubted else 0
@@ -544,10 +573,12 @@
         longest = retrieval.profile.fresh + grace
         if not age or 0 < longest < age:
             return longest if grace else 0
-        return age      # never 0, which would mean "default" at the door
+        return age  # never 0, which would mean "default" at the door
 
-    score = staticmethod(lru_cache(LISTED)(lambda thing, part, mark: int.from_bytes(
-        blake2b(b"%d %d " % (thing, part) + mark, digest_size=8).digest())))
+    @staticmethod
+    @lru_cache(LISTED)
+    def score(thing: int, part: int, mark: bytes) -> int:
+        return int.from_bytes(blake2b(b"%d %d " % (thing, part) + mark, digest_size=8).digest())
 
     def ranked(self, caches: list[Cache], thing: int, part: int) -> list[Cache]:
         """Caches or parents in the order that every front gives this object or part of it."""
@@ -557,8 +588,9 @@
         """Rule 4: a place that started lately gets a slice of the keys that widens with its age, and no more
         sending time than its present part of what one of its like is asked for, by this front."""
         ground, parent = self.ground, cache.role is Role.PARENT
-        least, span, factor = (ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
-                               ) if parent else (ground.cold_share, ground.cold_time, ground.cold_factor)
+        least, span, factor = ground.cold_share, ground.cold_time, ground.cold_factor
+        if parent:
+            least, span, factor = ground.parent_cold_share, ground.parent_cold_time, ground.parent_factor
         if not cache.born or (age := now - cache.born) >= span:
             return True
         # Half of what the rule bears where a warm one is fully used: the rest is for retries and chance.
@@ -570,21 +602,27 @@
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
-        return next((one for one in self.ranked(self.parents, retrieval.object, 0)
-                     if one.state is State.ACTIVE and one.memory.usable(now)
-                     and one not in retrieval.plan.lost and self.in_slice(retrieval, one, now)), None)
+        for one in self.ranked(self.parents, retrieval.object, 0):
+            usable = one.state is State.ACTIVE and one.memory.usable(now) and one not in retrieval.plan.lost
+            if usable and self.in_slice(retrieval, one, now):
+                return one
+        return None
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
         """The links that an answer takes up: the cache's own, and the fills' unless it lately kept a copy."""
         sight, now = retrieval.plan.sight, self.actions.now()
         since = max(cache.memory.emptied, now - self.entry_age * KEPT)
         held = cache is sight.kept and sight.kept_at > since and not self.age_limit(retrieval, now)
-        return [cache.memory.link, self.fills, self.fetches][:1 if held else 3 if retrieval.plan.new else 2]
+        return [cache.memory.link, self.fills, self.fetches][: 1 if held else 3 if retrieval.plan.new else 2]
 
     def slack(self, retrieval: Retrieval) -> int:
         """What of the agreed time is meant for the way and the wait, not for sending."""
         return retrieval.profile.agreed // 4
 
+    def time(self, retrieval: Retrieval, cache: Cache) -> int:
+        """Predicted time of an answer that takes up no link but the place's own."""
+        return cache.memory.link.time(retrieval.plan.work, self.actions.now()) + self.slack(retrieval)
+
     def predicted(self, retrieval: Retrieval, cache: Cache) -> int:
         times = [link.time(retrieval.plan.work, self.actions.now()) for link in self.links(retrieval, cache)]
         return max(times) + self.slack(retrieval)
@@ -601,8 +639,8 @@
     def holders(self, retrieval: Retrieval, now: int) -> list[Cache]:
         """The location's caches that the directory lists for the object."""
         entries = self.directory.caches(retrieval.object, retrieval.part)
-        return [one for one, at in entries.items() if now - at < self.entry_age and one.state is State.ACTIVE
-                and at > one.memory.emptied]
+        listed = [one for one, at in entries.items() if one.memory.emptied < at > now - self.entry_age]
+        return [one for one in listed if one.state is State.ACTIVE]
 
     def may_go(self, retrieval: Retrieval, cache: Cache) -> bool:
         """Rule 2: what may have run stays where its repeats are dropped, or goes nowhere any more."""
@@ -612,8 +650,8 @@
             return True
         if profile.repeat is Repeat.EFFECTFUL or self.actions.now() >= first.sent + profile.window:
             return False
-        return (profile.group is Group.ALL or (profile.group is Group.ZONE and cache.zone == first.cache.zone)
-                or (profile.group is Group.CELL and cache.cell == first.cache.cell))
+        same_zone, same_cell = cache.zone == first.cache.zone, cache.cell == first.cache.cell
+        return {Group.ALL: True, Group.ZONE: same_zone, Group.CELL: same_cell}[profile.group]
 
     def give_up(self, retrieval: Retrieval) -> None:
         """The final answer at once: a pushback where a new try is harmless, else a break-off."""
@@ -621,7 +659,7 @@
             return self.actions.break_off(retrieval)
         wait = min(self.agreed, self.ground.longest_retry_after) if self.ground.retry_after else 0
         self.pushed += 1
-        told = self.told(self.actions.now())    # the more waits at all fronts, the wider its return is spread
+        told = self.told(self.actions.now())  # the more waits at all fronts, the wider its return is spread
         spread = self.chance() * (1 + told.waits if told else 1)
         self.actions.push_back(retrieval, int(wait * (0.5 + spread)))
 
@@ -637,7 +675,7 @@
         peers = [one.memory.wrong for one in group if one is not cache]
         quiet = self.ground.tells_hits and now - standing.heard > self.agreed * 8
         if (quiet or not peers) and cache.role is Role.PARENT and self.origin:
-            peers = [self.origin.memory.wrong]      # no other parent is open, or no fill came from this one
+            peers = [self.origin.memory.wrong]  # no other parent is open, or no fill came from this one
         if now < standing.shut or not peers or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers):
             return
         standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
@@ -645,8 +683,8 @@
         self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
         for launch in [*standing.out, *standing.feeds]:
             usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
-            if (launch.sent > standing.heard and launch.outcome is None
-                    and (launch.cache is cache or now - launch.sent > usual)):
+            late = launch.cache is cache or now - launch.sent > usual
+            if late and launch.outcome is None and launch.sent > standing.heard:
                 self.move_on(launch, cache)
 
     def remind(self, due: int, launch: Launch) -> None:
@@ -667,7 +705,7 @@
                 self.blame(launch.cache, 1, now)
         elif launch.source is not launch.cache and late < self.agreed // 2 and source.heard <= launch.sent:
             self.blame(launch.source, 1 / 2 if self.ground.tells_hits else 1 / 4, now)
-        if launch.retrieval.plan.sized and late < self.agreed // 2:     # late already: it tells of a crowd
+        if launch.retrieval.plan.sized and late < self.agreed // 2:  # late already: it tells of a crowd
             launch.plan[-1][0].learn(launch.plan[-1][1], launch.retrieval.plan.work, now - launch.sent, now)
         self.remind(now + self.agreed // 2, launch)
 
