The policy's records bear the field's names: upstream health, error rate, back-off, half-open probe

Standing is UpstreamHealth, with error_rate, backoff, min_backoff, half_open_probe and delegated_until; Sighting is UsageHistory; Plan is RequestState. Only names that no other module and no page uses; `shut`, which fleet/workshell reads, and the stages, which docs/design.md names, stay for now. tests/test_choice.py follows by name alone.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -34,7 +34,7 @@
 from .memory.directory import Directory
 from .memory.purges import Purges
 
-SHUT_AT = 0.25  # share of launches gone wrong, lately, above which a place may be left alone
+OPEN_AT = 0.25  # error rate above which a place's circuit may open: it is left alone for a while
 SLOW = 0.6  # pace of a link, against the full one, under which it counts as crowded
 KEPT = 2.5  # entry ages for which a cache is expected to keep what it answered with
 PEERS_ADD = 1.5  # and that is raised by so many times its peers' share
@@ -48,30 +48,31 @@
 LISTED = 1 << 13  # most objects in the directory, and in the record of sightings
 
 
-class Standing:
+class UpstreamHealth:
     """What this front has seen of one cache, parent or origin."""
 
-    def __init__(self, now: int, born: int, owed: float, spell: int, link: Link) -> None:
+    def __init__(self, now: int, born: int, owed: float, backoff: int, link: Link) -> None:
         self.out: dict[Launch, None] = {}  # launches there that are not over, oldest first
         self.heard = self.emptied = now  # last sign of life; copies seen before `emptied` count as lost
-        self.wrong = 0.0  # share of launches gone wrong, lately
+        self.error_rate = 0.0  # of launches, lately
         self.shut = 0  # left alone until then; from then on one trial at a time
-        self.trial, self.link, self.born, self.spell, self.least = None, link, born, spell, spell
+        self.half_open_probe: Launch | None = None  # that trial
+        self.link, self.born, self.backoff, self.min_backoff = link, born, backoff, backoff
         self.feeds: dict[Launch, None] = {}  # launches elsewhere that name it as source
         self.first_byte = 0.0  # as a source: time that it adds to an answer
         self.paid, self.paid_at = -owed, now  # budget of a cold start, in sending time
-        self.left_to, self.doubted = 0, 0  # until then another front tries it; others leave it alone
-        self.answered = now - spell  # when a trial of this front's came back
+        self.delegated_until, self.doubted = 0, 0  # until then another front tries it; others leave it alone
+        self.answered = now - backoff  # when a trial of this front's came back
 
-    def judge(self, wrong: float, now: int) -> None:
-        self.wrong += (wrong - self.wrong) * LATELY
-        if not wrong and self.shut and now >= self.shut:  # a trial came back: open, but on probation
-            self.shut, self.wrong, self.answered = 0, SHUT_AT * 0.7, now
-        elif not wrong and self.wrong < SHUT_AT / 8:
-            self.spell = self.least
+    def record(self, failed: float, now: int) -> None:
+        self.error_rate += (failed - self.error_rate) * LATELY
+        if not failed and self.shut and now >= self.shut:  # a trial came back: open, but on probation
+            self.shut, self.error_rate, self.answered = 0, OPEN_AT * 0.7, now
+        elif not failed and self.error_rate < OPEN_AT / 8:
+            self.backoff = self.min_backoff
 
     def usable(self, now: int) -> bool:
-        return not self.shut or (now >= self.shut and now >= self.left_to and self.trial is None)
+        return not self.shut or (now >= max(self.shut, self.delegated_until) and not self.half_open_probe)
 
 
 class Rate:
@@ -91,7 +92,7 @@
         # Room 0: no limit seen. Lost: the share of launches that no answer came to in time, lately.
         self.crew, self.like, self.held, self.room, self.lost = crew, like, 0, 0.0, 0.0
         self.done, self.spent, self.load = Rate(now, over), Rate(now, over), Rate(now, over)
-        self.tried, self.spell = now, 0  # while held to be crowded: the next trial, and the wait
+        self.tried, self.backoff = now, 0  # while held to be crowded: the next trial, and the wait
         self.seen = [0, 0]  # sending time, and time taken, since the start
         self.told, self.until = 1.0, 0  # how slow the fleet saw it, and until when that counts
 
@@ -111,10 +112,10 @@
         own = (self.held + 1) / self.room if self.room else 1.0
         return int(work * max(1.0, (own + (self.crew - 1) * self.slow(now)) / self.crew))
 
-    def judge(self, good: bool, now: int, least: int) -> None:
+    def judge(self, good: bool, now: int, min_backoff: int) -> None:
         """A trial of a crowded link came back: good news counts for half of what was seen, bad for a wait."""
-        self.spell = 0 if good else min(max(self.spell * 2, least), least * 8)
-        self.tried = now + self.spell
+        self.backoff = 0 if good else min(max(self.backoff * 2, min_backoff), min_backoff * 8)
+        self.tried = now + self.backoff
         if good:
             self.spent.sum = max(self.spent.sum / 2, self.done.sum)
 
@@ -134,7 +135,7 @@
             self.room = max(self.room + (0.1 if busy > self.room / 2 else 0), busy * pace)
 
 
-class Sighting:
+class UsageHistory:
     """What a front remembers of one object's part, longer than the directory lists it."""
 
     def __init__(self) -> None:
@@ -142,11 +143,11 @@
         self.kept: Cache | None = None  # the cache that answered last, which most likely keeps it
 
 
-class Plan:
+class RequestState:
     """What the stages note on one retrieval."""
 
-    def __init__(self, sight: Sighting) -> None:
-        self.rank, self.sight, self.work, self.agreed = 1, sight, 0, 0  # sending time; end of agreed time
+    def __init__(self, usage: UsageHistory) -> None:
+        self.rank, self.usage, self.work, self.agreed = 1, usage, 0, 0  # sending time; end of agreed time
         self.sized = self.new = self.begun = False  # that time is its own; new; its answer has started
         self.trial = False  # sent to see whether fills are quick again
         self.lost: list[Cache] = []  # places held to have failed it, or that lacked the object
@@ -172,16 +173,16 @@
     def take(self, retrieval: Retrieval) -> None:
         now, profile, seen = self.actions.now(), retrieval.profile, self.choice.seen
         key = (retrieval.object, retrieval.part)
-        sight = seen[key] = seen.pop(key, None) or Sighting()
-        plan = retrieval.plan = Plan(sight)
-        work = int(retrieval.size_kb / (self.ground.pace_kb_s or 1.0) * 1e9) or sight.work
-        plan.work, plan.sized, plan.new = work or self.choice.mean_work(profile), bool(work), not sight.uses
-        sight.uses, sight.work = sight.uses + (not retrieval.repeated), work
+        usage = seen[key] = seen.pop(key, None) or UsageHistory()
+        plan = retrieval.plan = RequestState(usage)
+        work = int(retrieval.size_kb / (self.ground.pace_kb_s or 1.0) * 1e9) or usage.work
+        plan.work, plan.sized, plan.new = work or self.choice.mean_work(profile), bool(work), not usage.uses
+        usage.uses, usage.work = usage.uses + (not retrieval.repeated), work
         if len(seen) > LISTED:
             seen.popitem(last=False)
         if work:
             profile.memory = self.choice.mean_work(profile) * 0.98 + work * 0.02
-        plan.rank = 0 if profile.never_kept else min(3, 1 + sight.uses // 2)
+        plan.rank = 0 if profile.never_kept else min(3, 1 + usage.uses // 2)
         plan.agreed = min(now + profile.agreed + int(profile.stretch * plan.work), retrieval.until)
         if not retrieval.repeated:  # a client's retry is part of its first try
             self.choice.earn()
@@ -311,12 +312,12 @@
         if launch.outcome is Outcome.OK and not retrieval.plan.begun:
             if (launch.rank or launch.told is Told.HIT) and cache.role is Role.CACHE:
                 self.choice.directory.enter(retrieval.object, retrieval.part, retrieval.group, cache, now)
-                retrieval.plan.sight.kept, retrieval.plan.sight.kept_at = cache, now
+                retrieval.plan.usage.kept, retrieval.plan.usage.kept_at = cache, now
             if launch.told in FILLS or (not self.ground.tells_hits and source is not cache):
                 extra = max(0, launch.waited or launch.lag - retrieval.plan.work)
                 source.memory.first_byte += (extra - source.memory.first_byte) / 16
         elif launch.outcome is Outcome.MISS:
-            retrieval.plan.sight.kept = None
+            retrieval.plan.usage.kept = None
             self.choice.directory.forget(retrieval.object, retrieval.part, source)
         return True
 
@@ -344,7 +345,7 @@
         cache.memory.out[launch] = source.memory.feeds[launch] = None
         for place in {cache.memory: None, source.memory: None}:
             if place.shut and now >= place.shut:
-                place.trial = launch
+                place.half_open_probe = launch
             place.paid -= choice.mean_work(profile)
         choice.asked.add(choice.mean_work(profile), now)
         choice.launched += choice.mean_work(profile)
@@ -356,21 +357,21 @@
 
     def back(self, launch: Launch) -> bool:
         now, cache, source, choice = self.actions.now(), launch.cache, launch.source, self.choice
-        standing, outcome, filled = cache.memory, launch.outcome, len(launch.plan) > 1
+        health, outcome, filled = cache.memory, launch.outcome, len(launch.plan) > 1
         plan = launch.retrieval.plan
         # Where no size was seen there may be no such object, which is nobody's fault. A write needs none.
         erred = outcome is Outcome.ERROR and (plan.sized or launch.retrieval.profile.never_kept)
         if outcome is Outcome.ERROR and not erred:
             plan.unsure.append(launch)
-        for place in (standing, source.memory):
+        for place in (health, source.memory):
             place.out.pop(launch, None)
             place.feeds.pop(launch, None)
-            if place.trial is launch:
-                place.trial = None
+            if place.half_open_probe is launch:
+                place.half_open_probe = None
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
-            standing.heard = now
+            health.heard = now
         if outcome is Outcome.OK:
-            standing.judge(0, now)
+            health.record(0, now)
             # There is such an object: an error before lay with what was another then. Guards against a parent
             # that is never blamed since what it is asked to fill is mostly new.
             while plan.unsure:
@@ -379,7 +380,7 @@
                 for place in others:
                     choice.blame(place, 1 / len(others), now)
             if filled and launch.told is not Told.HIT:
-                source.memory.judge(0, now)
+                source.memory.record(0, now)
             if launch.told in FILLS or (filled and plan.new and launch.told is Told.NOTHING):
                 source.memory.heard = now  # a fill for certain, or all but certain
         elif outcome in (Outcome.RESET, Outcome.UNREACHED) or (erred and source is cache):
@@ -388,7 +389,8 @@
             choice.blame(source, 1 / 2, now)  # the cache is full, or its source cannot be reached
         elif erred:
             # Either of two: each takes what its own record lately makes likely.
-            part = (standing.wrong + SHUT_AT / 8) / (standing.wrong + source.memory.wrong + SHUT_AT / 4)
+            prior = OPEN_AT / 8
+            part = (health.error_rate + prior) / (health.error_rate + source.memory.error_rate + 2 * prior)
             choice.blame(cache, part, now)
             choice.blame(source, 1 - part, now)
         # A further launch keeps to the cache and takes the next source; a second failure moves it on.
@@ -409,7 +411,7 @@
         cause, ok = launch.plan[0 if launch.told is Told.HIT else -1][0], launch.outcome is Outcome.OK
         late = launch.lag > retrieval.profile.agreed
         cause.lost += ((late and not ok) - cause.lost) * LATELY
-        heard = full or (plan.sized and not launch.bare if ok else late and cause.lost > SHUT_AT / 2)
+        heard = full or (plan.sized and not launch.bare if ok else late and cause.lost > OPEN_AT / 2)
         for link, held in launch.plan:
             link.held -= 1
             if heard and (link is cause or took * SLOW < plan.work):
@@ -419,7 +421,7 @@
             if plan.trial and link is not launch.plan[0][0]:
                 link.judge(ok and not late, now, self.choice.agreed)
         if not retrieval.size_kb and ok and not launch.bare:
-            plan.sight.work = min(plan.sight.work or launch.lag, launch.lag)
+            plan.usage.work = min(plan.usage.work or launch.lag, launch.lag)
 
 
 class Choice:
@@ -435,7 +437,7 @@
         self.edges, self.fills, self.fetches = (Link(ground.crew, now, self.entry_age) for _ in range(3))
         self.listed([], True)
         self.directory = Directory(LISTED)
-        self.seen: OrderedDict[tuple[int, int], Sighting] = OrderedDict()
+        self.seen: OrderedDict[tuple[int, int], UsageHistory] = OrderedDict()
         self.purges = Purges(ground.purge_time * 2, unknown_group=None)
         self.oldest = 0  # no copy may be older while purges may be unheard; 0: they are heard
         self.due: list[tuple[int, int, Launch]] = []  # all due times, in one order
@@ -461,7 +463,8 @@
             if not cache.memory or cache.memory.born < cache.born:  # new, or no longer what it was
                 # Fronts that hear of a start together must not all send at once: each owes a random part.
                 link = Link(crew, now, self.entry_age, self.edges if cache.role is Role.CACHE else None)
-                cache.memory = Standing(now, cache.born, self.chance() * self.agreed, self.agreed * 2, link)
+                owed = self.chance() * self.agreed
+                cache.memory = UpstreamHealth(now, cache.born, owed, self.agreed * 2, link)
             if cache.state is State.LEFT:
                 self.known.pop(cache, None)
             else:
@@ -514,8 +517,8 @@
         links = {0: self.fetches, 1: self.fills, 2 + self.ground.zone: self.edges}
         now, places = self.actions.now(), [(name_of(one.mark), one.memory) for one in self.known]
         seen = {key: tuple(link.seen) for key, link in links.items()}
-        shut = [name for name, standing in places if standing.shut]
-        answered = [name for name, standing in places if now - standing.answered < self.agreed * 4]
+        shut = [name for name, health in places if health.shut]
+        answered = [name for name, health in places if now - health.answered < self.agreed * 4]
         return Seen(self.launched, self.firsts, int(self.furthers), self.pushed, seen, shut, answered)
 
     def homes(self, most: int) -> list[list[Cache]]:
@@ -535,16 +538,16 @@
             if link is not self.edges and slow * 2 < link.slow(now) and not link.held:
                 link.judge(True, now, self.agreed)  # as a trial that came back, though another's
         for cache in self.known:
-            name, standing = name_of(cache.mark), cache.memory
+            name, health = name_of(cache.mark), cache.memory
             by = fleet.doubted.get(name, 0)
             theirs = by and name not in fleet.mine and name not in fleet.answered
-            standing.left_to = fleet.until if theirs else 0
-            if standing.shut and name in fleet.answered:  # so much is allowed: a trial of its own, now
-                standing.shut = min(standing.shut, now)
-            elif standing.shut and by and not theirs:  # one for all need not wait ever longer
-                standing.shut = min(standing.shut, now + standing.least)
+            health.delegated_until = fleet.until if theirs else 0
+            if health.shut and name in fleet.answered:  # so much is allowed: a trial of its own, now
+                health.shut = min(health.shut, now)
+            elif health.shut and by and not theirs:  # one for all need not wait ever longer
+                health.shut = min(health.shut, now + health.min_backoff)
             doubted = theirs and cache.role is Role.CACHE and by > max(1, self.ground.crew * DOUBTED)
-            standing.doubted = fleet.until if doubted else 0
+            health.doubted = fleet.until if doubted else 0
 
     # What the stages share.
 
@@ -595,10 +598,10 @@
             return True
         # Half of what the rule bears where a warm one is fully used: the rest is for retries and chance.
         share = (least + (1 - least) * max(age, 0) / span) * factor / 2
-        standing, rate = cache.memory, share * self.asked.sum / self.asked.over / self.most[parent]
-        step, standing.paid_at = now - max(standing.paid_at, cache.born), now
-        standing.paid = min(standing.paid + rate * max(step, 0), rate * ground.fall_window / 2)
-        return standing.paid >= 0 and self.score(retrieval.object, -1, cache.mark) / 2**64 < share
+        health, rate = cache.memory, share * self.asked.sum / self.asked.over / self.most[parent]
+        step, health.paid_at = now - max(health.paid_at, cache.born), now
+        health.paid = min(health.paid + rate * max(step, 0), rate * ground.fall_window / 2)
+        return health.paid >= 0 and self.score(retrieval.object, -1, cache.mark) / 2**64 < share
 
     def parent_for(self, retrieval: Retrieval, now: int) -> Cache | None:
         """The hash over all listed parents, moving on in order."""
@@ -610,9 +613,9 @@
 
     def links(self, retrieval: Retrieval, cache: Cache) -> list[Link]:
         """The links that an answer takes up: the cache's own, and the fills' unless it lately kept a copy."""
-        sight, now = retrieval.plan.sight, self.actions.now()
+        usage, now = retrieval.plan.usage, self.actions.now()
         since = max(cache.memory.emptied, now - self.entry_age * KEPT)
-        held = cache is sight.kept and sight.kept_at > since and not self.age_limit(retrieval, now)
+        held = cache is usage.kept and usage.kept_at > since and not self.age_limit(retrieval, now)
         return [cache.memory.link, self.fills, self.fetches][: 1 if held else 3 if retrieval.plan.new else 2]
 
     def slack(self, retrieval: Retrieval) -> int:
@@ -669,22 +672,24 @@
 
     def blame(self, cache: Cache, part: float, now: int) -> None:
         """Lays a failure on a place; shuts it if it does worse than its peers: what hits all lies behind."""
-        standing = cache.memory
-        standing.judge(part, now)
+        health = cache.memory
+        health.record(part, now)
         group = self.near if cache.role is Role.CACHE else [p for p in self.parents if not p.memory.shut]
-        peers = [one.memory.wrong for one in group if one is not cache]
-        quiet = self.ground.tells_hits and now - standing.heard > self.agreed * 8
+        peers = [one.memory.error_rate for one in group if one is not cache]
+        quiet = self.ground.tells_hits and now - health.heard > self.agreed * 8
         if (quiet or not peers) and cache.role is Role.PARENT and self.origin:
-            peers = [self.origin.memory.wrong]  # no other parent is open, or no fill came from this one
-        if now < standing.shut or not peers or standing.wrong < SHUT_AT + PEERS_ADD * sum(peers) / len(peers):
+            peers = [self.origin.memory.error_rate]  # no other parent is open, or no fill came from this one
+        if now < health.shut or not peers:
             return
-        standing.shut, standing.spell = now + standing.spell, min(standing.spell * 2, standing.least * 8)
-        standing.emptied = now
+        if health.error_rate < OPEN_AT + PEERS_ADD * sum(peers) / len(peers):
+            return
+        health.shut, health.backoff = now + health.backoff, min(health.backoff * 2, health.min_backoff * 8)
+        health.emptied = now
         self.actions.note(f"shut {cache.role.name.lower()} {cache.mark.decode()}")
-        for launch in [*standing.out, *standing.feeds]:
+        for launch in [*health.out, *health.feeds]:
             usual = self.slack(launch.retrieval) + launch.retrieval.plan.work
             late = launch.cache is cache or now - launch.sent > usual
-            if late and launch.outcome is None and launch.sent > standing.heard:
+            if late and launch.outcome is None and launch.sent > health.heard:
                 self.move_on(launch, cache)
 
     def remind(self, due: int, launch: Launch) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -38,7 +38,7 @@
     paper.choice.listed([first.cache], False)
     paper.end(paper.ask(5).launches[0])
     first.cache.memory.shut = paper.clock + 100 * MS
-    first.cache.memory.trial = None
+    first.cache.memory.half_open_probe = None
     second = paper.ask(5).launches[0]
     assert second.cache is not first.cache
     first.cache.memory.shut = 0
@@ -272,7 +272,7 @@
     for _ in range(40):
         paper.clock += 50 * MS
         paper.choice.woken()
-    assert not paper.said and not paper.notes and launch.cache.memory.wrong == 0
+    assert not paper.said and not paper.notes and launch.cache.memory.error_rate == 0
 
 
 @pytest.mark.parametrize(
@@ -502,7 +502,7 @@
         while not one.over:
             paper.end(one.launches[-1], Outcome.ERROR, 5)
         assert known or len(one.launches) <= 3
-    wrong = [cache.memory.wrong for cache in (*paper.caches, *paper.parents)]
+    wrong = [cache.memory.error_rate for cache in (*paper.caches, *paper.parents)]
     assert (max(wrong) > 0) == known and (known or paper.notes == [])
 
 
