Control: tests of the event log, of sessions and of confirmation across nodes

A hypothesis state machine runs several nodes, a discovery service that begins anew, fronts that restart, are cut off, leave and apply late; messages go on only when a rule lets them.

--- a/marbleglade/control/server.py
+++ b/marbleglade/control/server.py
@@ -28,7 +28,7 @@
     decode_request,
     encode_greeting,
 )
-from .session import FellBehindError, ProtocolError, Session
+from .session import FellBehindError, ProtocolError, Session, held_by_front
 
 REQUEST_LIMIT = 5.0  # seconds that a line, or the first one, may take to come whole
 WATCH_TIMEOUT = 60.0  # seconds of one wait for a watcher that has nothing to say
@@ -152,12 +152,10 @@
     def _follow_as_front(self, hello: FrontHello, last: int) -> None:
         log, confirmation = self.server.log, self.server.confirmation
         record = confirmation.admit(hello.name, hello.start_ms)
-        if hello.stream == log.stream and last > log.last:
-            raise ProtocolError("follow_not_sent", f"follow {last}, and the last event is {log.last}")
         self.server.replace(record.connection)
-        known = hello.stream == log.stream and hello.start_ms == record.start_ms and last <= record.sent
+        held = held_by_front(hello, last, log, record)
         confirmation.connected(hello.name, hello.start_ms, self.number, clock.now())
-        snapshot_to = self.session.follow_as_front(last if known else None)
+        snapshot_to = self.session.follow_as_front(held)
         greeting = Greeting(self.server.deployment, self.server.node, log.stream, snapshot_to)
         self.session.greet(encode_greeting(greeting))
 
@@ -172,7 +170,7 @@
             for _ in range(BATCHES_A_PUSH):
                 if not (batch := self.session.next_batch(now)):
                     break
-                self.session.written(batch, send_now(self.sock, batch), now)
+                self.session.written(batch, send_now(self.sock, batch))
                 if self.session.pending:
                     break
         except FellBehindError as error:
@@ -190,7 +188,7 @@
                 batch = self.session.next_batch(clock.now())
                 if batch:
                     count = self.sock.send(batch, 0, STALL_TIMEOUT)
-                    self.session.written(batch, count, clock.now())
+                    self.session.written(batch, count)
                     gevent.sleep(0)
                     continue
                 pause = self.session.wait(clock.now())
@@ -213,7 +211,7 @@
         if not line:
             return
         try:
-            self.session.written(line, send_now(self.sock, line), clock.now())
+            self.session.written(line, send_now(self.sock, line))
         except OSError as error:
             self.close("lost", str(error))
             return
--- a/marbleglade/control/session.py
+++ b/marbleglade/control/session.py
@@ -8,8 +8,9 @@
 
 from collections.abc import Sequence
 
+from .confirmation import FrontRecord
 from .event_log import EventLog, LogEntry, Snapshot, all_groups, encode_line
-from .messages import Applied, Configured, Refused
+from .messages import Applied, Configured, FrontHello, Refused
 
 SECOND = 1_000_000_000  # nanoseconds
 BATCH_BYTES = 1 << 16  # of one write
@@ -17,7 +18,6 @@
 LONGEST_PAUSE = (
     3 * SECOND // 4
 )  # within a snapshot: a watcher that hears no line for longer gives the node up
-STALL_LIMIT = 2 * SECOND  # a watcher that takes nothing for longer is closed
 CUT_FROM = 1024  # a snapshot that has this many purges left may lose its oldest ones to a purge of all groups
 CUT_AT_ONCE = 512
 
@@ -92,6 +92,23 @@
         return True
 
 
+def held_by_front(hello: FrontHello, last: int, log: EventLog, record: FrontRecord) -> int | None:
+    """Up to which event of the log a front that connects has the stream; None: it has nothing of it.
+
+    Its word counts only for what this node has sent to this start of it.
+
+    Raises:
+        ProtocolError: It names a number of this stream that there is not.
+    """
+    if hello.stream != log.stream:
+        return None
+    if last > log.last:
+        raise ProtocolError("follow_not_sent", f"follow {last}, and the last event is {log.last}")
+    if hello.start_ms != record.start_ms or last > record.sent:
+        return None
+    return last
+
+
 class Session:
     """The stream as one watcher is sent it.
 
@@ -110,7 +127,6 @@
         self._cursor: SnapshotCursor | None = None
         self._ahead = 0  # live events up to this number were sent ahead of the rest of a snapshot
         self._resume_at = 0
-        self._stalled_at = 0
 
     # How it begins.
 
@@ -204,15 +220,9 @@
             size += len(lines[-1])
         return lines
 
-    def written(self, batch: bytes, count: int, now: int) -> None:
-        """The system took `count` bytes of a batch; the rest comes first in the next one."""
+    def written(self, batch: bytes, count: int) -> None:
+        """The system took `count` bytes of a batch; the rest is the next one."""
         self.pending = batch[count:]
-        if count or not self._stalled_at:
-            self._stalled_at = now
-
-    def stalled(self, now: int) -> bool:
-        """True if the watcher has taken nothing for longer than is waited for."""
-        return bool(self.pending) and now - self._stalled_at > STALL_LIMIT
 
     def wait(self, now: int) -> int | None:
         """Nanoseconds until there may be something to write; None: only once an event comes."""
--- /dev/null
+++ b/tests/test_control_confirmation.py
@@ -0,0 +1,394 @@
+"""Confirmation across several control nodes: a state machine, and single cases of merging."""
+
+import os
+from collections import deque
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marbleglade.control.messages import Applied, FrontHello
+from marbleglade.control.node import ControlNode
+from marbleglade.control.session import ProtocolError, Session, held_by_front
+from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
+from marbleglade.control.status import decode_status, encode_status
+from marbleglade.control.status_merge import NodeAnswer, merge
+from marbleglade.wire.coordlines import BadLine, Beat, ListChange, Member, Purge
+
+from .test_control_log import Reader
+
+SECOND = 1_000_000_000
+FRONTS = ("f1", "f2", "f3")
+NODES = ("c1", "c2", "c3")
+NOWHERE = ("127.0.0.1", 9)
+SETTINGS = ControlSettings(
+    "test",
+    (RegionSettings("east", NOWHERE, FRONTS),),
+    tuple(NodeSettings(name, "east", "zone", NOWHERE, NOWHERE) for name in NODES),
+    2600 * 1_000_000,
+    5000 * 1_000_000,
+    1024,
+)
+
+
+class Discovery:
+    """What the discovery service tells, in its present numbering."""
+
+    def __init__(self):
+        self.era = 0
+        self.events = []
+
+    def tell(self, event):
+        event.index = len(self.events) + 1
+        self.events.append(event)
+
+    def begin_anew(self):
+        """It knows the list as it is now, told as one that is not flagged whole, and the last purge."""
+        members = {}
+        for event in self.events:
+            if isinstance(event, ListChange):
+                members |= {member.id: member for member in event.members}
+        purges = [event for event in self.events if isinstance(event, Purge)]
+        self.era, self.events = self.era + 1, []
+        present = [member for member in members.values() if member.state != "left"]
+        self.tell(ListChange(0, False, present))
+        for purge in purges[-1:]:
+            self.tell(Purge(0, purge.thing, purge.group, purge.unix_ms))
+
+
+class Process:
+    """One start of a front: what it has applied, and its connections by node."""
+
+    def __init__(self, name, start_ms):
+        self.name, self.start_ms = name, start_ms
+        self.purged = {}
+        self.members = {}
+        self.connections = {}
+        self.positions = {}  # by stream: the last event
+
+    def has(self, purge):
+        return self.purged.get(purge.thing, 0) >= purge.unix_ms
+
+
+class Link:
+    """A connection between a front and a node. Both directions are held until they are let on."""
+
+    def __init__(self, process, node, number):
+        self.process, self.node, self.number = process, node, number
+        log, confirmation = node.control.log, node.control.confirmation
+        stream = log.stream if log.stream in process.positions else "-"
+        last = process.positions.get(stream, 0)
+        record = confirmation.admit(process.name, process.start_ms)
+        hello = FrontHello(process.name, process.start_ms, stream)
+        if previous := node.links.get(record.connection):
+            node.close(previous)
+        held = held_by_front(hello, last, log, record)
+        confirmation.connected(process.name, process.start_ms, number, 1)
+        self.session = Session(log, 1024)
+        self.reader = Reader(last, self.session.follow_as_front(held))
+        self.lines, self.words, self.said = deque(), deque(), 0
+
+    def send(self, now):
+        batch = self.session.next_batch(now)
+        if batch:
+            self.session.written(batch, len(batch))
+            self.lines.extend(batch.splitlines())
+
+    def apply(self, count):
+        """The front takes in some lines, in turn."""
+        for _ in range(min(count, len(self.lines))):
+            self.reader.read(self.lines.popleft())
+        for (_, thing), unix_ms in self.reader.purged.items():
+            self.process.purged[thing] = max(unix_ms, self.process.purged.get(thing, 0))
+        if self.complete:
+            self.process.positions[self.session.log.stream] = self.reader.last
+            if self.reader.members.changes:
+                self.process.members = self.reader.members.members
+
+    @property
+    def complete(self):
+        return self.reader.last >= self.reader.snapshot_to
+
+    def say(self):
+        if self.complete and self.reader.last > self.said:
+            self.said = self.reader.last
+            self.words.append(self.said)
+
+    def hear(self, now):
+        """The node reads one word."""
+        if self.words:
+            index = self.words.popleft()
+            self.session.accept_applied(Applied(index))
+            self.node.control.confirmation.applied(self.process.name, self.number, index, now)
+
+
+class Node:
+    """A control node without sockets: what the discovery service told it, and its connections."""
+
+    def __init__(self, name, discovery, sink):
+        self.name, self.discovery, self.sink = name, discovery, sink
+        self.count = 0
+        self.start()
+
+    def start(self):
+        self.control = ControlNode(SETTINGS, self.name, sink=self.sink)
+        self.links, self.era, self.position, self.beaten = {}, self.discovery.era, 0, False
+
+    def receive(self):
+        """One event of the discovery service, or its heartbeat where there is none."""
+        follower, events = self.control.follower, self.discovery.events
+        if self.era != self.discovery.era:
+            self.era, self.position = self.discovery.era, 0
+            if follower.last > len(events):
+                with pytest.raises(BadLine):
+                    follower._heard(Beat(len(events)))
+            else:  # it can't be told by the numbers alone; the client counts from where it was
+                self.position = follower.last
+        if self.position < len(events):
+            follower._heard(events[self.position])
+            self.position += 1
+        else:
+            follower._heard(Beat(len(events)))
+
+    def receive_all(self):
+        while self.era != self.discovery.era or self.position < len(self.discovery.events):
+            self.receive()
+        self.receive()
+
+    def connect(self, process):
+        self.count += 1
+        link = Link(process, self, self.count)
+        self.links[link.number] = link
+        process.connections[self.name] = link
+
+    def close(self, link):
+        self.links.pop(link.number, None)
+        self.control.confirmation.disconnected(link.process.name, link.number, link.session.sent)
+        if link.process.connections.get(self.name) is link:
+            del link.process.connections[self.name]
+
+    def answer(self):
+        return NodeAnswer(self.name, decode_status(encode_status(self.control.status())))
+
+
+node_names, front_names = st.sampled_from(NODES), st.sampled_from(FRONTS)
+
+
+class ControlPlane(RuleBasedStateMachine):
+    """Nodes, fronts and a discovery service, whose messages go on only when a rule lets them."""
+
+    @initialize()
+    def begin(self):
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.now, self.started = SECOND, 0
+        self.discovery = Discovery()
+        self.discovery.tell(ListChange(0, True, [self.cache("a"), self.cache("b")]))
+        self.nodes = {name: Node(name, self.discovery, self.sink) for name in NODES}
+        for node in self.nodes.values():
+            node.receive_all()
+        self.fronts, self.all_processes, self.purges = {}, {}, []
+        # Of each node: the last start of each front that it was told of, and whether that one left.
+        self.known = {name: {} for name in NODES}
+        for name in FRONTS:
+            self.launch(name)
+
+    @staticmethod
+    def cache(name, state="active"):
+        return Member(name, ("10.0.0.1", 8080), "zone", "edge", 0, state, 5)
+
+    def launch(self, name):
+        self.started += 1
+        self.fronts[name] = Process(name, self.started)
+        self.all_processes[name, self.started] = self.fronts[name]
+
+    def links(self):
+        return [link for name in NODES for link in self.nodes[name].links.values()]
+
+    def pick(self, data):
+        links = self.links()
+        return data.draw(st.sampled_from(range(len(links)))) if links else None
+
+    # What the discovery service does.
+
+    @rule(thing=st.integers(1, 4))
+    def purge(self, thing):
+        self.now += SECOND
+        purge = Purge(0, thing, 0, 1000 + len(self.purges))
+        self.purges.append(purge)
+        self.discovery.tell(purge)
+
+    @rule(name=st.sampled_from("abc"), state=st.sampled_from(["active", "leaving", "left"]))
+    def change(self, name, state):
+        self.discovery.tell(ListChange(0, False, [self.cache(name, state)]))
+
+    @rule()
+    def discovery_begins_anew(self):
+        self.discovery.begin_anew()
+
+    # What nodes do.
+
+    @rule(name=node_names, count=st.integers(1, 4))
+    def receive(self, name, count):
+        for _ in range(count):
+            self.nodes[name].receive()
+
+    @rule(name=node_names)
+    def node_restarts(self, name):
+        node = self.nodes[name]
+        for link in list(node.links.values()):
+            link.process.connections.pop(name, None)
+        self.known[name].clear()
+        node.start()
+        node.receive_all()
+
+    # What fronts do.
+
+    @rule(front=front_names, name=node_names)
+    def connect(self, front, name):
+        process = self.fronts[front]
+        if name in process.connections:
+            return
+        self.nodes[name].connect(process)
+        self.known[name][front] = process.start_ms, False
+
+    @rule(front=front_names)
+    def restart(self, front):
+        """Its old connections stay, with what is under way on them, until the node notices."""
+        self.launch(front)
+
+    @rule(data=st.data(), count=st.integers(1, 9))
+    def exchange(self, data, count):
+        """One connection goes through some steps; each may be left out."""
+        chosen = self.pick(data)
+        if chosen is None:
+            return
+        link = self.links()[chosen]
+        steps = data.draw(st.lists(st.sampled_from(["send", "apply", "say", "hear"]), min_size=1, max_size=6))
+        self.now += SECOND // 4
+        for step in steps:
+            alive = self.fronts[link.process.name] is link.process
+            if step == "send":
+                link.send(self.now)
+            elif step == "apply" and alive:
+                link.apply(count)
+            elif step == "say" and alive:
+                link.say()
+            elif step == "hear":
+                link.hear(self.now)
+
+    @rule(front=front_names)
+    def catch_up(self, front):
+        """A front takes in and says all there is, on all of its connections."""
+        for link in list(self.fronts[front].connections.values()):
+            self.settle(link)
+
+    @rule(data=st.data())
+    def cut(self, data):
+        chosen = self.pick(data)
+        if chosen is not None:
+            link = self.links()[chosen]
+            link.node.close(link)
+
+    @rule(front=front_names)
+    def leave(self, front):
+        process = self.fronts[front]
+        for name, link in list(process.connections.items()):
+            link.node.control.confirmation.left(front, link.number)
+            link.node.close(link)
+            self.known[name][front] = process.start_ms, True
+        self.launch(front)
+
+    @precondition(lambda self: self.links())
+    @rule(data=st.data(), beyond=st.integers(1, 3))
+    def claim_what_was_not_sent(self, data, beyond):
+        link = self.links()[self.pick(data)]
+        with pytest.raises(ProtocolError):
+            link.session.accept_applied(Applied(link.session.sent + beyond))
+
+    def settle(self, link):
+        while (wait := link.session.wait(self.now)) is not None:
+            self.now += wait
+            link.send(self.now)
+        link.apply(len(link.lines))
+        link.say()
+        while link.words:
+            link.hear(self.now)
+
+    # What must hold.
+
+    def status(self, names=NODES):
+        answers = [
+            self.nodes[name].answer() if name in names else NodeAnswer(name, None, "silent") for name in NODES
+        ]
+        return merge(SETTINGS, answers)
+
+    def counting(self, names):
+        """The last start of each front that these nodes were told of, but for those that left; None: none."""
+        for front in FRONTS:
+            told = [self.known[name][front] for name in names if front in self.known[name]]
+            start_ms = max((start_ms for start_ms, _ in told), default=None)
+            if (start_ms, True) not in told:
+                yield front, start_ms and self.all_processes[front, start_ms]
+
+    def check(self, names):
+        for summary in self.status(names).purges:
+            if summary.lacking.count:
+                continue
+            assert summary.took_ms is not None
+            for front, process in self.counting(names):
+                assert process and process.has(summary.identity), (front, summary)
+                links = [link for name in names for link in self.nodes[name].links.values()]
+                assert any(link.process is process for link in links), f"{front} may have started again"
+
+    @invariant()
+    def nothing_is_confirmed_that_a_front_lacks(self):
+        self.check(NODES)
+
+    @rule(name=node_names)
+    def a_node_is_silent(self, name):
+        names = [one for one in NODES if one != name]
+        self.check(names)
+        assert self.status(names).silent_nodes == [name]
+
+    @rule()
+    def all_is_well_for_once(self):
+        """Every front is connected to two nodes, which have received everything, and has said what it has."""
+        for node in self.nodes.values():
+            node.receive_all()
+        for front in FRONTS:
+            for name in NODES[:2]:
+                self.connect(front, name)
+            self.catch_up(front)
+
+    def teardown(self):
+        if not hasattr(self, "nodes"):
+            return
+        self.all_is_well_for_once()
+        status = self.status()
+        assert status.connected == len(FRONTS) and not status.absent.count
+        present = {name: self.nodes[name].control.log.members.members for name in NODES}
+        for process in self.fronts.values():
+            assert process.members in (present["c1"], present["c2"])
+        by_first = {purge.identity("c1") for purge in self.nodes["c1"].answer().status.purges}
+        assert all(not one.lacking.count for one in status.purges if one.identity in by_first)
+        os.close(self.sink)
+
+
+def test_no_purge_is_confirmed_that_a_listed_front_lacks():
+    run_state_machine_as_test(
+        ControlPlane,
+        settings=settings(
+            max_examples=120,
+            stateful_step_count=40,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
--- /dev/null
+++ b/tests/test_control_log.py
@@ -0,0 +1,354 @@
+"""The event log of a control node and the sessions that read it, without I/O."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marbleglade.control.event_log import EVICTED_AT_ONCE, GROUPS, SNAPSHOT_REUSE, EventLog
+from marbleglade.control.member_table import MemberTable
+from marbleglade.control.messages import Applied, ConfigurationEvent, Configured, Refused, decode_stream_line
+from marbleglade.control.session import (
+    LONGEST_PAUSE,
+    SECOND,
+    FellBehindError,
+    ProtocolError,
+    Session,
+)
+from marbleglade.wire.coordlines import NEVER, Beat, ListChange, Member, Purge
+
+RATE = 6144  # bytes a second
+
+
+def member(name, state="active", cell=0):
+    return Member(name, ("10.0.0.1", 8080), "zone", "edge", cell, state, 5)
+
+
+def listed(*members, whole=False, unclear=()):
+    return ListChange(0, whole, list(members), list(unclear))
+
+
+class Reader:
+    """What a front holds of the stream; checks the numbers."""
+
+    def __init__(self, last=0, snapshot_to=0):
+        self.last, self.snapshot_to = (0 if snapshot_to else last), snapshot_to
+        self.members, self.purged, self.configuration = MemberTable(), {}, None
+        self.count = 0
+
+    def read(self, data):
+        for line in data.splitlines():
+            event = decode_stream_line(line)
+            self.count += 1
+            if isinstance(event, Beat):
+                assert event.index == self.last
+                continue
+            if self.last < self.snapshot_to:
+                assert self.last < event.index <= self.snapshot_to
+            else:
+                assert event.index == self.last + 1
+            self.last = event.index
+            self._apply(event)
+
+    def _apply(self, event):
+        if isinstance(event, ListChange):
+            self.members.apply(event)
+        elif isinstance(event, ConfigurationEvent):
+            self.configuration = event.version
+        else:
+            key = ("object", event.thing) if event.thing else ("group", event.group)
+            self.purged[key] = max(self.purged.get(key, 0), event.unix_ms)
+
+    def purged_at(self, thing, group):
+        return max(self.purged.get(("object", thing), 0), self.purged.get(("group", group), 0))
+
+    @property
+    def state(self):
+        return self.members.members, self.purged, self.configuration
+
+
+def follow(log, last=None, rate=RATE):
+    """A session of a front that has the stream up to `last`, and a reader for it."""
+    session = Session(log, rate)
+    return session, Reader(last or 0, session.follow_as_front(last))
+
+
+def drain(session, reader, now=0):
+    """All that a session sends to who reads at once; gives the time that it took."""
+    begun = now
+    while (wait := session.wait(now)) is not None:
+        now += wait
+        if batch := session.next_batch(now):
+            session.written(batch, len(batch))
+            reader.read(batch)
+    return now - begun
+
+
+# The log.
+
+
+def test_events_come_back_as_they_were():
+    log = EventLog("s")
+    log.append_list(listed(member("a"), member("b", "leaving", 3), whole=True, unclear=["c"]))
+    log.append_purge(Purge(0, 0xABC, 7, 1000))
+    log.append_purge(Purge(0, 0, 0, 1001))
+    log.append_configuration(4, "text")
+    first, second, third, fourth = [decode_stream_line(entry.line) for entry in log.after(0, 1 << 20)]
+    assert first == ListChange(1, True, [member("a"), member("b", "leaving", 3)], ["c"])
+    assert second == Purge(2, 0xABC, 7, 1000) and third == Purge(3, 0, 0, 1001)
+    assert fourth == ConfigurationEvent(4, 4, "text")
+
+
+def test_a_purge_without_a_readable_moment_stays_one_and_is_never_a_repetition():
+    log = EventLog("s")
+    assert log.append_purge(Purge(0, 5, 0, NEVER)) and log.append_purge(Purge(0, 5, 0, NEVER))
+    assert [decode_stream_line(entry.line).unix_ms for entry in log.after(0, 1 << 20)] == [NEVER, NEVER]
+
+
+def test_a_repeated_purge_is_left_out_and_an_older_moment_does_not_undo_a_later_one():
+    log = EventLog("s")
+    assert log.append_purge(Purge(0, 5, 0, 2000)) and not log.append_purge(Purge(9, 5, 0, 2000))
+    assert log.append_purge(Purge(0, 5, 0, 1000)).index == 2
+    session, reader = follow(log)
+    drain(session, reader)
+    assert reader.purged == {("object", 5): 2000}
+
+
+def test_configuration_only_goes_forward():
+    log = EventLog("s")
+    assert log.append_configuration(3, "c") and not log.append_configuration(3, "c")
+    assert not log.append_configuration(2, "b") and log.last == 1 and log.configuration == (3, "c")
+
+
+def test_events_that_fell_out_of_the_log_are_not_given():
+    log = EventLog("s", retained_events=8)
+    for number in range(5000):  # more than are freed at once
+        log.append_purge(Purge(0, number + 1, 0, number))
+    assert log.holds(4992) and not log.holds(4991) and not log.holds(5001)
+    assert [entry.index for entry in log.after(4992, 1 << 20)] == list(range(4993, 5001))
+    assert [entry.index for entry in log.after(4992, 1)] == [4993]
+    with pytest.raises(FellBehindError):
+        Session(log, RATE).follow(4991)
+
+
+def test_purges_that_fall_out_of_the_snapshot_are_covered_by_all_groups():
+    log = EventLog("s", retained_events=4, retained_purges=600)
+    for number in range(1, 1501):
+        log.append_purge(Purge(0, number, number % GROUPS, 10_000 + (7 * number) % 1500))
+    session, reader = follow(log, rate=1 << 24)
+    drain(session, reader)
+    assert reader.count <= 600 + GROUPS and reader.last == 1500
+    assert all(
+        reader.purged_at(number, number % GROUPS) >= 10_000 + (7 * number) % 1500 for number in range(1, 1501)
+    )
+
+
+def test_a_snapshot_is_shared_for_a_while_and_then_made_anew():
+    log = EventLog("s")
+    log.append_purge(Purge(0, 1, 0, 1))
+    first = log.snapshot()
+    for number in range(SNAPSHOT_REUSE):
+        log.append_purge(Purge(0, number + 2, 0, 1))
+    assert log.snapshot() is first
+    log.append_purge(Purge(0, 9999, 0, 1))
+    assert log.snapshot() is not first and log.snapshot().to == log.last
+
+
+purges = st.builds(
+    Purge, st.just(0), st.integers(0, 5), st.integers(0, 3), st.integers(1, 50) | st.just(NEVER)
+)
+changes = st.builds(
+    ListChange,
+    st.just(0),
+    st.booleans(),
+    st.lists(st.builds(member, st.sampled_from("abc"), st.sampled_from(["active", "leaving", "left"]))),
+    st.lists(st.sampled_from("abc"), max_size=1),
+)
+events = st.lists(purges | changes | st.integers(1, 9), max_size=40)
+
+
+def append(log, event):
+    if isinstance(event, Purge):
+        log.append_purge(event)
+    elif isinstance(event, ListChange):
+        log.append_list(event)
+    else:
+        log.append_configuration(event, str(event))
+
+
+@settings(max_examples=200, deadline=None)
+@given(events, events, events, st.integers(0, 40), st.booleans())
+def test_a_snapshot_and_deltas_give_the_same_state_as_all_events(before, during, behind, held, known):
+    """Whatever comes before, while the snapshot is sent, and behind it."""
+    log = EventLog("s")
+    everything, rest = Reader(), Session(log, RATE)
+    rest.follow(0)
+    for event in before:
+        append(log, event)
+    session, reader = follow(log, min(held, log.last) if known else None, rate=100)
+    if known:  # what it holds of the stream already
+        for entry in log.after(0, 1 << 20)[: min(held, log.last)]:
+            reader._apply(decode_stream_line(entry.line))
+    now = 0
+    for event in during:
+        if batch := session.next_batch(now):
+            session.written(batch, len(batch))
+            reader.read(batch)
+        append(log, event)
+        now += SECOND // 10
+    drain(session, reader, now)
+    for event in behind:
+        append(log, event)
+    drain(session, reader, now)
+    drain(rest, everything)
+    assert reader.last == everything.last == log.last
+    assert reader.state == everything.state
+    assert reader.members.unreadable.keys() == everything.members.unreadable.keys()
+
+
+# A session.
+
+
+def filled(count):
+    log = EventLog("s")
+    log.append_list(listed(member("a"), whole=True))
+    for number in range(count):
+        log.append_purge(Purge(0, number + 1, 0, number + 1))
+    return log
+
+
+def test_a_front_without_the_stream_gets_a_snapshot_and_one_that_is_near_the_events():
+    log = filled(40)
+    session, reader = follow(log)
+    assert reader.snapshot_to == 41 and session.in_snapshot
+    drain(session, reader)
+    assert reader.last == session.sent == 41 and not session.in_snapshot
+    session, reader = follow(log, 38)
+    assert not reader.snapshot_to
+    drain(session, reader)
+    assert reader.count == 3
+
+
+def test_a_front_far_behind_gets_what_it_lacks_of_the_snapshot_newest_first():
+    log = filled(5000)
+    session, reader = follow(log, 4000)
+    assert reader.snapshot_to == 5001
+    took = drain(session, reader)
+    assert reader.count == 1 + 1001 and list(reader.purged)[0] == ("object", 5000)
+    assert 0.8 < took / SECOND * RATE / sum(len(entry.line) for entry in log.after(4000, 1 << 24)) < 1.1
+
+
+def test_an_empty_log_has_no_snapshot():
+    log = EventLog("s")
+    session, reader = follow(log)
+    assert not reader.snapshot_to and session.wait(0) is None and session.heartbeat() == b"0\n"
+    log.append_purge(Purge(0, 1, 0, 1))
+    drain(session, reader)
+    assert reader.last == 1
+
+
+def test_no_pause_of_a_snapshot_is_longer_than_a_watcher_waits():
+    log = EventLog("s")
+    log.append_list(listed(*[member(f"cache-{number}") for number in range(200)], whole=True))
+    log.append_purge(Purge(0, 1, 0, 1))
+    session, reader = follow(log)
+    reader.read(session.next_batch(0))
+    assert session.wait(0) <= LONGEST_PAUSE and reader.count == 1
+
+
+def test_a_live_purge_is_told_ahead_of_a_long_snapshot():
+    log = filled(5000)
+    for number in range(3000):  # repeated: so there are numbers to spare
+        log.append_purge(Purge(0, 1, 0, 10_000 + number))
+    session, reader = follow(log)
+    reader.read(session.next_batch(0))
+    entry = log.append_purge(Purge(0, 777_777, 0, 99))
+    reader.read(session.next_batch(1))
+    assert reader.purged[("object", 777_777)] == 99 and reader.last < entry.index
+    drain(session, reader, 1)
+    assert reader.last == entry.index
+
+
+def test_live_purges_are_told_ahead_where_all_numbers_are_taken_by_a_purge_of_all_groups():
+    log = EventLog("s")
+    for number in range(1, 4001):
+        log.append_purge(Purge(0, number, number % GROUPS, number))
+    session, reader = follow(log)
+    for number in range(300):
+        log.append_purge(Purge(0, 100_000 + number, 0, 5000))
+        reader.read(session.next_batch(number))
+        assert ("object", 100_000 + number) in reader.purged and session.in_snapshot
+    drain(session, reader)
+    assert reader.last == log.last
+    assert all(reader.purged_at(number, number % GROUPS) >= number for number in range(1, 4001))
+    cut_off = sum(("object", number) not in reader.purged for number in range(1, 4001))
+    assert EVICTED_AT_ONCE <= cut_off <= 2 * EVICTED_AT_ONCE
+
+
+def test_a_short_snapshot_without_numbers_to_spare_is_sent_at_once():
+    log = EventLog("s")
+    for number in range(1, 201):
+        log.append_purge(Purge(0, number, 0, number))
+    session, reader = follow(log)
+    reader.read(session.next_batch(0))
+    assert session.in_snapshot
+    log.append_purge(Purge(0, 999, 0, 5))
+    reader.read(session.next_batch(1))
+    assert reader.last == 200 and not session.in_snapshot
+    drain(session, reader, 1)
+    assert reader.purged[("object", 999)] == 5
+
+
+def test_what_a_write_left_over_comes_first():
+    log = filled(10)
+    session, reader = follow(log, 0)
+    batch = session.next_batch(0)
+    session.written(batch, 10)
+    assert session.next_batch(1) == batch[10:] and session.wait(1) == 0 and not session.heartbeat()
+    session.written(batch[10:], len(batch) - 10)
+    assert not session.next_batch(2) and session.wait(2) is None and session.heartbeat() == b"11\n"
+
+
+def test_a_watcher_that_the_log_has_left_behind_is_told_so():
+    log = EventLog("s", retained_events=4)
+    session = Session(log, RATE)
+    session.follow(0)
+    for number in range(5):
+        log.append_purge(Purge(0, number + 1, 0, 1))
+    with pytest.raises(FellBehindError):
+        session.next_batch(0)
+
+
+@pytest.mark.parametrize(
+    ("said", "kind"), [((12,), "applied_not_sent"), ((9, 8), "applied_back"), ((2,), "applied_back")]
+)
+def test_numbers_that_were_not_sent_or_go_back_are_refused(said, kind):
+    log = filled(10)
+    session, reader = follow(log, 3)
+    drain(session, reader)
+    for index in said[:-1]:
+        session.accept_applied(Applied(index))
+    with pytest.raises(ProtocolError) as refused:
+        session.accept_applied(Applied(said[-1]))
+    assert refused.value.kind == kind
+
+
+def test_nothing_counts_before_a_snapshot_is_complete_and_nothing_below_it_after():
+    log = filled(200)
+    session, reader = follow(log)
+    reader.read(session.next_batch(0))
+    with pytest.raises(ProtocolError) as refused:
+        session.accept_applied(Applied(reader.last))
+    assert refused.value.kind == "applied_in_snapshot"
+    drain(session, reader)
+    with pytest.raises(ProtocolError):
+        session.accept_applied(Applied(200))
+    session.accept_applied(Applied(201))
+
+
+def test_a_configuration_version_that_goes_back_is_refused():
+    session = Session(EventLog("s"), RATE)
+    session.accept_version(Configured(4))
+    session.accept_version(Refused(5, "no"))
+    with pytest.raises(ProtocolError) as refused:
+        session.accept_version(Configured(4))
+    assert refused.value.kind == "version_back"
