Restarts beside an absent discovery service, and idle clients that fill the descriptors, are forced

tests/test_restart_readiness.py: twenty fronts restart at once, after SIGTERM beside a service that accepts and says nothing, after SIGKILL beside one that refuses and one at which connections never come up. Nine in ten answer STATUS with yes within 10 s, each serves an object, and all watch the service once it is back.

tests/test_descriptor_pressure.py: one front told of 120 descriptors, while discovery refuses or is silent. Clients that wait, were served, asked for the state alone or never said anything take the whole share; newcomers are served and shut the silent ones, oldest first; 20 and 150 idle connections come at once; the watch comes back, a drain told then holds, and each held request is answered.

FrontFleet can be told other cold-start rules, a descriptor limit and to run without messages, can add a cache, and puts its discovery services at addresses that nobody takes while they are away.

--- a/marbleglade/standins/frontfleet.py
+++ b/marbleglade/standins/frontfleet.py
@@ -22,10 +22,18 @@
 
 KINDS = ["box", "hub", "root"]
 ZONE = "z"
+DESCRIPTORS = 600  # that a front is told it may use
+BOX_ROOM = 24  # requests that a box carries at full pace
 
 
-def settings(crew: int, **limits: object) -> dict:
-    """What a front is told of its place; times in ms."""
+def settings(crew: int, rules: dict[str, float] | None = None, **limits: object) -> dict:
+    """What a front is told of its place.
+
+    Args:
+        crew: Number of fronts in the zone.
+        rules: Entries that replace those of `Rules`; times in ms.
+        **limits: Entries that replace those of `Limits`; times in ms.
+    """
     return {
         "Classes": [
             {
@@ -62,7 +70,8 @@
             "PeerMessages": True,
         }
         | limits,
-        "Rules": {"Cold": 2000.0, "ColdFrom": 0.2, "Fall": 500.0, "OverloadFactor": 3.0, "AnswerSlack": 50.0},
+        "Rules": {"Cold": 2000.0, "ColdFrom": 0.2, "Fall": 500.0, "OverloadFactor": 3.0, "AnswerSlack": 50.0}
+        | (rules or {}),
         "Specifics": {
             "MaxAge": [0.0, 0.0, 0.0],
             "GraceFor": [0.0, 0.0, 0.0],
@@ -82,7 +91,11 @@
 
 
 class FrontFleet:
-    """`count` fronts. With `together` they settle things among themselves, else each decides alone."""
+    """`count` fronts. With `together` they settle things among themselves, else each decides alone.
+
+    Without `messages` no front knows of a peer and none may send datagrams. `rules` replaces entries of the
+    settings' `Rules`, and `descriptors` is the limit of open files and sockets that each front is told.
+    """
 
     def __init__(
         self,
@@ -96,28 +109,31 @@
         cold=None,
         store: Room | None = None,
         work: bool = False,
+        messages: bool = True,
+        rules: dict[str, float] | None = None,
+        descriptors: int = DESCRIPTORS,
     ) -> None:
         self.count, self.folder, self.seed, self.together, self.work = count, folder, seed, together, work
+        self.messages, self.rules, self.descriptors = messages, rules, descriptors
         clock, self.effects = RegionClock(), Counter()
         self.library = Library("store", clock, lambda thing: True)
         self.store = Place("root", self.library, effects=self.effects)
         self.store.room, self.store.work = store, 0.02
         self.hubs = [Place(f"hub{n}", clock=clock, cold=cold, effects=self.effects) for n in range(hubs)]
-        self.boxes = [Place(f"box{n}", clock=clock, cold=cold, effects=self.effects) for n in range(boxes)]
-        for one in (*self.hubs, *self.boxes):
-            one.effectful = {"orders"}
         for hub in self.hubs:
+            hub.effectful = {"orders"}
             hub.sources, hub.upstream = {"root": self.store}, "root"
-        for box in self.boxes:
-            box.room, box.work = Room(24), 0.01
-            box.sources = {one.id: one for one in (self.store, *self.hubs, *self.boxes) if one is not box}
-        self.coordinators = [Coordinator(ZONE) for _ in range(count)]  # each front has its own
+        self.boxes: list[Place] = []
+        for _ in range(boxes):
+            self.add_box(cold)
+        # Each front has its own, at an address that nobody takes while the service is away.
+        self.coordinators = [Coordinator(ZONE, ("127.0.0.1", free_port())) for _ in range(count)]
         self.places = [
             *((box, "box") for box in self.boxes),
             *((hub, "hub") for hub in self.hubs),
             (self.store, "root"),
         ]
-        self.between = Between(count, seed)
+        self.between = Between(count if messages else 0, seed)
         self.doors = [("127.0.0.1", free_port()) for _ in range(count)]
         self.processes: dict[int, subprocess.Popen] = {}
         self.starts = Counter()
@@ -128,6 +144,16 @@
         for number in range(count):
             self.start(number)
 
+    def add_box(self, cold: tuple[float, ...] | None = None) -> Place:
+        """One more cache, which the others know as a source; no coordinator has told of it yet."""
+        box = Place(f"box{len(self.boxes)}", clock=self.store.clock, cold=cold, effects=self.effects)
+        box.room, box.work, box.effectful = Room(BOX_ROOM), 0.01, {"orders"}
+        box.sources = {one.id: one for one in (self.store, *self.hubs, *self.boxes)}
+        for other in self.boxes:
+            other.sources[box.id] = box
+        self.boxes.append(box)
+        return box
+
     def each(self, tell) -> None:
         """The same to all coordinators."""
         for one in self.coordinators:
@@ -141,13 +167,14 @@
             "name": f"f{number}",
             "listen": text(self.doors[number]),
             "seed": f"{self.seed + number:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 600},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.descriptors},
             "coordinator": text(coordinator.address),
-            "peer_listen": text(self.between.listen[number]),
-            "peers": self.between.peers(number),
             "known": {"index": len(events), "updates": events},
-            "settings": settings(self.count),
+            "settings": settings(self.count, self.rules, PeerMessages=self.messages),
         }
+        if self.messages:
+            told["peer_listen"] = text(self.between.listen[number])
+            told["peers"] = self.between.peers(number)
         path = self.folder / f"f{number}.json"
         path.write_text(json.dumps(told))
         environ = os.environ | {"GW_CONFIG": str(path)}
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,149 @@
+"""Cold caches under the sum of all fronts: real processes on loopback, before stand-in caches that count."""
+
+from __future__ import annotations
+
+import os
+import time
+
+import gevent
+import pytest
+
+from marbleglade.standins.frontfleet import FrontFleet
+from marbleglade.standins.places import Place
+
+from .conftest import until
+from .fleet_rig import RampBudget, PageLoad, object_of, peak
+
+FRONTS = int(os.environ.get("MARBLEGLADE_COLD_FRONTS", "20"))
+THIRD = range(FRONTS // 3)
+BOXES = 5
+RATE = 10.0  # requests a second at each front, before the burst
+BURST = 1.5
+WORK = 0.04  # seconds that a cache takes for one request
+SETTLES = 2.5  # seconds in which the caches fill and each front sees its own demand
+WATCHED = 2.5  # seconds: soon after, a whole part of the load is no more than the ramp allows
+FIRST_WITHIN = 15.0  # seconds in which the first request reaches a cold cache
+# A warm cache is held to be fully used by its part of the burst: no cache does less, so N is no larger.
+BUDGET = RampBudget(
+    share=0.08, warm_after=16.0, factor=2.0, window=1.0, warm_rate=FRONTS * RATE * BURST / BOXES
+)
+
+
+class ColdFleet:
+    """The fronts, their clients, and the cold starts that the test brings about."""
+
+    def __init__(self, folder, seed: int, messages: bool) -> None:
+        self.fleet = FrontFleet(
+            FRONTS, folder, seed, together=messages, messages=messages, boxes=BOXES, rules=BUDGET.rules()
+        )
+        for box in self.fleet.boxes:
+            box.work = WORK
+        self.fleet.ready()
+        self.load = PageLoad(self.fleet, seed, [RATE] * FRONTS, objects=3000)
+        gevent.sleep(SETTLES)
+
+    def return_cold(self, box: Place) -> float:
+        """Restarts a cache that holds nothing, and has every front told of it; gives when that was."""
+        began = time.monotonic()
+        box.again()
+        self.tell(box)
+        return began
+
+    def join(self) -> tuple[Place, float]:
+        """A cache that nobody knew yet, and when it was told of."""
+        box = self.fleet.add_box()
+        box.work = WORK
+        self.tell(box)
+        return box, time.monotonic()
+
+    def tell(self, box: Place) -> None:
+        """All discovery services tell of a cache that has just started."""
+        self.fleet.each(lambda one: one.list([(box, "box")], started_ms=box.started_ms()))
+
+    def burst(self, without: range = range(0)) -> None:
+        """Half as much again, over all; the clients of the fronts that are gone come to the others."""
+        serving = FRONTS - len(without)
+        for number, stream in enumerate(self.load.streams):
+            stream.boost = 0.01 if number in without else BURST * FRONTS / serving
+
+    def early_object(self, box: str) -> int:
+        """An object that is asked for at that cache from its first moments on."""
+        return object_of(box, [one.id for one in self.fleet.boxes], BUDGET.share / 2)
+
+    def assert_borne(self, box: Place, began: float) -> None:
+        """No window brought the cache more than it bears, and it was not left alone either."""
+        until(lambda: any(at >= began for at in box.came), FIRST_WITHIN)
+        found = peak(box.came, began, BUDGET)
+        assert found.part <= 1.0, (box.id, found)
+
+    def close(self) -> None:
+        """Ends all, and looks at what no front may ever do."""
+        doubled = self.load.finish()
+        wrong = self.fleet.close()
+        tally = self.load.tally
+        assert not wrong and not doubled, (wrong, doubled)
+        assert not self.load.unanswered() and not tally.stale and not tally.spoilt, tally.notes
+
+
+@pytest.fixture(scope="module")
+def silent_fleet(tmp_path_factory):
+    """Fronts that may send one another nothing."""
+    one = ColdFleet(tmp_path_factory.mktemp("silent"), 41, messages=False)
+    yield one
+    one.close()
+
+
+@pytest.fixture
+def talking_fleet(tmp_path):
+    one = ColdFleet(tmp_path, 43, messages=True)
+    yield one
+    one.close()
+
+
+def test_the_ramp_holds_when_a_third_of_the_fronts_cannot_be_heard(talking_fleet):
+    fleet = talking_fleet.fleet
+    fleet.between.cut = lambda sender, to: sender in THIRD
+    talking_fleet.burst()
+    new, joined = talking_fleet.join()
+    began = talking_fleet.return_cold(fleet.boxes[0])
+    gevent.sleep(WATCHED)
+    talking_fleet.assert_borne(new, joined)
+    talking_fleet.assert_borne(fleet.boxes[0], began)
+
+
+def test_a_new_cache_and_one_back_cold_bear_what_all_send_under_a_burst(silent_fleet):
+    silent_fleet.burst()
+    back = silent_fleet.fleet.boxes[0]
+    new, joined = silent_fleet.join()
+    began = silent_fleet.return_cold(back)
+    gevent.sleep(WATCHED)
+    silent_fleet.assert_borne(new, joined)
+    silent_fleet.assert_borne(back, began)
+
+
+def test_many_requests_for_one_object_of_a_cold_cache_stay_within_what_it_bears(silent_fleet):
+    back = silent_fleet.fleet.boxes[3]
+    silent_fleet.load.hot = (silent_fleet.early_object(back.id),)
+    began = silent_fleet.return_cold(back)
+    gevent.sleep(WATCHED)
+    silent_fleet.load.hot = ()
+    silent_fleet.assert_borne(back, began)
+
+
+def test_the_ramp_holds_when_a_third_of_the_fronts_has_just_died_and_when_it_joins(silent_fleet):
+    fleet, load = silent_fleet.fleet, silent_fleet.load
+    load.went_down(*THIRD)
+    fleet.kill(*THIRD)
+    silent_fleet.burst(without=THIRD)
+    began = silent_fleet.return_cold(fleet.boxes[1])
+    gevent.sleep(WATCHED)
+    silent_fleet.assert_borne(fleet.boxes[1], began)
+    for number in THIRD:
+        fleet.start(number)
+    fleet.ready()
+    for number in THIRD:
+        load.came_back(number)
+    silent_fleet.burst()
+    began = silent_fleet.return_cold(fleet.boxes[2])
+    gevent.sleep(WATCHED)
+    silent_fleet.assert_borne(fleet.boxes[2], began)
--- /dev/null
+++ b/tests/test_descriptor_pressure.py
@@ -0,0 +1,165 @@
+"""Idle clients fill a real front's share of the descriptors while its discovery service is away."""
+
+from __future__ import annotations
+
+import os
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from marbleglade.standins.clients import Client, Said
+from marbleglade.standins.frontfleet import FrontFleet
+
+from .conftest import until
+from .fleet_rig import HeldCoordinator, coordinator_back_at
+
+DESCRIPTORS = 120
+SHARE = DESCRIPTORS // 3  # clients hold so many at most
+JUST_CAME = 0.25  # seconds for which who has just come is spared
+WAITING, SILENT, GREETED, SERVED = 6, 14, 10, 10
+NEWCOMERS = 8
+FEW, MANY = 20, 150  # idle connections that come at once
+HELD = "dish-media"  # the class whose requests the caches hold
+PATIENCE = 3000  # ms
+WITHIN = 10.0  # seconds for what takes a small part of one
+
+
+class PressedFront:
+    """One front, and clients of it that wait, rest or never say anything."""
+
+    def __init__(self, folder) -> None:
+        self.fleet = FrontFleet(1, folder, 61, together=False, messages=False, descriptors=DESCRIPTORS)
+        self.released = Event()
+        for box in self.fleet.boxes:
+            box.held[HELD] = self.released
+        self.fleet.ready()
+        self.clients: list[Client] = []
+        self.connections: list[socket.socket] = []
+        self.answers: list[Said | None] = []
+
+    def connect(self, count: int) -> list[Client]:
+        """New clients that have said nothing yet."""
+        new = [Client(self.fleet.doors[0], len(self.clients) + n + 1) for n in range(count)]
+        self.clients += new
+        return new
+
+    def greet(self, clients: list[Client]) -> None:
+        """Each asks for the front's state, and for no object."""
+        for one in clients:
+            assert one.status().word == "yes"
+
+    def serve(self, clients: list[Client]) -> None:
+        """Each asks for an object and gets it."""
+        for number, one in enumerate(clients):
+            said = one.ask("menu-pages", (number + 1) << 32, patience=2500)
+            assert said and said.word == "ok", said
+
+    def wait(self, clients: list[Client]) -> None:
+        """Each asks for an object that the caches hold back."""
+        for number, one in enumerate(clients):
+            gevent.spawn(
+                lambda one, thing: self.answers.append(one.ask(HELD, thing, patience=PATIENCE)),
+                one,
+                (number + 1) << 32,
+            )
+        until(lambda: sum(box.asked for box in self.fleet.boxes) >= len(clients), WITHIN)
+
+    def crowd(self, count: int) -> None:
+        """So many connections at once that say nothing; returns once the front has taken in each."""
+        before = self.count("client.accepted")
+        for _ in range(count):
+            self.connections.append(socket.create_connection(self.fleet.doors[0], WITHIN))
+        until(lambda: self.count("client.accepted") >= before + count, WITHIN, every=0.05)
+
+    def count(self, name: str) -> int:
+        """One of the front's counters."""
+        return self.fleet.survey(0)["counts"].get(name, 0)
+
+    def assert_within_limits(self) -> None:
+        """Clients hold no more than their share, and the process no more than its limit."""
+        descriptors = os.listdir(f"/proc/{self.fleet.processes[0].pid}/fd")
+        assert self.fleet.survey(0)["clients"] <= SHARE and len(descriptors) <= DESCRIPTORS, len(descriptors)
+
+    def close(self) -> None:
+        """Ends all, and looks at what no front may ever do."""
+        for one in (*self.clients, *self.connections):
+            one.close()
+        broken = sum(one.doubled + one.garbled for one in self.clients)
+        wrong = self.fleet.close()
+        assert not wrong and not broken, (wrong, broken)
+
+
+@pytest.fixture
+def front(tmp_path):
+    one = PressedFront(tmp_path)
+    yield one
+    one.close()
+
+
+def refuses(front: PressedFront, address: tuple[str, int]) -> None:
+    """Nobody listens at that address any more, and the front has found that out."""
+    until(lambda: front.count("coordinator.ConnectionRefusedError"), WITHIN, every=0.05)
+
+
+def says_nothing(front: PressedFront, address: tuple[str, int]) -> HeldCoordinator:
+    """Connections come up, and nothing is said on them, also once the service is back."""
+    held = HeldCoordinator(address, for_good=True)
+    until(lambda: held.connected, WITHIN)
+    return held
+
+
+def closed(clients: list[Client]) -> int:
+    """How many of them were shut by the front."""
+    return sum(one.closed for one in clients)
+
+
+@pytest.mark.parametrize("away", [refuses, says_nothing], ids=lambda one: one.__name__)
+def test_idle_clients_fill_the_descriptors_while_discovery_is_away(front, away):
+    first = front.fleet.coordinators[0]
+    first.close()
+    held = away(front, first.address)
+
+    # All of the clients' share is taken. Who has said least came last: it is not age alone that counts.
+    waiting, served = front.connect(WAITING), front.connect(SERVED)
+    front.wait(waiting)
+    front.serve(served)
+    greeted = front.connect(GREETED)
+    front.greet(greeted)
+    silent = front.connect(SILENT)
+    gevent.sleep(JUST_CAME)
+    assert front.fleet.survey(0)["clients"] == SHARE and not closed(front.clients)
+
+    # Serving goes on, and who never said anything makes room, the oldest first.
+    newcomers = front.connect(NEWCOMERS)
+    front.serve(newcomers)
+    until(lambda: closed(silent) == NEWCOMERS, WITHIN)
+    assert [one.closed for one in silent] == [True] * NEWCOMERS + [False] * (SILENT - NEWCOMERS)
+    assert not closed([*waiting, *greeted, *served, *newcomers])
+    front.crowd(FEW)
+    until(lambda: closed(silent) == SILENT, WITHIN)
+    until(lambda: closed(greeted) == GREETED or not closed([*served, *newcomers]), WITHIN)
+    front.crowd(MANY)
+    front.assert_within_limits()
+
+    # The watch comes back while all of that is open, and what it tells holds at once.
+    if held:
+        held.events = list(first.events)
+        held.released.set()
+    back = held or coordinator_back_at(first.address, first.events)
+    front.fleet.coordinators = [back]
+    until(lambda: back.socks, WITHIN)
+    leaving = front.fleet.boxes[0]
+    back.list([(leaving, "box")], state="leaving")
+    until(lambda: any(one["event"] == "list" and one["index"] == 2 for one in front.fleet.events(0)), WITHIN)
+    asked = leaving.asked
+    front.serve(front.connect(NEWCOMERS))
+    assert leaving.asked == asked
+
+    # No accepted request is lost.
+    assert not closed(waiting)
+    front.released.set()
+    until(lambda: len(front.answers) == WAITING, WITHIN)
+    assert all(said and said.word in ("ok", "full") for said in front.answers), front.answers
+    front.assert_within_limits()
--- /dev/null
+++ b/tests/test_restart_readiness.py
@@ -0,0 +1,109 @@
+"""Twenty real fronts restart at once while the discovery service is slow, refuses, or can't be reached."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass
+
+import gevent
+import pytest
+
+from marbleglade.standins.clients import Client
+from marbleglade.standins.coordinator import Coordinator
+from marbleglade.standins.frontfleet import FrontFleet
+from marbleglade.standins.regions import free_port
+
+from .conftest import until
+from .fleet_rig import HeldCoordinator, UnreachableAddress, coordinator_back_at, start_all, stop_all
+
+FRONTS = 20
+IN_TIME = 10.0  # seconds, for nine in ten
+LATEST = 30.0  # seconds, for each
+RETURN = 8.0  # seconds in which all watch a discovery service that is back: it is tried four times a second
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    one = FrontFleet(FRONTS, tmp_path_factory.mktemp("restart"), 51, together=False, messages=False)
+    told, first = one.coordinators[0].events, one.coordinators
+    one.ready(LATEST)
+    yield one, told
+    for coordinator in first:
+        coordinator.close()
+    assert not (wrong := one.close()), wrong
+
+
+class SlowDiscovery:
+    """Connections come up, and nothing is said on them before it is back."""
+
+    def __init__(self, told: list[bytes]) -> None:
+        self.held = HeldCoordinator()
+        self.held.events = list(told)
+        self.addresses = [self.held.address]
+
+    def come_back(self) -> list[Coordinator]:
+        """Says all that it kept back."""
+        assert self.held.connected >= FRONTS  # each had come, and had waited for nothing
+        self.held.released.set()
+        return [self.held]
+
+
+class AbsentDiscovery:
+    """At one address nobody listens; at the other, connections neither come up nor are refused."""
+
+    def __init__(self, told: list[bytes]) -> None:
+        self.told, self.unreachable = told, UnreachableAddress()
+        self.addresses = [("127.0.0.1", free_port()), self.unreachable.address]
+
+    def come_back(self) -> list[Coordinator]:
+        """Listens at both."""
+        self.unreachable.close()
+        return [coordinator_back_at(address, self.told) for address in self.addresses]
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a front's start reads of its discovery service, while there is none."""
+
+    address: tuple[str, int]
+    events: list[bytes]
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+@pytest.mark.parametrize(
+    "ending, discovery",
+    [(signal.SIGTERM, SlowDiscovery), (signal.SIGKILL, AbsentDiscovery)],
+    ids=["planned beside a slow one", "killed beside an absent one"],
+)
+def test_nine_in_ten_of_twenty_that_restart_at_once_are_ready_within_ten_seconds(fleet, ending, discovery):
+    fleet, told = fleet
+    stop_all(fleet, ending, LATEST)
+    away = discovery(told)
+    fleet.coordinators = [Told(away.addresses[n % len(away.addresses)], told) for n in range(FRONTS)]
+    taken = sorted(one.taken for one in start_all(fleet, LATEST))
+    assert sum(one <= IN_TIME for one in taken) * 10 >= FRONTS * 9 and taken[-1] < LATEST, taken
+    served = [gevent.spawn(serve_one, door, number + 1) for number, door in enumerate(fleet.doors)]
+    gevent.joinall(served, raise_error=True)  # they do what they say they are ready for
+    back = away.come_back()
+    fleet.coordinators = [back[n % len(back)] for n in range(FRONTS)]
+    until(lambda: sum(len(one.socks) for one in back) == FRONTS, RETURN)
+    for one in back:
+        one.purge(0, 9, 1)
+    until(lambda: purges_told(fleet) == [1] * FRONTS, RETURN, every=0.1)
+
+
+def serve_one(door: tuple[str, int], number: int) -> None:
+    """A client asks at that front for an object of its own, and gets it."""
+    client = Client(door, number)
+    said = client.ask("menu-pages", number << 32, patience=2500)
+    client.close()
+    assert said and said.word == "ok", (number, said)
+
+
+def purges_told(fleet: FrontFleet) -> list[int]:
+    """Purges that each front has heard of since its start."""
+    told = [gevent.spawn(fleet.survey, number) for number in range(FRONTS)]
+    gevent.joinall(told, raise_error=True)
+    return [one.value["counts"].get("purge.told", 0) for one in told]
