--- a/marbleglade/control/server.py
+++ b/marbleglade/control/server.py
@@ -30,7 +30,7 @@
 )
 from .session import FellBehindError, ProtocolError, Session, held_by_front
 
-REQUEST_LIMIT = 5.0  # seconds that a line, or the first one, may take to come whole
+REQUEST_LIMIT = 3.0  # seconds that a line, or the first one, may take to come whole
 WATCH_TIMEOUT = 60.0  # seconds of one wait for a watcher that has nothing to say
 STALL_TIMEOUT = 2.0  # seconds without a byte taken, after which a slow reader is closed
 ANSWER_TIMEOUT = 5.0  # seconds for an operator to take a status line
@@ -187,7 +187,8 @@
             while self.open:
                 batch = self.session.next_batch(clock.now())
                 if batch:
-                    count = self.sock.send(batch, 0, STALL_TIMEOUT)
+                    with gevent.Timeout(STALL_TIMEOUT, TimeoutError):
+                        count = self.sock.send(batch)
                     self.session.written(batch, count)
                     gevent.sleep(0)
                     continue
