--- a/marbleglade/control/lists.py
+++ b/marbleglade/control/lists.py
@@ -79,10 +79,12 @@
         if known.started_ms == member.started_ms:
             known.revoked = False
 
-    def revoke(self, member: Member) -> None:
-        """The discovery service, where every word on caches comes from, lists the cache as active."""
-        if known := self.by_id.get(member.id):
-            known.revoked = True
+    def revoke(self, members: list[Member]) -> None:
+        """These caches are active, whatever was told of them before."""
+        for member in members:
+            known = self.by_id.get(member.id)
+            if known and member.started_ms <= known.started_ms:
+                known.revoked = True
 
 
 class ListSources:
@@ -126,9 +128,6 @@
 
     def change(self, stream: str, change: ListChange) -> None:
         """Takes the next change of a stream."""
-        if stream == self.in_force == DISCOVERY:
-            self._forward(stream, change)
-            return
         if newer := self._before_whole.get(stream):
             if not change.whole:
                 newer.add(change)
@@ -148,13 +147,21 @@
             self._withdraw(stream, change)
 
     def use(self, stream: str) -> None:
-        """Puts a stream in force: all that it has told so far is applied as one change."""
+        """Puts a stream in force: all that it has told so far is applied as one change.
+
+        The discovery service is put in force only once it was heard up to its last number: every word on
+        caches comes from there, so what it lists then is believed, whatever was taken away before.
+        """
         total = self.totals[stream]
         self.in_force = stream
+        if stream == DISCOVERY:
+            self.withdrawals.revoke([one for one in total.members.values() if not is_withdrawn(one)])
         if not total.empty:
             self._forward(stream, total.total())
-        if stream == DISCOVERY:
-            self.totals[DISCOVERY] = NetListChange()
+
+    def known(self, change: ListChange) -> None:
+        """The front was started with this change of the discovery service, and has applied it."""
+        self.totals[DISCOVERY].add(change)
 
     def _forward(self, stream: str, change: ListChange) -> None:
         members = [self._checked(member, stream) for member in change.members]
@@ -163,8 +170,6 @@
     def _checked(self, member: Member, stream: str) -> Member:
         if is_withdrawn(member):
             self.withdrawals.note_in_force(member, stream)
-        elif stream == DISCOVERY:
-            self.withdrawals.revoke(member)
         elif self.withdrawals.holds(member, stream):
             return replace(member, state="leaving")
         return member
--- a/marbleglade/control/replay.py
+++ b/marbleglade/control/replay.py
@@ -30,8 +30,9 @@
 
     def add(self, change: ListChange) -> None:
         """Adds the next change. Raises `ListTooLongError`, with nothing added, where it would not fit."""
-        kept = {} if change.whole else self.members
-        if len(kept) + len(change.members) + len(change.unclear) > MOST_CACHES:
+        if not self._fits(change):
+            self._forget_left()
+        if not self._fits(change):
             raise ListTooLongError(f"over {MOST_CACHES} caches")
         if change.whole:
             self.whole, self.members, self.unclear = True, {}, {}
@@ -41,6 +42,15 @@
             self.unclear[name] = None
         self.index = change.index
 
+    def _fits(self, change: ListChange) -> bool:
+        kept = 0 if change.whole else len(self.members) + len(self.unclear)
+        return kept + len(change.members) + len(change.unclear) <= MOST_CACHES
+
+    def _forget_left(self) -> None:
+        left = [name for name, one in self.members.items() if STATES[one.state] is State.LEFT]
+        for name in left:
+            del self.members[name]
+
     def _put(self, member: Member) -> None:
         self.unclear.pop(member.id, None)
         if self.whole and STATES[member.state] is State.LEFT:
--- a/marbleglade/control/target.py
+++ b/marbleglade/control/target.py
@@ -14,7 +14,10 @@
         """Applies an event; once it returns the event counts as applied."""
 
     def take_away(self, change: ListChange) -> None:
-        """Caches that leave or have left, by the first word of a node whose list is not in force."""
+        """Caches that leave or have left, by the first word of a node whose list is not in force.
+
+        Each is to be used no more in the start that is named, nor in an earlier one.
+        """
 
     def configure(self, version: int, text: str) -> None:
         """Puts a configuration in force, or raises `ConfigurationRefusedError` and keeps the last one."""
--- a/marbleglade/life/control.py
+++ b/marbleglade/life/control.py
@@ -27,9 +27,11 @@
         self._front.follow(event)
 
     def take_away(self, change: ListChange) -> None:
-        """Uses these caches no more, as after the word of a peer; the list itself stays as it is."""
+        """Uses these caches no more, nor earlier starts of them; the list itself stays as it is."""
         for member in change.members:
-            self._front.heed(PlaceLeaves(change.index, member.id, member.started_ms))
+            place = self._front.places.by_id.get(member.id)
+            if place and place.started_ms <= member.started_ms:
+                self._front.heed(PlaceLeaves(change.index, member.id, place.started_ms))
 
     def configure(self, version: int, text: str) -> None:
         """Raises `ConfigurationRefusedError`: a front can't use a document yet."""
