--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -13,6 +13,7 @@
 from ..life import clock
 from ..life.guard import Guard
 from ..wire.coordlines import ListChange, Purge
+from .age_limit import AgeLimiter
 from .applied import PurgeCoverage, SequenceError, StreamProgress
 from .connection import NodeConnection, NotAControlNodeError, SilentNodeError
 from .intake import EventIntake
@@ -78,20 +79,21 @@
         self._selection = NodeSelection(name, self._preferred)
         self._states = {node.name: NodeState(StreamProgress()) for node in settings.nodes}
         self._connections: dict[str, NodeConnection] = {}
+        self._greenlets: set[gevent.Greenlet] = set()
         self._intake = EventIntake(target, guard)
         self._lists = self._intake.lists
-        self._coverage = PurgeCoverage(settings.purge_deadline, clock.now())
+        self._ages = AgeLimiter(PurgeCoverage(settings.purge_deadline, clock.now()), target, guard)
         self._wake = Signal()
         self.primary: str | None = None
-        self.age_limit = 0
         self.discovery_running = True
         self.leaving = False
+        self._closed = False
 
     # The loop.
 
     def run(self) -> None:
-        """Keeps the connections; never returns."""
-        while True:
+        """Keeps the connections until `close`."""
+        while not self._closed:
             self._guard.run("control", self._turn)
             self._wake.wait(self._time_to_next_turn(clock.now()) / SECOND)
             self._wake.clear()
@@ -103,12 +105,10 @@
             self._dial(now)
         self._choose_primary()
         self._choose_discovery()
-        self._choose_age_limit(now)
+        self._ages.turn(now)
 
     def _time_to_next_turn(self, now: int) -> int:
-        due = [now + LONGEST_TURN, self._selection.next_retry(now)]
-        if not self.age_limit:
-            due.append(self._coverage.expires_at)
+        due = [now + LONGEST_TURN, self._selection.next_retry(now), self._ages.due()]
         return max(MILLISECOND, min(one for one in due if one is not None) - now)
 
     def _release_surplus(self, now: int) -> None:
@@ -131,7 +131,9 @@
             self,
         )
         self._connections[node.name] = connection
-        gevent.spawn(self._follow, connection)
+        greenlet = gevent.spawn(self._follow, connection)
+        self._greenlets.add(greenlet)
+        greenlet.rawlink(self._greenlets.discard)
 
     def _follow(self, connection: NodeConnection) -> None:
         name, reason = connection.node.name, ""
@@ -191,18 +193,8 @@
             self._counters.add("control.discovery_used")
             self._log.say("control", source="discovery")
 
-    def _choose_age_limit(self, now: int) -> None:
-        limit = self._coverage.limit(now)
-        if limit == self.age_limit:
-            return
-        self._target.limit_age(limit)
-        self.age_limit = limit
-        self._counters.add("control.age_limited" if limit else "control.age_limit_ended")
-        self._log.say("control", age_limit_ms=limit // MILLISECOND)
-
     def _complete(self) -> None:
-        self._coverage.complete(clock.now())
-        if self.age_limit:
+        if self._ages.complete(clock.now()):
             self._wake.set()
 
     # What nodes tell.
@@ -278,6 +270,12 @@
             if connection.greeted:
                 connection.send(Leave())
 
+    def close(self) -> None:
+        """Ends all connections and the loop; for hosts of many clients, as a process ends with its front."""
+        self._closed = self.leaving = True
+        gevent.killall(list(self._greenlets))
+        self._wake.set()
+
     @property
     def heard_at(self) -> int:
         """When a node last wrote a line; 0: never."""
@@ -289,7 +287,10 @@
             "primary": self.primary,
             "discovery": self.discovery_running,
             "version": self._intake.versions.in_force,
-            "age_limit_ms": self.age_limit // MILLISECOND,
-            "complete_ms": (clock.now() - self._coverage.complete_at) // MILLISECOND,
+            **self._ages.survey(clock.now()),
             "nodes": [one.survey() for one in self._connections.values()],
+            "away": [
+                {"node": name, "reason": self._states[name].reason, "dial_in_ms": pause // MILLISECOND}
+                for name, pause in self._selection.pauses(clock.now()).items()
+            ],
         }
--- a/marbleglade/control/selection.py
+++ b/marbleglade/control/selection.py
@@ -87,6 +87,10 @@
         """When the next node may be dialled again; None where none waits."""
         return min((one.retry_at for one in self.health.values() if one.retry_at > now), default=None)
 
+    def pauses(self, now: int) -> dict[str, int]:
+        """The nodes that are left alone, and for how much longer."""
+        return {name: one.retry_at - now for name, one in self.health.items() if one.retry_at > now}
+
     def connected(self, name: str, now: int) -> None:
         """The node greeted the front."""
         self.health[name].connected_at = now
