--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -249,6 +249,10 @@
 
     # What the discovery service tells.
 
+    def known(self, change: ListChange) -> None:
+        """The front was started with this list change, and has applied it."""
+        self._lists.known(change)
+
     def discovery_event(self, event: ListChange | Purge) -> None:
         """The front's own watch of the discovery service told an event."""
         self._intake.discovery_event(event)
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from ..control.client import ControlClient
+    from ..control.settings import ControlSettings
     from ..fleet.shell import Shell
     from ..fleet.workshell import Work
 
@@ -50,6 +51,7 @@
 
     def __init__(self, told: Assignment) -> None:
         self.told = told
+        self._control_settings = self._read_control_settings()
         self.counters = Counters()
         self.log = Log(told.name, self.counters, bool(os.environ.get("MARBLEGLADE_DEBUG")))
         self.guard = Guard(self.counters, self.log)
@@ -109,14 +111,23 @@
         """True while new clients are welcome."""
         return not (self.stop.asked_at or (self.orders and self.orders.going))
 
-    def _make_control(self) -> ControlClient | None:
+    def _read_control_settings(self) -> ControlSettings | None:
+        """The control plane, where one is named. Raises `Unfit` before anything else is done."""
         path = os.environ.get("MARBLEGLADE_CONTROL")
         if not path:
             return None
-        from .control import make_client, read_settings
+        from .control import read_settings
+
+        return read_settings(path, self.told.name)
+
+    def _make_control(self) -> ControlClient | None:
+        if not self._control_settings:
+            return None
+        from .control import make_client
 
-        settings = read_settings(path, self.told.name)
-        client = make_client(settings, self.told.name, self.front, self.facade, self.follower, self.guard)
+        client = make_client(
+            self._control_settings, self.told, self.front, self.facade, self.follower, self.guard
+        )
         self.work.append(client.run)
         return client
 
--- a/marbleglade/life/control.py
+++ b/marbleglade/life/control.py
@@ -10,7 +10,7 @@
 from ..wire.coordlines import ListChange, Purge
 from ..wire.datagrams import PlaceLeaves
 from . import clock
-from .assignment import Unfit
+from .assignment import Assignment, Unfit
 from .guard import Guard
 
 MILLISECOND = 1_000_000
@@ -54,11 +54,19 @@
 
 
 def make_client(
-    settings: ControlSettings, name: str, front: Front, facade: Facade, follower: Follower, guard: Guard
+    settings: ControlSettings,
+    told: Assignment,
+    front: Front,
+    facade: Facade,
+    follower: Follower,
+    guard: Guard,
 ) -> ControlClient:
     """The client, with the front's own watch of the discovery service as what it falls back on."""
     start_ms = clock.unix_ns() // MILLISECOND
-    client = ControlClient(settings, name, start_ms, FrontTarget(front, facade), guard, follower)
+    client = ControlClient(settings, told.name, start_ms, FrontTarget(front, facade), guard, follower)
+    for event in told.known:
+        if isinstance(event, ListChange):
+            client.known(event)
     follower.apply, follower.complete = client.discovery_event, client.discovery_complete
     follower.anew = True
     return client
