Control plane: the configuration document, checked whole, and what a front does with it

There is no way for a change of configuration to reach fronts but a file and SIGHUP on each machine.

Off by default: nothing imports it yet.

--- /dev/null
+++ b/marbleglade/control/configuration.py
@@ -0,0 +1,184 @@
+"""The configuration document of a deployment: read, and checked whole before it is accepted anywhere.
+
+Protobuf text format by `configuration.proto`. Fronts, control nodes and the command line check it with the
+same code; a document with one fault is not used at all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from google.protobuf import text_format
+
+from ..fleet.order import Order
+from ..fleet.workfile import faults as work_faults
+from ..fleet.workfile import order_of, packed
+from ..wire import coordlines
+from .configuration_pb2 import ConfigurationDocument
+from .configuration_pb2 import RegionConfiguration as RegionMessage
+from .messages import LONGEST_CONFIGURATION
+from .settings import ControlSettings
+
+MOST_PEERS = 1 << 14
+LATEST_VERSION = 1 << 53
+HOPELESS_DEPTH = "it is nested too deeply"
+
+
+class InvalidConfigurationError(Exception):
+    """The document can't be used; `faults` holds one line for each reason, with its field."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class ConfigurationRefusedError(Exception):
+    """A front can't use a document that is valid as such; `reason` is one line."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class WorkConfiguration:
+    """An order of work, and the bytes in which one front passes it on to another."""
+
+    order: Order
+    packed: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RegionConfiguration:
+    """What the fronts of one region take over; what is none or empty stays as it is."""
+
+    name: str
+    discovery: tuple[str, int] | None
+    peers: tuple[tuple[str, int], ...]
+    peers_all: tuple[str, int] | None
+    work: WorkConfiguration | None
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """A whole document without faults."""
+
+    deployment: str
+    base_version: int
+    regions: tuple[RegionConfiguration, ...]
+
+    @property
+    def version(self) -> int:
+        """The version that it becomes once it is accepted."""
+        return self.base_version + 1
+
+    def region(self, name: str) -> RegionConfiguration | None:
+        """What it tells the fronts of a region."""
+        return next((region for region in self.regions if region.name == name), None)
+
+
+def read(text: str, settings: ControlSettings) -> Configuration:
+    """Reads a document of the deployment that `settings` describe.
+
+    Raises:
+        InvalidConfigurationError: names every fault with its field.
+    """
+    size = len(text.encode("utf-8", "surrogatepass"))
+    if size > LONGEST_CONFIGURATION:
+        raise InvalidConfigurationError([f"it has {size} bytes, {LONGEST_CONFIGURATION} at most"])
+    message, faults = _parse(text)
+    faults += (" ".join(fault.split()) for fault in _faults(message, settings))
+    if faults:
+        raise InvalidConfigurationError(faults)
+    return Configuration(
+        message.deployment, message.base_version, tuple(_region(region) for region in message.region)
+    )
+
+
+def _parse(text: str) -> tuple[ConfigurationDocument, list[str]]:
+    """The document, and what is wrong with its form. Unknown fields are passed over after the first, so that
+    the faults of what is known are told too."""
+    message = ConfigurationDocument()
+    try:
+        return text_format.Parse(text, message), []
+    except (ValueError, text_format.ParseError) as error:
+        fault = " ".join(str(error).split())
+    except RecursionError:
+        raise InvalidConfigurationError([HOPELESS_DEPTH]) from None
+    message = ConfigurationDocument()
+    try:
+        return text_format.Parse(text, message, allow_unknown_field=True), [fault]
+    except (ValueError, text_format.ParseError, RecursionError):
+        raise InvalidConfigurationError([fault]) from None
+
+
+def _faults(message: ConfigurationDocument, settings: ControlSettings) -> Iterator[str]:
+    if message.deployment != settings.deployment:
+        yield f"deployment: {message.deployment!r}, and this is {settings.deployment!r}"
+    if message.base_version >= LATEST_VERSION:
+        yield f"base_version: {message.base_version} is too large"
+    if not message.region:
+        yield "region: there is none"
+    known = {region.name for region in settings.regions}
+    seen: set[str] = set()
+    for region in message.region:
+        path = f"region {region.name!r}"
+        if region.name not in known:
+            yield f"{path}: the control plane's settings do not list it"
+        elif region.name in seen:
+            yield f"{path}: it is listed twice"
+        seen.add(region.name)
+        yield from (f"{path}: {fault}" for fault in _region_faults(region))
+
+
+def _region_faults(region: RegionMessage) -> Iterator[str]:
+    for field in ("discovery", "peers_all"):
+        if text := getattr(region, field):
+            yield from _address_faults(field, text)
+    if len(region.peer) > MOST_PEERS:
+        yield f"peer: there are {len(region.peer)}, {MOST_PEERS} at most"
+        return
+    yield from _peer_faults(region.peer)
+    if region.peers_all and not region.peer:
+        yield "peers_all: it is told without peers"
+    if region.HasField("work"):
+        yield from (f"work: {fault}" for fault in work_faults(region.work))
+        for job in region.work.job:
+            if region.peer and job.HasField("front") and job.front >= len(region.peer):
+                yield f"work: job names front {job.front}, and there are {len(region.peer)} peers"
+
+
+def _peer_faults(peers: Sequence[str]) -> Iterator[str]:
+    seen: set[tuple[str, int]] = set()
+    for number, text in enumerate(peers):
+        if faults := list(_address_faults(f"peer {number}", text)):
+            yield from faults
+            continue
+        if (peer := _address(text)) in seen:
+            yield f"peer {number}: {text} is listed twice"
+        seen.add(peer)
+
+
+def _address_faults(field: str, text: str) -> Iterator[str]:
+    try:
+        _address(text)
+    except ValueError:
+        yield f"{field}: {text!r} is not host:port with an IPv4 address"
+
+
+def _address(text: str) -> tuple[str, int]:
+    port = text.rpartition(":")[2]
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{text!r} has no port")
+    return coordlines.address(text)
+
+
+def _region(region: RegionMessage) -> RegionConfiguration:
+    return RegionConfiguration(
+        region.name,
+        _address(region.discovery) if region.discovery else None,
+        tuple(_address(text) for text in region.peer),
+        _address(region.peers_all) if region.peers_all else None,
+        WorkConfiguration(order_of(region.work), packed(region.work)) if region.HasField("work") else None,
+    )
--- /dev/null
+++ b/tests/test_configuration_document.py
@@ -0,0 +1,183 @@
+"""The configuration document: what is refused, and by which words; and what a front takes from a good one."""
+
+import subprocess
+import sys
+
+import pytest
+
+from marbleglade.control import settings
+from marbleglade.control.configuration import (
+    Configuration,
+    ConfigurationRefusedError,
+    InvalidConfigurationError,
+    read,
+)
+from marbleglade.control.configure import Changes, Configurator, FrontParts, InForce
+from marbleglade.control.messages import LONGEST_CONFIGURATION
+
+SETTINGS = """
+deployment: "shop"
+region { name: "east" discovery: "127.0.0.1:9092" front: "east-[0-1]" }
+region { name: "west" discovery: "127.0.0.1:9093" front: "west-0" }
+node { name: "c1" region: "east" zone: "a" address: "127.0.0.1:9401" quorum_address: "127.0.0.1:9501" }
+"""
+WORK = "work { asked_ms: 1800000000000 job { front: 1 } }"
+EAST = f"""
+deployment: "shop"
+base_version: 4
+region {{
+  name: "east"
+  discovery: "127.0.0.1:9192"
+  peer: "127.0.0.1:7001" peer: "127.0.0.1:7002"
+  peers_all: "127.0.0.1:7000"
+  {WORK}
+}}
+"""
+OWN = ("127.0.0.1", 7001)
+DISCOVERY = ("127.0.0.1", 9092)
+
+
+@pytest.fixture
+def control(tmp_path):
+    path = tmp_path / "control.textproto"
+    path.write_text(SETTINGS)
+    return settings.read(str(path))
+
+
+def faults(text, control):
+    with pytest.raises(InvalidConfigurationError) as caught:
+        read(text, control)
+    assert all("\n" not in fault for fault in caught.value.faults)
+    return caught.value.faults
+
+
+def test_a_good_document_is_read_whole(control):
+    document = read(EAST, control)
+    assert isinstance(document, Configuration) and document.version == 5
+    east = document.region("east")
+    assert east.discovery == ("127.0.0.1", 9192) and len(east.peers) == 2
+    assert east.peers_all == ("127.0.0.1", 7000) and east.work.order.machines[0].name == "front 1"
+    assert document.region("west") is None
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        (('"shop"', '"other"'), "deployment: 'other', and this is 'shop'"),
+        (("base_version", "version"), 'no field named "version"'),
+        (("base_version: 4", f"base_version: {1 << 60}"), "base_version"),
+        (("base_version: 4", "base_version: -1"), "base_version"),
+        (('"east"', '"north"'), "region 'north': the control plane's settings do not list it"),
+        (("127.0.0.1:9192", "here:9192"), "discovery: 'here:9192' is not host:port"),
+        (("127.0.0.1:7000", "127.0.0.1:99999"), "peers_all"),
+        (("127.0.0.1:7002", "127.0.0.1"), "peer 1: '127.0.0.1' is not host:port"),
+        (("127.0.0.1:7002", "127.0.0.1:7001"), "peer 1: 127.0.0.1:7001 is listed twice"),
+        (("asked_ms: 1800000000000", "asked_ms: 5"), "work: asked_ms"),
+        (("front: 1", "front: 2"), "work: job names front 2, and there are 2 peers"),
+        (("front: 1", 'place: "a\\nb" after: "c"'), "work: a b comes after c"),
+        (('peer: "127.0.0.1:7001" peer: "127.0.0.1:7002"', ""), "peers_all: it is told without peers"),
+    ],
+)
+def test_each_fault_is_named_with_its_field(change, words, control):
+    assert change[0] in EAST
+    assert words in "; ".join(faults(EAST.replace(*change), control))
+
+
+def test_all_faults_are_named_at_once(control):
+    text = EAST.replace("base_version", "colour").replace("here", "").replace('"shop"', '"other"')
+    text = text.replace("127.0.0.1:9192", "nowhere") + 'region { name: "east" }'
+    told = faults(text, control)
+    assert len(told) == 4
+    for word in ("colour", "deployment", "discovery", "listed twice"):
+        assert any(word in fault for fault in told)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "\0",
+        "region {",
+        "{" * 60_000,
+        "region { " * 6_000,
+        "x { " * 12_000 + "} " * 12_000,
+        "\ud800",
+        'deployment: "shop" region: 5',
+        "#" * (LONGEST_CONFIGURATION + 1),
+    ],
+)
+def test_what_is_no_document_is_refused(text, control):
+    assert faults(text, control)
+
+
+def test_a_document_as_long_as_may_be_is_read_and_one_byte_more_is_not(control):
+    text = EAST + "#" * (LONGEST_CONFIGURATION - len(EAST))
+    assert read(text, control).base_version == 4
+    assert faults(text + "#", control) == [f"it has {LONGEST_CONFIGURATION + 1} bytes, 65536 at most"]
+
+
+class Front:
+    """Keeps what the callbacks of a front are told."""
+
+    def __init__(self, own_peer=OWN, works=True):
+        self.now = InForce(DISCOVERY, (OWN,), None)
+        self.calls = []
+        self.parts = FrontParts(
+            lambda: self.now,
+            own_peer,
+            lambda address: self.calls.append(("discovery", address)),
+            lambda peers, everyone: self.calls.append(("peers", peers, everyone)),
+            (lambda work: self.calls.append(("work", len(work.order.machines)))) if works else None,
+        )
+
+    def configurator(self, control, region="east"):
+        return Configurator(control, region, self.parts)
+
+
+def test_a_front_applies_what_changed_and_nothing_twice(control):
+    front = Front()
+    configurator = front.configurator(control)
+    changes = configurator.configure(5, EAST)
+    assert changes.discovery == ("127.0.0.1", 9192) and configurator.version == 5
+    assert front.calls == [
+        ("peers", [OWN, ("127.0.0.1", 7002)], ("127.0.0.1", 7000)),
+        ("work", 1),
+        ("discovery", ("127.0.0.1", 9192)),
+    ]
+    front.calls.clear()
+    assert configurator.configure(5, EAST) == Changes() and not front.calls
+    front.now = InForce(("127.0.0.1", 9192), (OWN, ("127.0.0.1", 7002)), ("127.0.0.1", 7000))
+    assert configurator.configure(6, EAST.replace("base_version: 4", "base_version: 5")) == Changes()
+    assert not front.calls and configurator.version == 6
+
+
+def test_a_document_without_the_fronts_region_changes_nothing_and_is_in_force(control):
+    front = Front()
+    configurator = front.configurator(control, "west")
+    assert configurator.configure(5, EAST) == Changes()
+    assert configurator.version == 5 and not front.calls
+
+
+@pytest.mark.parametrize(
+    ("front", "version", "text", "reason"),
+    [
+        (Front(("127.0.0.1", 7009)), 5, EAST, "its peers lack this front, 127.0.0.1:7009"),
+        (Front(None), 5, EAST, "this front was started without"),
+        (Front(works=False), 5, EAST, "takes part in none"),
+        (Front(), 6, EAST, "says version 5, not 6"),
+        (Front(), 5, EAST.replace("shop", "other"), "deployment"),
+        (Front(), 3, EAST, "older than 4 in force"),
+    ],
+)
+def test_a_front_that_cant_use_it_refuses_it_and_applies_nothing(front, version, text, reason, control):
+    configurator = front.configurator(control)
+    configurator.version = 4
+    with pytest.raises(ConfigurationRefusedError, match=reason):
+        configurator.configure(version, text)
+    assert not front.calls and configurator.version == 4
+
+
+def test_a_front_without_a_control_plane_imports_none_of_it():
+    code = "import sys, marbleglade.life.service; print(*sys.modules)"
+    modules = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert "marbleglade.control" not in modules and "google.protobuf" not in modules
