--- a/marbleglade/control/quorum_messages.py
+++ b/marbleglade/control/quorum_messages.py
@@ -223,3 +223,26 @@
     value: Value
     proposal: Proposal | None = None
     acknowledged: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaHello:
+    """The first line of a node to another."""
+
+    deployment: str
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalRequest:
+    """An operator proposes a document; `proposal` is an id made up for it."""
+
+    proposal: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalRefused:
+    """The document has faults, one line each."""
+
+    faults: tuple[str, ...]
