marbleglade control propose, and the quorum between control nodes on the network

Proposals are checked whole before they reach the replica. The command tells apart: accepted, refused with every fault, another version won, not accepted, not known; a proposal is sent again under the same id, so a node that dies amid it costs no verdict.

--- a/marbleglade/command/control.py
+++ b/marbleglade/command/control.py
@@ -8,6 +8,7 @@
 
 import click
 
+from .control_propose import propose
 from .line import give_up
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
     """Control nodes: distribution of purges and configuration to fronts, with confirmation."""
 
 
+control.add_command(propose)
+
+
 @control.command()
 @click.argument("file", type=FILE)
 def check(file: str) -> None:
@@ -71,8 +75,13 @@
     settings = read_settings(file)
     from ..control import node
 
+    configuration = None
     try:
-        node.run(settings, name, store)
+        if store:
+            from ..control.quorum_link import open_link
+
+            configuration = open_link(settings, name, store)
+        node.run(settings, name, store, configuration)
     except (OSError, ValueError) as error:
         give_up([f"node {name}: {error}"])
 
--- /dev/null
+++ b/marbleglade/control/propose.py
@@ -0,0 +1,136 @@
+"""Proposes a configuration document to the control nodes, for the command line."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+
+from . import configuration
+from .quorum_codec import LONGEST_LINE, InvalidMessageError, decode, encode
+from .quorum_messages import (
+    Outcome,
+    ProposalAccepted,
+    ProposalConflict,
+    ProposalNotTaken,
+    ProposalRefused,
+    ProposalRequest,
+    ProposalUnknown,
+)
+from .settings import ControlSettings, NodeSettings
+
+ROUND_PAUSE = 0.1  # seconds between two rounds in which nobody took the proposal
+CONNECT_TIMEOUT = 1.0  # seconds
+READ_SIZE = 1 << 16  # bytes
+
+
+class NotAnsweredError(Exception):
+    """A node did not answer. `taken`: it may have the proposal all the same."""
+
+    def __init__(self, reason: str, taken: bool) -> None:
+        super().__init__(reason)
+        self.taken = taken
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """No node took the proposal, by each node's reason; it is not accepted and will not be."""
+
+    reasons: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class NotKnown:
+    """A node took the proposal, and it could not be learned what became of it."""
+
+    reason: str
+
+
+Verdict = ProposalAccepted | ProposalConflict | ProposalRefused | NotAccepted | NotKnown
+
+
+class Proposer:
+    """One proposal: tries the nodes in turn until the verdict is known or the time is over.
+
+    Args:
+        settings: The control plane.
+        text: The document.
+        timeout: Seconds.
+    """
+
+    def __init__(self, settings: ControlSettings, text: str, timeout: float) -> None:
+        self.settings, self.text = settings, text
+        self.deadline = time.monotonic() + timeout
+        self.request = ProposalRequest(secrets.token_hex(8), text)
+        self.taken = ""  # why the proposal may be with a node that gave no verdict
+        self.reasons: dict[str, str] = {}
+        self.base_version = 0
+
+    def run(self) -> Verdict:
+        """Proposes, and gives the verdict within the timeout."""
+        try:
+            self.base_version = configuration.read(self.text, self.settings).base_version
+        except configuration.InvalidConfigurationError as error:
+            return ProposalRefused(tuple(error.faults))
+        while self._left() > 0:
+            for node in self.settings.nodes:
+                if verdict := self._try(node):
+                    return verdict
+            gevent.sleep(max(0.0, min(ROUND_PAUSE, self._left())))
+        return NotKnown(self.taken) if self.taken else NotAccepted(self.reasons)
+
+    def _left(self) -> float:
+        return self.deadline - time.monotonic()
+
+    def _try(self, node: NodeSettings, redirected: bool = False) -> Verdict | None:
+        if self._left() <= 0:
+            return None
+        try:
+            outcome = self._ask(node)
+        except NotAnsweredError as error:
+            self.reasons[node.name] = str(error)
+            if error.taken:
+                self.taken = f"{node.name}: {error}"
+            return None
+        if isinstance(outcome, ProposalNotTaken):
+            self.reasons[node.name] = outcome.reason
+            leader = self.settings.node(outcome.leader)
+            return self._try(leader, True) if leader and not redirected else None
+        if isinstance(outcome, ProposalUnknown):
+            self.taken = f"{node.name}: it lost the majority before the proposal was decided"
+            return None
+        if isinstance(outcome, ProposalConflict) and self.taken and outcome.version > self.base_version + 1:
+            return NotKnown(f"{self.taken}; version {outcome.version} is in force by now")
+        return outcome
+
+    def _ask(self, node: NodeSettings) -> Outcome | ProposalRefused:
+        """One node's answer. Raises `NotAnsweredError`."""
+        sent = False
+        try:
+            timeout = min(CONNECT_TIMEOUT, max(0.01, self._left()))
+            with socket.create_connection(node.quorum_address, timeout) as sock:
+                sent = True
+                sock.sendall(encode(self.request))
+                answer = self._answer(sock)
+        except (OSError, InvalidMessageError) as error:
+            raise NotAnsweredError(str(error) or type(error).__name__, sent) from error
+        if not isinstance(answer, Outcome | ProposalRefused):
+            raise NotAnsweredError("it gives no verdict", sent)
+        return answer
+
+    def _answer(self, sock: socket.socket) -> object:
+        buffer = bytearray()
+        while not buffer.endswith(b"\n"):
+            if (left := self._left()) <= 0:
+                raise TimeoutError("no answer in time")
+            sock.settimeout(left)
+            data = sock.recv(READ_SIZE)
+            if not data:
+                raise ConnectionError("it closed the connection")
+            buffer += data
+            if len(buffer) > LONGEST_LINE:
+                raise InvalidMessageError("an answer without end")
+        return decode(buffer)
--- a/marbleglade/control/store.py
+++ b/marbleglade/control/store.py
@@ -25,7 +25,7 @@
 VERSION_BYTES = 8
 
 
-class StoreError(Exception):
+class StoreError(OSError):
     """The store can't be used; the text is one line."""
 
 
