A front takes configuration versions from the control plane

Need: a version that the nodes distribute has to take effect in a running front, or be refused by name.

Change: the client's target hands documents to control/configure.py with the front's watch of the discovery service, its peers and its order of work; one class of refusal serves both. The control client is made last, as it needs them.

--- a/marbleglade/control/versions.py
+++ b/marbleglade/control/versions.py
@@ -4,13 +4,10 @@
 
 from collections.abc import Callable
 
+from .configuration import ConfigurationRefusedError
 from .messages import Configured, ConfigurationEvent, Refused
 
 
-class ConfigurationRefusedError(Exception):
-    """The front can't use a configuration; the message is the reason, one line."""
-
-
 class ConfigurationVersions:
     """Hands new documents on and says what to tell the nodes.
 
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -63,10 +63,12 @@
             self.guard.run("known", self.front.apply, event)
         self.follower = Follower(told.coordinator, told.last, self.front.follow, self.guard)
         self.work: list[Callable[[], object]] = [self.follower.run, self.front.probe]
-        self.control = self._make_control()
+        self.control: ControlClient | None = None
         self.peers = self._make_peers()
         self.fleet = self._make_fleet()
         self.orders: Work | None = self.fleet.work if self.fleet else None
+        if self._control_settings:
+            self.control = self._make_control()
 
     def _make_facade(self) -> Facade:
         around = self.told.around
@@ -120,14 +122,10 @@
 
         return read_settings(path, self.told.name)
 
-    def _make_control(self) -> ControlClient | None:
-        if not self._control_settings:
-            return None
+    def _make_control(self) -> ControlClient:
         from .control import make_client
 
-        client = make_client(
-            self._control_settings, self.told, self.front, self.facade, self.follower, self.guard
-        )
+        client = make_client(self._control_settings, self)
         self.work.append(client.run)
         return client
 
--- a/marbleglade/life/control.py
+++ b/marbleglade/life/control.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-from ..control.client import ConfigurationRefusedError, ControlClient
+from typing import TYPE_CHECKING
+
+from ..control.client import ControlClient
+from ..control.configuration import WorkConfiguration
+from ..control.configure import Address, Configurator, FrontParts, InForce
 from ..control.settings import ControlSettings, InvalidSettingsError, read
 from ..facade import Facade
 from ..front import Front
-from ..wire.coordinator import Follower
 from ..wire.coordlines import ListChange, Purge
 from ..wire.datagrams import PlaceLeaves
 from . import clock
-from .assignment import Assignment, Unfit
-from .guard import Guard
+from .assignment import Unfit
+
+if TYPE_CHECKING:
+    from .assembly import Assembly
 
 MILLISECOND = 1_000_000
 
@@ -19,8 +24,8 @@
 class FrontTarget:
     """What the control plane tells, as calls of the front."""
 
-    def __init__(self, front: Front, facade: Facade) -> None:
-        self._front, self._facade = front, facade
+    def __init__(self, front: Front, facade: Facade, configurator: Configurator) -> None:
+        self._front, self._facade, self._configurator = front, facade, configurator
 
     def apply(self, event: ListChange | Purge) -> None:
         """Applies an event as if the discovery service had told it."""
@@ -34,8 +39,8 @@
                 self._front.heed(PlaceLeaves(change.index, member.id, place.started_ms))
 
     def configure(self, version: int, text: str) -> None:
-        """Raises `ConfigurationRefusedError`: a front can't use a document yet."""
-        raise ConfigurationRefusedError("no configuration support")
+        """Puts a version in force, whole. Raises `ConfigurationRefusedError`; then nothing has changed."""
+        self._configurator.configure(version, text)
 
     def limit_age(self, oldest: int) -> None:
         """No copy older than this many nanoseconds is given from now on; 0: no limit."""
@@ -53,17 +58,37 @@
     return settings
 
 
-def make_client(
-    settings: ControlSettings,
-    told: Assignment,
-    front: Front,
-    facade: Facade,
-    follower: Follower,
-    guard: Guard,
-) -> ControlClient:
+def front_parts(parts: Assembly) -> FrontParts:
+    """The parts of a front that a configuration document can change."""
+    follower, peers, orders = parts.follower, parts.peers, parts.orders
+
+    def in_force() -> InForce:
+        if not peers:
+            return InForce(follower.address, (), None)
+        return InForce(follower.address, tuple(peers.order), peers.everyone)
+
+    def renew_peers(addresses: list[Address], everyone: Address | None) -> None:
+        peers.renew(addresses, everyone)
+
+    def take_up_work(work: WorkConfiguration) -> None:
+        orders.works.take_up(work.order, work.packed, clock.now())
+
+    return FrontParts(
+        in_force,
+        peers.listen if peers else None,
+        follower.move,
+        renew_peers,
+        take_up_work if orders else None,
+    )
+
+
+def make_client(settings: ControlSettings, parts: Assembly) -> ControlClient:
     """The client, with the front's own watch of the discovery service as what it falls back on."""
+    told, follower = parts.told, parts.follower
+    configurator = Configurator(settings, settings.region_of(told.name).name, front_parts(parts))
+    target = FrontTarget(parts.front, parts.facade, configurator)
     start_ms = clock.unix_ns() // MILLISECOND
-    client = ControlClient(settings, told.name, start_ms, FrontTarget(front, facade), guard, follower)
+    client = ControlClient(settings, told.name, start_ms, target, parts.guard, follower)
     for event in told.known:
         if isinstance(event, ListChange):
             client.known(event)
--- a/tests/test_control_front.py
+++ b/tests/test_control_front.py
@@ -13,6 +13,7 @@
 from marbleglade.standins.controlnode import StandInNode
 from marbleglade.standins.coordinator import Coordinator
 
+from .conftest import Server
 from .control_rig import ControlRig, cache, listed, wait
 from .test_life import told
 
@@ -153,6 +154,20 @@
     assert one.log.lines(event="control", refused_version=4) and one.survey()["control"]["version"] == 0
 
 
+def test_a_configuration_is_put_in_force_and_said_to_both_nodes(rig):
+    one, other = started(rig), Server()
+    address = f"{other.address[0]}:{other.address[1]}"
+    text = f'deployment: "d" base_version: 3 region {{ name: "east" discovery: "{address}" }}'
+    for node in one.nodes.values():
+        node.configuration(4, text)
+    wait(lambda: all("configured 4" in node.heard for node in one.nodes.values()))
+    assert one.survey()["control"]["version"] == 4
+    for node in one.nodes.values():
+        node.close()
+    assert other.heard(1) == "follow 2"  # what the version says is followed once no node is left
+    other.close()
+
+
 def test_sigterm_tells_the_nodes_and_the_front_ends(rig):
     one = started(rig)
     one.front.send_signal(signal.SIGTERM)
