--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from ..control.client import ControlClient
+    from ..control.settings import ControlSettings
     from ..fleet.shell import Shell
     from ..fleet.workshell import Work
 
@@ -50,6 +51,7 @@
 
     def __init__(self, told: Assignment) -> None:
         self.told = told
+        self._control_settings = self._read_control_settings()
         self.counters = Counters()
         self.log = Log(told.name, self.counters, bool(os.environ.get("MARBLEGLADE_DEBUG")))
         self.guard = Guard(self.counters, self.log)
@@ -61,10 +63,12 @@
             self.guard.run("known", self.front.apply, event)
         self.follower = Follower(told.coordinator, told.last, self.front.follow, self.guard)
         self.work: list[Callable[[], object]] = [self.follower.run, self.front.probe]
-        self.control = self._make_control()
+        self.control: ControlClient | None = None
         self.peers = self._make_peers()
         self.fleet = self._make_fleet()
         self.orders: Work | None = self.fleet.work if self.fleet else None
+        if self._control_settings:
+            self.control = self._make_control()
 
     def _make_facade(self) -> Facade:
         around = self.told.around
@@ -109,14 +113,19 @@
         """True while new clients are welcome."""
         return not (self.stop.asked_at or (self.orders and self.orders.going))
 
-    def _make_control(self) -> ControlClient | None:
+    def _read_control_settings(self) -> ControlSettings | None:
+        """The control plane, where one is named. Raises `Unfit` before anything else is done."""
         path = os.environ.get("MARBLEGLADE_CONTROL")
         if not path:
             return None
-        from .control import make_client, read_settings
+        from .control import read_settings
 
-        settings = read_settings(path, self.told.name)
-        client = make_client(settings, self.told.name, self.front, self.facade, self.follower, self.guard)
+        return read_settings(path, self.told.name)
+
+    def _make_control(self) -> ControlClient:
+        from .control import make_client
+
+        client = make_client(self._control_settings, self)
         self.work.append(client.run)
         return client
 
