Tests of configuration among three control nodes with stores; a hung node costs a proposal 2 s at most

Propose, kill -9 of the leader while the others have not heard the proposal yet, two operators at once, a minority (stopped, then killed), a node begun anew with an empty store, torn and foreign stores, bytes that are no messages. A proposer no longer waits for a node that took the connection and says nothing; it asks the next under the same id.

--- a/marbleglade/control/propose.py
+++ b/marbleglade/control/propose.py
@@ -24,6 +24,7 @@
 
 ROUND_PAUSE = 0.1  # seconds between two rounds in which nobody took the proposal
 CONNECT_TIMEOUT = 1.0  # seconds
+ANSWER_TIMEOUT = 2.0  # seconds for one node; after that another is asked, under the same id
 READ_SIZE = 1 << 16  # bytes
 
 
@@ -123,8 +124,9 @@
 
     def _answer(self, sock: socket.socket) -> object:
         buffer = bytearray()
+        until = min(self.deadline, time.monotonic() + ANSWER_TIMEOUT)
         while not buffer.endswith(b"\n"):
-            if (left := self._left()) <= 0:
+            if (left := until - time.monotonic()) <= 0:
                 raise TimeoutError("no answer in time")
             sock.settimeout(left)
             data = sock.recv(READ_SIZE)
--- /dev/null
+++ b/tests/test_control_configuration.py
@@ -0,0 +1,317 @@
+"""Configuration among real control nodes: three processes with stores, and relays that hold and drop."""
+
+import json
+import signal
+import sys
+from contextlib import suppress
+
+import gevent
+import pytest
+from gevent import socket, subprocess
+
+from marbleglade.control import settings as control_settings
+from marbleglade.control.propose import Proposer
+from marbleglade.control.quorum_codec import encode
+from marbleglade.control.quorum_messages import (
+    Ballot,
+    Prepare,
+    ProposalAccepted,
+    ProposalConflict,
+    ProposalRefused,
+    ReplicaHello,
+)
+from marbleglade.control.store import Store
+from marbleglade.standins.regions import free_port
+
+from .conftest import listening, until
+
+NODES = ("c0", "c1", "c2")
+PATIENCE = 30.0  # seconds that a step may take on a busy machine
+LOCAL = "127.0.0.1"
+
+
+def document(base, mark=9100):
+    return f'deployment: "shop" base_version: {base} region {{ name: "east" discovery: "127.0.0.1:{mark}" }}'
+
+
+class Relay:
+    """Passes on what is written to one node; where `hold_from` is told, holds all from those bytes on."""
+
+    def __init__(self, target):
+        self.target = target
+        self.hold_from, self.held = None, bytearray()
+        self.pairs = []
+        self.listener = listening()
+        self.port = self.listener.getsockname()[1]
+        self.greenlet = gevent.spawn(self.run)
+
+    def run(self):
+        while True:
+            incoming, _ = self.listener.accept()
+            self.pairs.append(gevent.spawn(self.pass_on, incoming))
+
+    def pass_on(self, incoming):
+        with incoming, suppress(OSError), socket.create_connection((LOCAL, self.target), 5.0) as outgoing:
+            self.pairs.append(gevent.spawn(self.end_with, incoming, outgoing))
+            while data := incoming.recv(1 << 16):
+                if self.hold_from and (self.held or self.hold_from in data):
+                    self.held += data
+                else:
+                    outgoing.sendall(data)
+
+    @staticmethod
+    def end_with(incoming, outgoing):
+        """A node writes nothing to who dialled it: what can be read is the end."""
+        with suppress(OSError):
+            outgoing.recv(1)
+        with suppress(OSError):
+            incoming.shutdown(socket.SHUT_RDWR)
+
+    def release(self):
+        """Ends every connection with what is held; from now on all is passed on."""
+        gevent.killall(self.pairs)
+        self.pairs.clear()
+        self.hold_from = None
+        self.held.clear()
+
+    def close(self):
+        self.greenlet.kill()
+        self.release()
+        self.listener.close()
+
+
+class Nodes:
+    """Three control nodes. Each reaches the others through relays of its own."""
+
+    def __init__(self, place):
+        self.place = place
+        self.discovery = free_port()
+        self.ports = {name: (free_port(), free_port()) for name in NODES}
+        self.relays = {
+            (sender, to): Relay(self.ports[to][1]) for sender in NODES for to in NODES if sender != to
+        }
+        self.processes = {}
+        for name in NODES:
+            self.file(name).write_text(self.text(name))
+        self.operators = place / "operators.textproto"
+        self.operators.write_text(self.text(None))
+        self.settings = control_settings.read(str(self.operators))
+
+    def file(self, name):
+        return self.place / f"{name}.textproto"
+
+    def text(self, of):
+        lines = [
+            'deployment: "shop"',
+            f'region {{ name: "east" discovery: "127.0.0.1:{self.discovery}" front: "front-0" }}',
+        ]
+        for name, (address, quorum) in self.ports.items():
+            quorum = self.relays[of, name].port if of and of != name else quorum
+            lines.append(
+                f'node {{ name: "{name}" region: "east" zone: "{name}" address: "{LOCAL}:{address}" '
+                f'quorum_address: "{LOCAL}:{quorum}" }}'
+            )
+        return "\n".join(lines)
+
+    def store(self, name):
+        return self.place / f"store-{name}"
+
+    def log(self, name):
+        return self.place / f"log-{name}"
+
+    def command(self, name):
+        line = [sys.executable, "-m", "marbleglade", "control", "run", str(self.file(name))]
+        return [*line, "--name", name, "--store", str(self.store(name))]
+
+    def start(self, *names):
+        for name in names:
+            with self.log(name).open("wb") as log:
+                self.processes[name] = subprocess.Popen(self.command(name), stderr=log)
+
+    def signal(self, number, *names):
+        for name in names:
+            self.processes[name].send_signal(number)
+
+    def kill(self, *names):
+        self.signal(signal.SIGKILL, *names)
+        for name in names:
+            self.processes.pop(name).wait()
+
+    def said(self, name, field):
+        """The last value of a field on the node's log."""
+        lines = [json.loads(line) for line in self.log(name).read_bytes().splitlines()]
+        return next((line[field] for line in reversed(lines) if field in line), None)
+
+    def leader(self):
+        names = [name for name in self.processes if self.said(name, "role") == "leader"]
+        return names[0] if len(names) == 1 else None
+
+    def ready(self):
+        until(self.leader, PATIENCE, every=0.05)
+        return self.leader()
+
+    def propose(self, text, timeout=PATIENCE):
+        return Proposer(self.settings, text, timeout).run()
+
+    def everywhere(self, version):
+        until(
+            lambda: all(self.said(name, "version") == version for name in self.processes),
+            PATIENCE,
+            every=0.05,
+        )
+
+    def held_of(self):
+        """The node both of whose relays hold what it wrote."""
+        for name in NODES:
+            if all(relay.held for (sender, _), relay in self.relays.items() if sender == name):
+                return name
+        return None
+
+    def close(self):
+        for name in list(self.processes):
+            self.kill(name)
+        for relay in self.relays.values():
+            relay.close()
+
+
+@pytest.fixture
+def nodes(tmp_path):
+    one = Nodes(tmp_path)
+    yield one
+    one.close()
+
+
+def run(*words):
+    line = [sys.executable, "-m", "marbleglade", "control", *map(str, words)]
+    return subprocess.run(line, capture_output=True, text=True, timeout=60)
+
+
+def test_versions_are_accepted_in_their_order_and_outlast_a_loss_of_all_nodes(nodes, tmp_path):
+    nodes.start(*NODES)
+    nodes.ready()
+    path = tmp_path / "document"
+    path.write_text(document(0))
+    done = run("propose", nodes.operators, path, "--timeout", 30)
+    assert done.returncode == 0 and done.stdout.startswith("version 1 accepted in ")
+    nodes.everywhere(1)
+    done = run("propose", nodes.operators, path)
+    assert (done.returncode, done.stderr.count("\n")) == (4, 1) and "version 1 is in force" in done.stderr
+    path.write_text(document(1, "nowhere").replace("shop", "other") + "\ncolour: 1")
+    done = run("propose", nodes.operators, path)
+    assert (done.returncode, done.stderr.count("\n")) == (2, 3)
+    nodes.kill(*NODES)
+    nodes.start(*NODES)
+    nodes.ready()
+    assert nodes.propose(document(1, 9200)) == ProposalAccepted(2)
+    nodes.everywhere(2)
+    nodes.kill(*NODES)
+    for name in NODES:
+        store = Store(str(nodes.store(name)), "shop", name)
+        assert store.state.chosen.text == document(1, 9200)
+        store.close()
+
+
+def test_of_two_operators_at_once_one_is_told_which_version_won(nodes):
+    nodes.start(*NODES)
+    nodes.ready()
+    both = [gevent.spawn(nodes.propose, document(0, mark)) for mark in (9301, 9302)]
+    gevent.joinall(both)
+    assert sorted((type(one.value).__name__, one.value.version) for one in both) == [
+        (ProposalAccepted.__name__, 1),
+        (ProposalConflict.__name__, 1),
+    ]
+
+
+def test_the_leader_is_killed_amid_a_proposal_and_its_verdict_is_told_all_the_same(nodes):
+    nodes.start(*NODES)
+    nodes.ready()
+    for relay in nodes.relays.values():
+        relay.hold_from = b'"Accept"'
+    proposing = gevent.spawn(nodes.propose, document(0))
+    until(lambda: nodes.held_of(), PATIENCE, every=0.02)
+    leader = nodes.held_of()  # nobody else knows the proposal
+    nodes.kill(leader)
+    for relay in nodes.relays.values():
+        relay.release()
+    proposing.join(PATIENCE)
+    assert proposing.value == ProposalAccepted(1)
+    nodes.everywhere(1)
+    nodes.start(leader)
+    nodes.everywhere(1)
+
+
+def test_a_minority_accepts_nothing_and_tells_apart_what_it_knows(nodes, tmp_path):
+    nodes.start(*NODES)
+    leader = nodes.ready()
+    assert nodes.propose(document(0)) == ProposalAccepted(1)
+    nodes.everywhere(1)
+    path = tmp_path / "document"
+    path.write_text(document(1))
+    others = [name for name in NODES if name != leader]
+    nodes.signal(signal.SIGSTOP, *others)  # they take what is written to them, and do not answer
+    done = run("propose", nodes.operators, path, "--timeout", 4)
+    assert (done.returncode, done.stderr.count("\n")) == (6, 1) and "not known" in done.stderr
+    nodes.kill(*others)
+    until(lambda: nodes.said(leader, "role") == "candidate", PATIENCE, every=0.05)
+    done = run("propose", nodes.operators, path, "--timeout", 2)
+    assert done.returncode == 5 and "not accepted" in done.stderr
+    assert f"{leader}: no majority of the control nodes answers" in done.stderr
+    assert nodes.said(leader, "version") == 1  # what it serves
+
+
+def test_a_node_that_lost_its_store_learns_and_votes_again(nodes):
+    nodes.start(*NODES)
+    nodes.ready()
+    assert nodes.propose(document(0)) == ProposalAccepted(1)
+    nodes.everywhere(1)
+    nodes.kill("c2")
+    (nodes.store("c2") / "data.mdb").unlink()
+    nodes.start("c2")
+    nodes.everywhere(1)
+    until(lambda: nodes.said("c2", "role") == "follower", PATIENCE, every=0.05)
+    nodes.kill("c1")  # without c2 there is no majority now
+    assert nodes.propose(document(1)) == ProposalAccepted(2)
+
+
+def test_a_torn_or_foreign_store_is_refused_with_one_line(nodes):
+    nodes.start("c0")
+    until(lambda: nodes.said("c0", "role") == "learner", PATIENCE, every=0.05)
+    nodes.kill("c0")
+    file = nodes.store("c0") / "data.mdb"
+    data = file.read_bytes()
+    file.write_bytes(data[: len(data) // 2])
+    torn = subprocess.run(nodes.command("c0"), capture_output=True, text=True, timeout=60)
+    file.write_bytes(data)
+    foreign = subprocess.run(
+        [*nodes.command("c0")[:-3], "c1", *nodes.command("c0")[-2:]],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    for done, words in ((torn, "torn"), (foreign, "node 'c0', and this is 'c1'")):
+        assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_what_is_no_message_ends_its_connection_and_nothing_else(nodes):
+    nodes.start(*NODES)
+    leader = nodes.ready()
+    stranger = encode(ReplicaHello("other", "c1")) + encode(Prepare(Ballot(99, 1)))
+    unlisted = encode(ReplicaHello("shop", "c9"))
+    for data in (
+        b"\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"x" * (1 << 20) + b"xx",
+        stranger,
+        unlisted,
+        encode(Prepare(Ballot(9, 1))),
+    ):
+        with socket.create_connection((LOCAL, nodes.ports[leader][1]), 5.0) as sock:
+            sock.settimeout(PATIENCE)
+            try:
+                sock.sendall(data)
+                assert sock.recv(1) == b""
+            except ConnectionError:
+                pass
+    assert isinstance(nodes.propose("region {"), ProposalRefused)
+    assert nodes.propose(document(0)) == ProposalAccepted(1)
+    assert nodes.said(leader, "term") < 9
