--- /dev/null
+++ b/benchmarks/scale/discovery.py
@@ -0,0 +1,157 @@
+"""A discovery service stand-in for hundreds of followers, which can be silenced, cut short and begun anew.
+
+Each follower has a greenlet of its own, so that one that reads slowly holds up nobody.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import gevent
+import orjson
+from gevent import socket
+from gevent.event import Event
+
+from marbleglade.standins.places import listening
+
+HEARTBEAT = 1.0  # seconds
+BATCH = 256  # events that are written to a follower at once
+LONGEST_FOLLOW = 64  # bytes of a follower's line
+FOLLOW_TIMEOUT = 5.0  # seconds within which a follower says where it stands
+
+
+@dataclass(eq=False)
+class Follower:
+    """One connection: `position` is the number of the last event that was sent."""
+
+    sock: socket.socket
+    number: int
+    position: int = 0
+    heartbeat: bool = True
+    silent: bool = False
+    wake: Event = field(default_factory=Event)
+
+
+class DiscoveryService:
+    """One region's discovery service on loopback."""
+
+    def __init__(self) -> None:
+        self.events: list[bytes] = []
+        self.whole_list: list = []
+        self.followers: set[Follower] = set()
+        self.accepted = 0
+        self.silent_reconnections = 0
+        self.bytes_out = 0
+        self.listener = listening()
+        self.listener.listen(2048)
+        self.address = self.listener.getsockname()
+        self.loops = [gevent.spawn(self._accept), gevent.spawn(self._beat)]
+
+    def publish_caches(self, servers: list) -> None:
+        """Tells the whole list of caches."""
+        self.whole_list = servers
+        content = {"version": len(self.events) + 1, "full": True, "servers": servers}
+        self._publish({"endpoints": content})
+
+    def publish_purge(self, object_id: int, group: int, unix_ms: int) -> None:
+        """Tells of a purge of an object or, where that is 0, of a group."""
+        target = {"ref": f"{object_id:016x}"} if object_id else {"shard": group}
+        self._publish({"evict": target | {"unix_ms": unix_ms}})
+
+    def silence(self, one_in: int, reconnections: int) -> None:
+        """One follower in so many hears nothing more on its connection; 0: all are told again."""
+        for number, follower in enumerate(sorted(self.followers, key=lambda one: one.number)):
+            follower.silent = bool(one_in) and number % one_in == 0
+            follower.wake.set()
+        self.silent_reconnections = reconnections
+
+    def half_line(self) -> None:
+        """Writes half of the last event to each follower and closes the connection."""
+        half = self.events[-1][: len(self.events[-1]) // 2] if self.events else b"{"
+        for follower in list(self.followers):
+            with suppress(OSError):
+                follower.sock.send(half, 0, 0.0)
+            follower.sock.close()
+
+    def begin_anew(self) -> None:
+        """Its numbers count from 1 again; it knows the last list and no purge."""
+        self.events = []
+        for follower in list(self.followers):
+            follower.sock.close()
+        if self.whole_list:
+            self.publish_caches(self.whole_list)
+
+    def _publish(self, content: dict) -> None:
+        self.events.append(orjson.dumps({"index": len(self.events) + 1} | content) + b"\n")
+        for follower in self.followers:
+            follower.wake.set()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            gevent.spawn(self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        self.accepted += 1
+        follower = Follower(sock, self.accepted)
+        if self.silent_reconnections:
+            self.silent_reconnections -= 1
+            follower.silent = True
+        reader = None
+        try:
+            follower.position = self._position(sock)
+            self.followers.add(follower)
+            reader = gevent.spawn(self._read_until_closed, follower)
+            self._write(follower)
+        except (OSError, ValueError, IndexError):
+            pass
+        finally:
+            self.followers.discard(follower)
+            sock.close()
+            if reader:
+                reader.kill(block=False)
+
+    @staticmethod
+    def _position(sock: socket.socket) -> int:
+        sock.settimeout(FOLLOW_TIMEOUT)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        line = b""
+        while not line.endswith(b"\n"):
+            data = sock.recv(LONGEST_FOLLOW)
+            if not data or len(line) > LONGEST_FOLLOW:
+                raise ValueError("no position")
+            line += data
+        sock.settimeout(None)
+        return int(line.split()[1])
+
+    def _read_until_closed(self, follower: Follower) -> None:
+        with suppress(OSError):
+            while follower.sock.recv(LONGEST_FOLLOW):
+                pass
+        follower.sock.close()
+        follower.wake.set()
+
+    def _write(self, follower: Follower) -> None:
+        while not follower.sock.closed:
+            follower.wake.clear()
+            if not follower.silent:
+                lines = self.events[follower.position : follower.position + BATCH]
+                follower.position = max(follower.position, 0) + len(lines)
+                data = b"".join(lines)
+                if follower.heartbeat and follower.position >= len(self.events):
+                    follower.heartbeat = False
+                    data += b"%d\n" % len(self.events)
+                if data:
+                    follower.sock.sendall(data)
+                    self.bytes_out += len(data)
+                if follower.position < len(self.events):
+                    continue
+            follower.wake.wait()
+
+    def _beat(self) -> None:
+        while True:
+            gevent.sleep(HEARTBEAT)
+            for follower in self.followers:
+                follower.heartbeat = True
+                follower.wake.set()
--- /dev/null
+++ b/benchmarks/scale/discovery_host.py
@@ -0,0 +1,58 @@
+"""Worker process: the discovery services of all regions. Words: the regions' names."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from .discovery import DiscoveryService
+from .messages import (
+    BeginAnew,
+    HalfLine,
+    PublishCaches,
+    PublishPurge,
+    Ready,
+    ServiceQuery,
+    ServiceReport,
+    SilenceFollowers,
+)
+from .worker import cpu_of, memory_of, serve
+
+
+class DiscoveryHost:
+    """Carries out the scale run's commands at the services of all regions."""
+
+    def __init__(self, regions: list[str]) -> None:
+        self.services = {region: DiscoveryService() for region in regions}
+
+    def handle(self, command: object) -> object | None:
+        """Carries out one command; what it gives is the reply."""
+        match command:
+            case PublishPurge(object_id, group, unix_ms):
+                for service in self.services.values():
+                    service.publish_purge(object_id, group, unix_ms)
+            case PublishCaches(servers):
+                for service in self.services.values():
+                    service.publish_caches(servers)
+            case SilenceFollowers(region, one_in, reconnections):
+                self.services[region].silence(one_in, reconnections)
+            case HalfLine(region):
+                self.services[region].half_line()
+            case BeginAnew(region):
+                self.services[region].begin_anew()
+            case ServiceQuery():
+                services = self.services.values()
+                return ServiceReport(
+                    cpu_of(os.getpid()),
+                    memory_of(os.getpid()),
+                    sum(service.bytes_out for service in services),
+                    sum(len(service.followers) for service in services),
+                )
+            case _:
+                raise ValueError(f"unknown command: {command!r}")
+        return None
+
+
+if __name__ == "__main__":
+    host = DiscoveryHost(sys.argv[1:])
+    serve(Ready({region: list(one.address) for region, one in host.services.items()}), host.handle)
--- /dev/null
+++ b/benchmarks/scale/population.py
@@ -0,0 +1,163 @@
+"""The hollow fronts of a scale run: which host runs which front, their lives, and what they reported."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+import gevent
+
+from .checkers import AppliedIndex, Disturbance, FrontLife
+from .messages import Collect, CutFronts, HealFronts, HeldCopy, HostReport, StartFronts, StopFronts
+from .worker import Worker, memory_of
+
+START_TIMEOUT = 120.0  # seconds for all fronts of a host
+POLL_INTERVAL = 0.2  # seconds between two looks while fronts start
+
+
+class PopulationError(Exception):
+    """The fronts did not start as asked."""
+
+
+@dataclass(slots=True)
+class HostSample:
+    """The counters of one host at one moment; bytes are those of each front."""
+
+    cpu_s: float
+    memory_bytes: int
+    received: dict[str, int]
+    sent: dict[str, int]
+
+
+def now_us() -> int:
+    """Unix microseconds."""
+    return time.time_ns() // 1000
+
+
+class Population:
+    """All hollow fronts, spread evenly over the hosts.
+
+    Attributes:
+        index: Who applied which purge, from all reports so far.
+        lives: Every start of every front.
+        empty_bytes: Memory of the hosts before they run fronts.
+        troubles: Counters of what must not happen, by name.
+    """
+
+    def __init__(self, hosts: int, discovery: dict[str, list], control: str = "") -> None:
+        self.workers = [Worker("hollow_host") for _ in range(hosts)]
+        self.discovery, self.control = discovery, control
+        self.host_of: dict[str, int] = {}
+        self.region_of: dict[str, str] = {}
+        self.current: dict[str, FrontLife] = {}
+        self.lives: list[FrontLife] = []
+        self.index = AppliedIndex([])
+        self.troubles: dict[int, dict[str, int]] = {}
+        self.copies: list[HeldCopy] = []
+        self.copies_at_us = 0
+        for worker in self.workers:
+            worker.ready()
+        self.empty_bytes = sum(memory_of(worker.pid) for worker in self.workers)
+
+    @property
+    def pids(self) -> list[int]:
+        """Process ids of the hosts."""
+        return [worker.pid for worker in self.workers]
+
+    def start(self, names: list[str], region: str, directory: int, caches: int) -> None:
+        """Starts fronts of one region and waits until each has heard the list of caches."""
+        for name in names:
+            if name not in self.host_of:
+                self.host_of[name] = len(self.host_of) % len(self.workers)
+            self.region_of[name] = region
+        began_us = now_us()
+        self._each(
+            names, lambda part: StartFronts(part, self.discovery[region], self.control, directory, caches)
+        )
+        waiting, end = set(names), time.monotonic() + START_TIMEOUT
+        starts: dict[str, int] = {}
+        while waiting and time.monotonic() < end:
+            gevent.sleep(POLL_INTERVAL)
+            for report in self.collect():
+                for state in report.fronts:
+                    if (
+                        state.front in waiting
+                        and state.caches >= caches
+                        and state.start_ms * 1000 >= began_us - 1000
+                    ):
+                        waiting.discard(state.front)
+                        starts[state.front] = state.start_ms
+        if waiting:
+            raise PopulationError(f"{len(waiting)} fronts heard no list, such as {min(waiting)}")
+        connected_us = now_us()
+        for name, start_ms in starts.items():
+            self.current[name] = FrontLife(name, start_ms, connected_us)
+            self.lives.append(self.current[name])
+
+    def stop(self, names: list[str], leave: bool) -> None:
+        """Ends fronts."""
+        stopped_us = now_us()
+        for name in names:
+            self.current.pop(name).end_us = stopped_us
+        self._each(names, lambda part: StopFronts(part, leave))
+
+    def cut(self, names: list[str]) -> None:
+        """Closes and refuses the connections of fronts."""
+        began_us = now_us()
+        for name in names:
+            self.current[name].disturbances.append(Disturbance(began_us, 1 << 62))
+        self._each(names, CutFronts)
+
+    def heal(self, names: list[str]) -> None:
+        """Ends a cut."""
+        self._each(names, HealFronts)
+        healed_us = now_us()
+        for name in names:
+            cut = self.current[name].disturbances[-1]
+            self.current[name].disturbances[-1] = Disturbance(cut.begin_us, healed_us)
+
+    def collect(self, copies: bool = False) -> list[HostReport]:
+        """Takes in what the hosts report, and gives it."""
+        jobs = [gevent.spawn(worker.ask, Collect(copies)) for worker in self.workers]
+        gevent.joinall(jobs)
+        reports = [job.get() for job in jobs]
+        for number, report in enumerate(reports):
+            for one in report.applied:
+                self.index.add(one)
+            self.troubles[number] = report.troubles
+        if copies:
+            self.copies = [copy for report in reports for copy in report.copies]
+            self.copies_at_us = now_us()
+        return reports
+
+    def sample(self) -> list[HostSample]:
+        """The counters of all hosts now."""
+        return [
+            HostSample(
+                report.cpu_s,
+                report.memory_bytes,
+                {one.front: one.received for one in report.traffic},
+                {one.front: one.sent for one in report.traffic},
+            )
+            for report in self.collect()
+        ]
+
+    def all_troubles(self) -> Counter[str]:
+        """What the fronts counted of what must not happen."""
+        return sum((Counter(one) for one in self.troubles.values()), Counter())
+
+    def close(self) -> None:
+        """Ends the hosts."""
+        gevent.joinall([gevent.spawn(worker.stop) for worker in self.workers])
+
+    def _each(self, names: list[str], command) -> None:
+        parts: dict[int, list[str]] = {}
+        for name in names:
+            parts.setdefault(self.host_of[name], []).append(name)
+        jobs = [
+            gevent.spawn(self.workers[host].ask, command(part), START_TIMEOUT) for host, part in parts.items()
+        ]
+        gevent.joinall(jobs)
+        for job in jobs:
+            job.get()
--- /dev/null
+++ b/benchmarks/scale/purging.py
@@ -0,0 +1,59 @@
+"""Issues purges at a steady rate to every discovery service, and books them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+
+from .checkers import IssuedPurge
+from .messages import PublishPurge
+from .population import now_us
+from .workload import purge_target
+
+
+class PurgeIssuer:
+    """Purges drawn from the seed.
+
+    Attributes:
+        issued: All purges so far, in their order.
+        rate: Purges a second; 0: none.
+    """
+
+    def __init__(self, seed: int, directory: int, publish: Callable[[PublishPurge], object]) -> None:
+        self.seed, self.directory, self.publish = seed, directory, publish
+        self.issued: list[IssuedPurge] = []
+        self.rate = 0.0
+        self.latest: dict[tuple[int, int], int] = {}
+        self.loop = gevent.spawn(self._run)
+
+    def issue(self, object_id: int, group: int) -> IssuedPurge:
+        """Issues one purge now. Its identity is unlike any other's."""
+        issued_us = now_us()
+        unix_ms = max(issued_us // 1000, self.latest.get((object_id, group), 0) + 1)
+        self.latest[object_id, group] = unix_ms
+        purge = IssuedPurge(object_id, group, unix_ms, issued_us)
+        self.issued.append(purge)
+        self.publish(PublishPurge(object_id, group, unix_ms))
+        return purge
+
+    def between(self, begin_us: int, end_us: int) -> list[IssuedPurge]:
+        """The purges issued in a time."""
+        return [one for one in self.issued if begin_us <= one.issued_us < end_us]
+
+    def close(self) -> None:
+        """Issues no more."""
+        self.loop.kill()
+
+    def _run(self) -> None:
+        due = time.monotonic()
+        while True:
+            if not self.rate:
+                gevent.sleep(0.02)
+                due = time.monotonic()
+                continue
+            due += 1 / self.rate
+            gevent.sleep(max(0.0, due - time.monotonic()))
+            target = purge_target(self.seed, len(self.issued), self.directory)
+            self.issue(target.object, target.group)
--- /dev/null
+++ b/benchmarks/scale/sweep.py
@@ -0,0 +1,147 @@
+"""Sweeps of fronts, purges a second, directory entries and caches on the discovery service alone."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import closing
+from dataclasses import dataclass
+
+import gevent
+
+from .messages import PublishCaches, ServiceQuery, SilenceFollowers
+from .points import Point, ServerSample, Setting, Window
+from .population import Population
+from .purging import PurgeIssuer
+from .worker import Worker
+
+REGION = "east"
+DIRECTORY = 8192  # entries: the bound of a front's directory
+EMPTY = 0
+CACHES = 78
+PURGES = 12.0  # a second
+DEADLINE_US = 2_600_000
+SILENT_ONE_IN = 4  # share of the followers that a silent discovery service tells nothing
+SILENT_SECONDS = 8.0
+
+Progress = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SweepPlan:
+    """Which settings are measured.
+
+    The fronts are varied with an empty directory, as that costs nothing in proportion to them; directories,
+    and with a full one purges a second, are varied at `few` fronts.
+    """
+
+    fronts: tuple[int, ...]
+    purges: tuple[float, ...]
+    directories: tuple[int, ...]
+    caches: tuple[int, ...]
+    few: int
+    window: float  # seconds of each point
+    hosts: int
+
+
+FULL = SweepPlan((50, 200, 400, 730), (3.0, 24.0), (2048, DIRECTORY), (20, 156), 40, 8.0, 8)
+QUICK = SweepPlan((40, 80), (), (DIRECTORY,), (), 8, 1.5, 2)
+
+
+def cache_list(count: int, zone: str = "far") -> list[dict]:
+    """Entries of the discovery protocol for caches that nobody is asked to reach."""
+    return [
+        {
+            "id": f"cache{number}",
+            "addr": f"127.0.0.1:{20000 + number}",
+            "zone": zone,
+            "kind": "box",
+            "cell": 0,
+            "state": "active",
+            "weight": 1,
+            "started_ms": 0,
+        }
+        for number in range(count)
+    ]
+
+
+class DiscoveryBench:
+    """A discovery service, hollow fronts that watch it, and purges."""
+
+    def __init__(self, seed: int, hosts: int, directory: int, caches: int) -> None:
+        self.directory, self.caches, self.names = directory, caches, []
+        self.service = Worker("discovery_host", REGION)
+        self.population = Population(hosts, self.service.ready().addresses)
+        self.issuer = PurgeIssuer(seed, directory, self.service.ask)
+        self.window = Window(self.population, self.issuer, self.sample, DEADLINE_US, "discovery")
+        self.service.ask(PublishCaches(cache_list(caches)))
+
+    def sample(self) -> ServerSample:
+        """The counters of the discovery service."""
+        report = self.service.ask(ServiceQuery())
+        return ServerSample({self.service.pid: report.cpu_s}, report.memory_bytes, report.bytes_out)
+
+    def grow(self, fronts: int) -> None:
+        """Starts fronts until there are so many."""
+        more = [f"h{number}" for number in range(len(self.names), fronts)]
+        self.names += more
+        self.population.start(more, REGION, self.directory, self.caches)
+
+    def measure(self, sweep: str, purges: float, seconds: float) -> Point:
+        """One point at the present number of fronts."""
+        setting = Setting(len(self.names), purges, self.directory, self.caches)
+        return self.window.measure(sweep, setting, seconds)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self.issuer.close()
+        self.population.close()
+        self.service.stop()
+
+
+def run(plan: SweepPlan, seed: int, progress: Progress) -> list[Point]:
+    """Measures every point of the plan."""
+    points: list[Point] = []
+
+    def take(point: Point) -> None:
+        points.append(point)
+        progress(describe(point))
+
+    with closing(DiscoveryBench(seed, plan.hosts, EMPTY, CACHES)) as bench:
+        for fronts in plan.fronts:
+            bench.grow(fronts)
+            for purges in (PURGES, *plan.purges):
+                take(bench.measure("fronts", purges, plan.window))
+        for reconnections in (0, 1):
+            take(silence(bench, reconnections))
+    varied = [("directory", one, CACHES) for one in plan.directories]
+    varied += [("caches", EMPTY, one) for one in plan.caches]
+    for sweep, directory, caches in varied:
+        with closing(DiscoveryBench(seed, plan.hosts, directory, caches)) as bench:
+            bench.grow(plan.few)
+            for purges in (PURGES, *plan.purges) if sweep == "directory" else (PURGES,):
+                take(bench.measure(sweep, purges, plan.window))
+    return points
+
+
+def silence(bench: DiscoveryBench, reconnections: int) -> Point:
+    """Some followers hear nothing more, nor on their next so many connections."""
+    silent = len(bench.names) // SILENT_ONE_IN
+    command = SilenceFollowers(REGION, SILENT_ONE_IN, reconnections * silent)
+    gevent.spawn_later(1.0, bench.service.ask, command)
+    point = bench.measure(f"silence_{reconnections}", PURGES, SILENT_SECONDS)
+    bench.service.ask(SilenceFollowers(REGION, 0))
+    return point
+
+
+def describe(point: Point) -> str:
+    """One line for a terminal."""
+    worst = point.purge_everywhere_s_worst
+    return (
+        f"{time.strftime('%H:%M:%S')} {point.sweep}: {point.fronts} fronts, {point.purges_per_s:g} purges/s, "
+        f"directory {point.directory}, {point.caches} caches: worst "
+        f"{'-' if worst is None else f'{worst:.3f} s'}, front {point.front_cpu:.5f} core, "
+        f"{point.front_bytes_in_per_s:.0f} B/s in, {point.front_bytes_out_per_s:.1f} out, "
+        f"{point.front_memory_bytes / 1e6:.1f} MB; server {point.server_cpu:.3f} core; "
+        f"missed {point.missed_purges}, stale {point.stale}"
+    )
--- /dev/null
+++ b/benchmarks/scale/worker.py
@@ -0,0 +1,126 @@
+"""Worker processes of the scale run: commands on their standard input, replies on their standard output."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+from gevent.fileobject import FileObject
+from gevent.lock import Semaphore
+
+from .messages import Done, Failed, decode, encode
+
+LIFETIME = 1200.0  # seconds after which a worker ends by itself, whatever it is doing
+REPLY_TIMEOUT = 60.0  # seconds
+STOP_TIMEOUT = 5.0  # seconds
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class WorkerError(Exception):
+    """A worker ended, did not answer in time, or could not do what it was asked."""
+
+
+class Worker:
+    """One worker process, seen from the scale run."""
+
+    def __init__(self, module: str, *words: str) -> None:
+        self.name = module
+        self.log = tempfile.TemporaryFile()  # noqa: SIM115, it is closed with the worker
+        self.process = subprocess.Popen(
+            [sys.executable, "-O", "-m", f"benchmarks.scale.{module}", *words],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+        )
+        self.commands = FileObject(self.process.stdin, "wb")
+        self.replies = FileObject(self.process.stdout, "rb")
+        self.turn = Semaphore()
+
+    @property
+    def pid(self) -> int:
+        """Its process id."""
+        return self.process.pid
+
+    def ready(self, timeout: float = REPLY_TIMEOUT) -> object:
+        """Waits for its first line."""
+        return self._reply(timeout)
+
+    def ask(self, command: object, timeout: float = REPLY_TIMEOUT) -> object:
+        """Sends a command and gives the reply. Raises `WorkerError`."""
+        with self.turn:
+            try:
+                self.commands.write(encode(command))
+                self.commands.flush()
+            except OSError as error:
+                raise WorkerError(f"{self.name} has ended: {self.tail()}") from error
+            return self._reply(timeout)
+
+    def _reply(self, timeout: float) -> object:
+        line = None
+        with gevent.Timeout(timeout, False):
+            line = self.replies.readline()
+        if not line:
+            raise WorkerError(f"{self.name}: {'no reply' if line is None else 'ended'}: {self.tail()}")
+        reply = decode(line)
+        if isinstance(reply, Failed):
+            raise WorkerError(f"{self.name}: {reply.reason}")
+        return reply
+
+    def tail(self) -> str:
+        """The end of what it wrote on its standard error."""
+        self.log.seek(max(0, self.log.seek(0, os.SEEK_END) - 600))
+        return self.log.read().decode("utf-8", "replace").strip()
+
+    def stop(self) -> None:
+        """Ends it: its input is closed, and what is left after a while is killed."""
+        with suppress(OSError):
+            self.commands.close()
+        end = time.monotonic() + STOP_TIMEOUT
+        while self.process.poll() is None and time.monotonic() < end:
+            gevent.sleep(0.02)
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        with suppress(OSError):
+            self.replies.close()
+        self.log.close()
+
+
+def serve(first: object, handle: Callable[[object], object | None]) -> None:
+    """The worker's side: says `first`, answers each command, and returns once its input ends."""
+    commands = FileObject(sys.stdin.buffer, "rb", close=False)
+    replies = FileObject(sys.stdout.buffer, "wb", close=False)
+    gevent.spawn_later(LIFETIME, os._exit, 3)
+    replies.write(encode(first))
+    replies.flush()
+    while line := commands.readline():
+        try:
+            reply = handle(decode(line)) or Done()
+        except Exception as error:
+            reply = Failed(repr(error))
+        data = encode(reply)
+        replies.write(data)
+        replies.flush()
+
+
+def memory_of(pid: int) -> int:
+    """Resident bytes of a process; 0 once it has ended."""
+    with suppress(OSError, ValueError, IndexError):
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+    return 0
+
+
+def cpu_of(pid: int) -> float:
+    """Processor seconds of a process so far; 0.0 once it has ended."""
+    with suppress(OSError, ValueError, IndexError):
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+    return 0.0
--- /dev/null
+++ b/benchmarks/scale/workload.py
@@ -0,0 +1,51 @@
+"""What the scale run purges and what hollow fronts hold, drawn from the seed; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from marbleglade.standins.world import chance
+
+GROUPS = 256  # groups of the discovery protocol
+HOT_COUNT = 32  # objects that every hollow front holds a copy of
+COPY_AGE_MS = 300  # how long ago a copy that a hollow front takes was given out
+GROUP_SHARE = 1 / 8  # of purges, that name a group
+HOT_SHARE = 1 / 2  # of purges, that name a hot object
+KEY_SEED = 7
+
+
+def _object_id(kind: str, number: int) -> int:
+    return (
+        int(chance(KEY_SEED, kind, number) * 2**31) << 24 | int(chance(KEY_SEED, number, kind) * 2**24) or 1
+    )
+
+
+def directory_key(number: int) -> int:
+    """The object of a directory's entry of that number."""
+    return _object_id("entry", number)
+
+
+def group_of(object_id: int) -> int:
+    """The group of an object."""
+    return object_id >> 8 & (GROUPS - 1)
+
+
+HOT_OBJECTS = tuple(_object_id("hot", number) for number in range(HOT_COUNT))
+
+
+@dataclass(frozen=True, slots=True)
+class PurgeTarget:
+    """One object or, where that is 0, one group."""
+
+    object: int
+    group: int
+
+
+def purge_target(seed: int, number: int, directory: int) -> PurgeTarget:
+    """What the purge of that number names."""
+    draw = chance(seed, "kind", number)
+    if draw < GROUP_SHARE:
+        return PurgeTarget(0, int(chance(seed, "group", number) * GROUPS))
+    if draw < GROUP_SHARE + HOT_SHARE:
+        return PurgeTarget(HOT_OBJECTS[int(chance(seed, "hot", number) * HOT_COUNT)], 0)
+    return PurgeTarget(directory_key(int(chance(seed, "entry", number) * max(1, directory))), 0)
