--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,121 @@
+"""The command line of the scale run: `python -m benchmarks.scale`.
+
+Sweeps where fronts watch the discovery service, then a run with a control plane under faults drawn from the
+seed. All figures come from processes on loopback with stand-ins. The last line is one JSON object; the exit
+code is 1 if a rule broke.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+import orjson
+
+from . import measurement_file, slopes, sweep
+from .measurement_file import Budget, Measurement
+from .plots import draw
+from .scenario import Scale, Scenario
+from .summary import AIMS, Summary, kept
+
+QUICK = Scale(
+    hollow=200,
+    real=4,
+    reference=2,
+    nodes=5,
+    hosts=4,
+    directory=8192,
+    caches=78,
+    purges=12.0,
+    window=3.0,
+    rate=6.0,
+    longest=46.0,
+)
+FULL = Scale(
+    hollow=730,
+    real=8,
+    reference=4,
+    nodes=8,
+    hosts=8,
+    directory=8192,
+    caches=78,
+    purges=12.0,
+    window=10.0,
+    rate=6.0,
+    longest=420.0,
+)
+
+
+def arguments() -> argparse.Namespace:
+    """What the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true", help="ends within 50 s, without the sweeps")
+    parser.add_argument("--fronts", type=int, help="hollow fronts at the end of the run")
+    parser.add_argument("--plot", type=Path, help="a PNG file for the plots")
+    parser.add_argument("--write", type=Path, help="the measurement file")
+    parser.add_argument("--no-sweeps", action="store_true", help="only the run with a control plane")
+    return parser.parse_args()
+
+
+def scale_of(options: argparse.Namespace) -> Scale:
+    """The size that was asked for."""
+    scale = QUICK if options.quick else FULL
+    if options.fronts:
+        values = {name: getattr(scale, name) for name in Scale.__slots__}
+        scale = Scale(**(values | {"hollow": options.fronts}))
+    return scale
+
+
+def progress(text: str) -> None:
+    """One line on the terminal."""
+    print(f"{time.strftime('%H:%M:%S')} {text}", flush=True)
+
+
+def main() -> int:
+    """Runs all; gives the exit code."""
+    options = arguments()
+    command = " ".join(["python -m benchmarks.scale", *sys.argv[1:]])
+    measurement = measurement_file.begin(options.seed, command)
+    if not (options.quick or options.no_sweeps):
+        measurement.points += sweep.run(sweep.FULL, options.seed, progress)
+    scenario = Scenario(scale_of(options), options.seed, options.quick, progress)
+    summary = scenario.run()
+    measurement.points += scenario.points
+    for note in scenario.notes:
+        progress(f"note: {note}")
+    if scenario.skipped:
+        progress(f"faults not played: {', '.join(scenario.skipped)}")
+    finish(measurement, summary, options)
+    broken = summary.broken()
+    for rule in broken:
+        progress(f"rule broken: {rule}")
+    print(orjson.dumps(summary.line()).decode(), flush=True)
+    return int(bool(broken))
+
+
+def finish(measurement: Measurement, summary: Summary, options: argparse.Namespace) -> None:
+    """Fits the slopes, and writes what was asked for."""
+    for mode in ("discovery", "control"):
+        found, left_out = slopes.fit_all(measurement.points, mode)
+        measurement.slopes += found
+        for text in left_out:
+            progress(f"not fitted: {text}")
+    line = summary.line()
+    measurement.not_measured = line.pop("not_measured")
+    measurement.summary = line
+    measurement.load_after = measurement_file.load_average()
+    measurement.budgets = [
+        Budget(aim.name, aim.limit, aim.unit, aim.field, getattr(summary, aim.field), kept(aim, summary))
+        for aim in AIMS
+    ]
+    if options.write:
+        measurement.write(options.write)
+    if options.plot:
+        draw(measurement.points, options.plot)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/scale/control_plane.py
@@ -0,0 +1,180 @@
+"""The control nodes of a scale run as processes: started, killed, hung and restarted."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+from gevent import socket
+
+from marbleglade.control.settings import ControlSettings, read
+from marbleglade.control.status_query import ask_all
+
+from .topology import NodePlace
+from .worker import cpu_of, memory_of
+
+READY_TIMEOUT = 30.0  # seconds
+STATUS_TIMEOUT = 2.0  # seconds
+STOP_TIMEOUT = 5.0  # seconds
+PR_SET_PDEATHSIG = 1  # of prctl(2)
+
+
+class ControlPlaneError(Exception):
+    """The control nodes did not come up."""
+
+
+class ControlPlane:
+    """The processes of all control nodes.
+
+    Attributes:
+        settings_path: The file that fronts and the command line read.
+        down: Names of the nodes that are killed or hung at present.
+    """
+
+    def __init__(self, folder: Path, text: str, places: list[NodePlace]) -> None:
+        self.folder, self.places = folder, {place.name: place for place in places}
+        self.settings_path = folder / "control.textproto"
+        self.settings_path.write_text(text)
+        self.settings: ControlSettings = read(str(self.settings_path))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.starts: dict[str, int] = dict.fromkeys(self.places, 0)
+        self.spent_cpu: dict[str, float] = dict.fromkeys(self.places, 0.0)
+        self.down: set[str] = set()
+        for name in self.places:
+            self.start(name)
+        self._wait_until_ready()
+
+    @property
+    def pids(self) -> list[int]:
+        """Process ids of the nodes that run."""
+        return [process.pid for process in self.processes.values()]
+
+    def start(self, name: str) -> None:
+        """Starts a node from nothing but its store."""
+        self.starts[name] += 1
+        store = self.folder / f"store-{name}"
+        store.mkdir(exist_ok=True)
+        words = ["-O", "-m", "marbleglade", "control", "run", str(self.settings_path)]
+        with (self.folder / f"{name}.{self.starts[name]}.log").open("wb") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *words, "--name", name, "--store", str(store)],
+                stdout=log,
+                stderr=log,
+                preexec_fn=die_with_parent,
+            )
+        self.down.discard(name)
+
+    def kill(self, name: str) -> None:
+        """Ends a node without warning."""
+        process = self.processes.pop(name)
+        self.down.add(name)
+        self.spent_cpu[name] += cpu_of(process.pid)
+        process.kill()
+        process.wait()
+
+    def hang(self, name: str) -> None:
+        """Stops a node; its connections stay open."""
+        self.down.add(name)
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a hung node go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.down.discard(name)
+
+    def cpu(self) -> dict[str, float]:
+        """Processor seconds of each node so far, all its starts added up."""
+        return {
+            name: self.spent_cpu[name] + (cpu_of(self.processes[name].pid) if name in self.processes else 0.0)
+            for name in self.places
+        }
+
+    def memory(self) -> int:
+        """Resident bytes of the largest node."""
+        return max((memory_of(pid) for pid in self.pids), default=0)
+
+    def logs(self) -> str:
+        """The ends of the nodes' logs."""
+        ends = []
+        for path in sorted(self.folder.glob("c*.log")):
+            ends.append(f"{path.name}: {path.read_bytes()[-300:].decode('utf-8', 'replace')}")
+        return "\n".join(ends)
+
+    def close(self) -> list[str]:
+        """Ends all nodes; gives what went wrong at their end."""
+        wrong = []
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        end = time.monotonic() + STOP_TIMEOUT
+        for name, process in self.processes.items():
+            while process.poll() is None and time.monotonic() < end:
+                gevent.sleep(0.02)
+            if process.poll() is None:
+                process.kill()
+                wrong.append(f"{name} did not end")
+            elif process.returncode:
+                wrong.append(f"{name} ended with {process.returncode}")
+            process.wait()
+        return wrong
+
+    def _wait_until_ready(self) -> None:
+        end = time.monotonic() + READY_TIMEOUT
+        while time.monotonic() < end:
+            answers = ask_all(self.settings, STATUS_TIMEOUT)
+            if all(answer.status and answer.status.current for answer in answers):
+                return
+            gevent.sleep(0.2)
+        raise ControlPlaneError(f"control nodes did not come up:\n{self.logs()}")
+
+
+class SlowReaders:
+    """Watchers of control nodes that never read, and others that stop amid a line."""
+
+    def __init__(self, places: list[NodePlace], each: int) -> None:
+        self.socks: list[socket.socket] = []
+        for place in places:
+            for number in range(each):
+                with suppress(OSError):
+                    sock = socket.create_connection(place.address, 2)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                    sock.sendall(b"follow 0\n" if number % 2 else b"front east-0 17")
+                    self.socks.append(sock)
+
+    def close(self) -> None:
+        """Ends their connections."""
+        for sock in self.socks:
+            sock.close()
+
+
+def die_with_parent() -> None:
+    """Has the calling process killed once its parent ends, however that comes about; Linux only."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def free_ports(count: int) -> list[int]:
+    """So many ports that nobody listens on now."""
+    socks = []
+    try:
+        for _ in range(count):
+            sock = socket.socket()
+            sock.bind(("127.0.0.1", 0))
+            socks.append(sock)
+        return [sock.getsockname()[1] for sock in socks]
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+def descriptors_of(pid: int) -> int:
+    """Open descriptors of a process; 0 once it has ended."""
+    with suppress(OSError):
+        return len(os.listdir(f"/proc/{pid}/fd"))
+    return 0
--- /dev/null
+++ b/benchmarks/scale/front_sockets.py
@@ -0,0 +1,100 @@
+"""Sockets that know which hollow front opened them, so that a front can be cut off and its bytes counted.
+
+A hollow host runs many fronts in one process. Their watch clients get a socket class that finds its owner in
+a context variable, which greenlets inherit from who spawned them.
+"""
+
+from __future__ import annotations
+
+from contextvars import ContextVar
+from types import ModuleType
+
+from gevent import socket
+
+from .traffic import tcp_bytes
+
+OWNER: ContextVar[FrontSockets | None] = ContextVar("owner", default=None)
+
+
+class FrontSockets:
+    """The sockets of one front. While `refusing` is set, none of them connects."""
+
+    def __init__(self) -> None:
+        self.open: set[OwnedSocket] = set()
+        self.received, self.sent = 0, 0  # of those that were closed
+        self.refusing = False
+
+    def own(self) -> None:
+        """Makes this the owner of all sockets that the present greenlet and those it spawns open."""
+        OWNER.set(self)
+
+    def totals(self) -> tuple[int, int]:
+        """Bytes of payload received and sent so far."""
+        received, sent = self.received, self.sent
+        for sock in self.open:
+            more_received, more_sent = _bytes_of(sock)
+            received += more_received
+            sent += more_sent
+        return received, sent
+
+    def cut(self) -> None:
+        """Closes all connections and refuses new ones."""
+        self.refusing = True
+        for sock in list(self.open):
+            sock.close()
+
+    def heal(self) -> None:
+        """Lets new connections through."""
+        self.refusing = False
+
+    def closing(self, sock: OwnedSocket) -> None:
+        """Takes in the bytes of a socket that is about to be closed."""
+        if sock in self.open:
+            self.open.discard(sock)
+            received, sent = _bytes_of(sock)
+            self.received += received
+            self.sent += sent
+
+
+class OwnedSocket(socket.socket):
+    """A gevent socket of a hollow front."""
+
+    def __init__(self, *words, **options) -> None:
+        super().__init__(*words, **options)
+        self.owner = OWNER.get()
+        if self.owner:
+            self.owner.open.add(self)
+
+    def connect(self, address) -> None:
+        """Connects, unless the front is cut off."""
+        if self.owner and self.owner.refusing:
+            raise ConnectionRefusedError("the front is cut off")
+        super().connect(address)
+
+    def close(self) -> None:
+        """Closes it."""
+        if self.owner:
+            self.owner.closing(self)
+        super().close()
+
+
+class OwnedSocketModule(ModuleType):
+    """Stands in for `gevent.socket` in a module whose sockets are to have an owner."""
+
+    socket = OwnedSocket
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(socket, name)
+
+
+def install(*modules: ModuleType) -> None:
+    """Gives these modules the sockets with an owner."""
+    for module in modules:
+        module.socket = OwnedSocketModule("owned_sockets")
+
+
+def _bytes_of(sock: OwnedSocket) -> tuple[int, int]:
+    try:
+        return tcp_bytes(sock)
+    except OSError:
+        return 0, 0
--- /dev/null
+++ b/benchmarks/scale/real_host.py
@@ -0,0 +1,137 @@
+"""Worker process: real fronts under load, with stand-ins for caches and clients that check every answer.
+
+Words: how many, the seed, requests a second at each front, and the control plane's settings file or "-".
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import sys
+
+import gevent
+
+from marbleglade.standins.frontfleet import FrontFleet
+
+from ..rig import Book, Load, broken_rules, folder, now
+from .messages import (
+    BeginLoad,
+    Collect,
+    FinishLoad,
+    LibraryPurge,
+    PublishPurge,
+    PurgeMoment,
+    Ready,
+    RealReady,
+    RealReport,
+    RealSample,
+)
+from .worker import cpu_of, memory_of, serve
+
+OBJECTS = 200  # objects that the clients ask for
+CLEAR_AFTER = 2.0  # seconds after which a cache has dropped what was purged
+PURGE_DEADLINE = 2.6  # seconds after which nothing older may be given
+KNOWN_OBJECTS = 40  # that are told to the scale run, to be purged
+
+
+class RealHost:
+    """Real fronts, all that they talk to, and their clients."""
+
+    def __init__(self, count: int, seed: int, rate: float, control: str) -> None:
+        self.count, self.seed, self.rate = count, seed, rate
+        self.folder, self.book, self.load = folder(), Book(), None
+        self.finished = False
+        if control != "-":
+            os.environ["MARBLEGLADE_CONTROL"] = control
+        self.fleet = FrontFleet(count, self.folder, seed, together=False)
+        self.doors = [f"f{number}" for number in range(count)]
+
+    def handle(self, command: object) -> object | None:
+        """Carries out one command; what it gives is the reply."""
+        match command:
+            case BeginLoad():
+                return self.begin()
+            case LibraryPurge(object_id, group):
+                return PurgeMoment(self.fleet.library.purge(object_id, group))
+            case PublishPurge():
+                self.purge(command)
+            case Collect():
+                pids = [process.pid for process in self.fleet.processes.values()]
+                return RealSample(
+                    [cpu_of(pid) for pid in pids], [memory_of(pid) for pid in pids], pids, cpu_of(os.getpid())
+                )
+            case FinishLoad():
+                return self.finish()
+            case _:
+                raise ValueError(f"unknown command: {command!r}")
+        return None
+
+    def begin(self) -> RealReady:
+        """Waits for the fronts and starts the clients."""
+        self.fleet.ready()
+        self.load = Load(self.fleet, self.seed, [self.rate] * self.count, OBJECTS)
+        objects = sorted({self.load.thing(number) for number in range(4 * KNOWN_OBJECTS)})
+        return RealReady([f"{one:x}" for one in objects[:KNOWN_OBJECTS]])
+
+    def purge(self, command: PublishPurge) -> None:
+        """Tells the fronts' own discovery services, and later the caches."""
+        holds_at = now() + PURGE_DEADLINE
+        self.book.add(command.object, command.group, False, now(), dict.fromkeys(self.doors, holds_at))
+        self.fleet.each(lambda one: one.purge(command.object, command.group, command.unix_ms))
+        gevent.spawn_later(CLEAR_AFTER, self._clear, command)
+
+    def _clear(self, command: PublishPurge) -> None:
+        for cache in (*self.fleet.boxes, *self.fleet.hubs):
+            cache.clear(command.object, command.group, command.unix_ms)
+
+    def close(self) -> None:
+        """Ends the fronts where nobody asked for it in time."""
+        if not self.finished:
+            self.fleet.close()
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def finish(self) -> RealReport:
+        """Ends the load and the fronts, and judges every answer."""
+        self.finished = True
+        broken = self.load.finish()
+        self.book.judge(self.load.tally)
+        wrong = self.fleet.close()
+        tally = self.load.tally
+        rules = broken_rules(self.fleet, tally, broken, wrong)
+        shutil.rmtree(self.folder, ignore_errors=True)
+        asked = tally.asked
+        return RealReport(
+            len(asked),
+            sum(one.settled for one in asked) / len(asked) if asked else 0.0,
+            rules["lost"],
+            rules["doubled"] + rules["double_effects"],
+            rules["stale"],
+            [*wrong, *tally.notes][:20],
+            len(wrong),
+        )
+
+
+def servers(fleet: FrontFleet, zone: str) -> list[dict]:
+    """The fleet's caches, hubs and store as entries of the discovery protocol."""
+    return [
+        {
+            "id": place.id,
+            "addr": ":".join(map(str, place.address)),
+            "zone": zone,
+            "kind": kind,
+            "cell": 0,
+            "state": "active",
+            "weight": 1,
+            "started_ms": 0,
+        }
+        for place, kind in fleet.places
+    ]
+
+
+if __name__ == "__main__":
+    from marbleglade.standins.frontfleet import ZONE
+
+    count, seed, rate, control = sys.argv[1:]
+    host = RealHost(int(count), int(seed), float(rate), control)
+    serve(Ready({"servers": servers(host.fleet, ZONE)}), host.handle)
+    host.close()
--- /dev/null
+++ b/benchmarks/scale/status_watch.py
@@ -0,0 +1,77 @@
+"""Worker process: asks the control nodes for their status again and again, as `control status` does.
+
+Words: the settings file. It reports purges that were shown as done everywhere, each once, with the moment.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+import gevent
+
+from marbleglade.control.settings import read
+from marbleglade.control.status_merge import merge
+from marbleglade.control.status_query import ask_all
+
+from .messages import Collect, ConfirmedPurge, Ready, StatusReport
+from .worker import serve
+
+INTERVAL = 0.5  # seconds between two questions
+ANSWER_TIMEOUT = 1.0  # seconds that a node may take
+
+
+class StatusWatch:
+    """Polls the control plane."""
+
+    def __init__(self, path: str) -> None:
+        self.settings = read(path)
+        self.seen: set[tuple[int, int, int]] = set()
+        self.report = StatusReport([], 0, 0, 0, 0, 0, [], [])
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._poll()
+            gevent.sleep(INTERVAL)
+
+    def _poll(self) -> None:
+        answers = ask_all(self.settings, ANSWER_TIMEOUT)
+        shown_us = time.time_ns() // 1000
+        status = merge(self.settings, answers)
+        for purge in status.purges:
+            identity = purge.identity.thing, purge.identity.group, purge.identity.unix_ms
+            if not purge.lacking.count and identity not in self.seen:
+                self.seen.add(identity)
+                took_ms = -1 if purge.took_ms is None else purge.took_ms
+                self.report.confirmed.append(ConfirmedPurge(*identity, shown_us, took_ms))
+        configuration = status.configuration
+        self.report.polls += 1
+        self.report.connected, self.report.absent = status.connected, status.absent.count
+        self.report.version = configuration.version
+        self.report.version_lacking = configuration.lacking.count
+        self.report.refused = [one.front for one in configuration.refusals]
+        self.report.undone = [[*purge.lacking.first][:3] for purge in status.purges if purge.lacking.count][
+            -3:
+        ]
+
+    def handle(self, command: object) -> object | None:
+        """Answers `Collect` with all that came since the last one."""
+        if not isinstance(command, Collect):
+            raise ValueError(f"unknown command: {command!r}")
+        report = self.report
+        self.report = StatusReport(
+            [],
+            0,
+            report.connected,
+            report.absent,
+            report.version,
+            report.version_lacking,
+            report.refused,
+            report.undone,
+        )
+        return report
+
+
+if __name__ == "__main__":
+    serve(Ready(), StatusWatch(sys.argv[1]).handle)
--- /dev/null
+++ b/benchmarks/scale/summary.py
@@ -0,0 +1,85 @@
+"""The last line of a scale run, its rules and the budgets that it is held against; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+
+RULES = ("stale", "missed_purges", "falsely_confirmed", "lost", "doubled")  # each must be 0
+NOT_RUN = "not run"
+
+
+@dataclass(slots=True)
+class Summary:
+    """The fields of the last line; None where nothing was measured. `not_measured` says why."""
+
+    fronts: int = 0
+    real_fronts: int = 0
+    processes: int = 0
+    memory_share: float = 0.0
+    purges_per_s: float = 0.0
+    purge_everywhere_s_p99: float | None = None
+    purge_everywhere_s_worst: float | None = None
+    purge_after_cut_s: float | None = None
+    config_everywhere_s_worst: float | None = None
+    config_refused_named: int | None = None
+    control_cpu_share_front: float | None = None
+    control_memory_mb_front: float | None = None
+    control_bytes_per_s_front_mean: float | None = None
+    control_bytes_per_s_front_worst: float | None = None
+    control_machines: int = 0
+    control_cpu_share_machine_worst: float | None = None
+    growth_bytes_worst: float | None = None
+    growth_cpu_front: float | None = None
+    stale: int | None = None
+    missed_purges: int | None = None
+    falsely_confirmed: int | None = None
+    lost: int | None = None
+    doubled: int | None = None
+    not_measured: dict[str, str] = field(default_factory=dict)
+
+    def line(self) -> dict[str, object]:
+        """The content of the last line, every figure rounded and every gap explained."""
+        content = asdict(self)
+        gaps = content.pop("not_measured")
+        for name, value in content.items():
+            if value is None:
+                gaps.setdefault(name, NOT_RUN)
+            elif isinstance(value, float):
+                content[name] = round(value, 5)
+        content["not_measured"] = {name: reason for name, reason in gaps.items() if content[name] is None}
+        return content
+
+    def broken(self) -> list[str]:
+        """The rules that broke."""
+        return [f"{name} is {getattr(self, name)}" for name in RULES if getattr(self, name)]
+
+
+@dataclass(frozen=True, slots=True)
+class Aim:
+    """A budget: the figure of a field of the summary is to stay at or under the limit."""
+
+    name: str
+    field: str
+    limit: float
+    unit: str
+
+
+AIMS = (
+    Aim("purge applied by every front", "purge_everywhere_s_worst", 2.6, "s"),
+    Aim("configuration in force at every front", "config_everywhere_s_worst", 5.0, "s"),
+    Aim("processor time of a front for control", "control_cpu_share_front", 0.016, "core"),
+    Aim("memory of a front for control", "control_memory_mb_front", 128.0, "MB"),
+    Aim("bytes of a front for control, mean", "control_bytes_per_s_front_mean", 6000.0, "byte/s"),
+    Aim("bytes of a front for control, worst front", "control_bytes_per_s_front_worst", 6000.0, "byte/s"),
+    Aim("processor time of a control machine", "control_cpu_share_machine_worst", 0.5, "core"),
+    Aim("bytes of the worst front, twice the fronts over once", "growth_bytes_worst", 1.2, "ratio"),
+    Aim("processor time of a front, twice the fronts over once", "growth_cpu_front", 1.2, "ratio"),
+    Aim("memory of the machine that the run takes", "memory_share", 0.5, "share"),
+    Aim("processes of the run", "processes", 200, "count"),
+)
+
+
+def kept(aim: Aim, summary: Summary) -> bool | None:
+    """Whether the aim was reached; None where nothing was measured."""
+    value = getattr(summary, aim.field)
+    return None if value is None else value <= aim.limit
--- a/benchmarks/scale/sweep.py
+++ b/benchmarks/scale/sweep.py
@@ -10,9 +10,10 @@
 import gevent
 
 from .messages import PublishCaches, ServiceQuery, SilenceFollowers
-from .points import Point, ServerSample, Setting, Window
+from .points import Point, Setting
 from .population import Population
 from .purging import PurgeIssuer
+from .window import ServerSample, Window
 from .worker import Worker
 
 REGION = "east"
@@ -79,7 +80,7 @@
     def sample(self) -> ServerSample:
         """The counters of the discovery service."""
         report = self.service.ask(ServiceQuery())
-        return ServerSample({self.service.pid: report.cpu_s}, report.memory_bytes, report.bytes_out)
+        return ServerSample({REGION: report.cpu_s}, report.memory_bytes, report.bytes_out)
 
     def grow(self, fronts: int) -> None:
         """Starts fronts until there are so many."""
--- /dev/null
+++ b/benchmarks/scale/topology.py
@@ -0,0 +1,73 @@
+"""The deployment that the scale run plays: regions, zones, control nodes and the names of fronts; no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+REGION_ZONES = {"east": 4, "west": 4, "north": 3}
+REGIONS = tuple(REGION_ZONES)
+REAL_REGION = "east"  # where the real fronts stand
+DEPLOYMENT = "scale"
+PURGE_DEADLINE_MS = 2600
+CONFIGURATION_DEADLINE_MS = 5000
+CATCH_UP_BYTES_PER_S = 6144
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Where a control node stands and listens."""
+
+    name: str
+    region: str
+    zone: str
+    address: tuple[str, int]
+    quorum_address: tuple[str, int]
+
+
+def node_places(count: int, ports: list[int]) -> list[NodePlace]:
+    """So many control nodes, spread over the regions and their zones; two ports for each."""
+    places = []
+    for number in range(count):
+        region = REGIONS[number % len(REGIONS)]
+        zone = f"{region}-{number // len(REGIONS) % REGION_ZONES[region]}"
+        address, quorum = (("127.0.0.1", port) for port in ports[2 * number : 2 * number + 2])
+        places.append(NodePlace(f"c{number + 1}", region, zone, address, quorum))
+    return places
+
+
+def hollow_names(count: int) -> dict[str, list[str]]:
+    """The names of so many hollow fronts by region, spread evenly."""
+    names: dict[str, list[str]] = {region: [] for region in REGIONS}
+    for number in range(count):
+        region = REGIONS[number % len(REGIONS)]
+        names[region].append(f"{region}-{len(names[region])}")
+    return names
+
+
+def settings_text(
+    discovery: Mapping[str, list], nodes: list[NodePlace], hollow: int, real_names: list[str]
+) -> str:
+    """The control plane's settings in protobuf text format."""
+    lines = [
+        f'deployment: "{DEPLOYMENT}"',
+        f"purge_deadline_ms: {PURGE_DEADLINE_MS}",
+        f"configuration_deadline_ms: {CONFIGURATION_DEADLINE_MS}",
+        f"catch_up_bytes_per_s: {CATCH_UP_BYTES_PER_S}",
+    ]
+    for region, names in hollow_names(hollow).items():
+        fronts = [f'front: "{region}-[0-{len(names) - 1}]"'] if names else []
+        fronts += [f'front: "{name}"' for name in real_names if region == REAL_REGION]
+        lines.append(
+            f'region {{ name: "{region}" discovery: "{_text(discovery[region])}" {" ".join(fronts)} }}'
+        )
+    for node in nodes:
+        lines.append(
+            f'node {{ name: "{node.name}" region: "{node.region}" zone: "{node.zone}" '
+            f'address: "{_text(node.address)}" quorum_address: "{_text(node.quorum_address)}" }}'
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _text(address: list | tuple) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/tests/test_scale_checkers.py
@@ -0,0 +1,170 @@
+"""The checkers of the scale run find what they are there to find, and nothing in a faultless run."""
+
+from benchmarks.scale.checkers import (
+    AppliedIndex,
+    Confirmation,
+    Disturbance,
+    FrontLife,
+    IssuedPurge,
+    everywhere_seconds,
+    false_confirmations,
+    missed_purges,
+    seconds_after_heal,
+    stale_copies,
+)
+from benchmarks.scale.messages import AppliedPurge, HeldCopy, HostReport, decode, encode
+from benchmarks.scale.workload import HOT_OBJECTS, group_of, purge_target
+
+SECOND = 1_000_000  # microseconds
+DEADLINE = 2_600_000  # microseconds
+FRONTS = ("a", "b", "c")
+OBJECT = HOT_OBJECTS[0]
+
+
+def purge(number, object_id=OBJECT, group=0):
+    """A purge issued at so many seconds."""
+    return IssuedPurge(object_id, group, number * 1000, number * SECOND)
+
+
+def applied(front, one, after_ms, start_ms=1):
+    """A front's word that it applied a purge so long after its issue."""
+    return AppliedPurge(front, start_ms, *one.identity, one.issued_us + after_ms * 1000)
+
+
+class Run:
+    """Three fronts and purges at 10, 11 and 12 s, all of them applied after 50 ms."""
+
+    def __init__(self):
+        self.issued = [purge(10), purge(11, 0, group_of(OBJECT)), purge(12, HOT_OBJECTS[1])]
+        self.lives = [FrontLife(name, 1, 1000) for name in FRONTS]
+        self.applied = [applied(name, one, 50) for name in FRONTS for one in self.issued]
+
+    @property
+    def index(self):
+        return AppliedIndex(self.applied)
+
+    def drop(self, front, one):
+        """The seeded fault: this front never applied this purge."""
+        self.applied = [word for word in self.applied if word.front != front or word.unix_ms != one.unix_ms]
+
+    def stale(self, held, confirmed=(), at=20 * SECOND):
+        return stale_copies(held, at, self.issued, list(confirmed), self.lives, DEADLINE).count
+
+
+def test_a_faultless_run_is_found_to_be_one():
+    run = Run()
+    confirmed = [Confirmation(*one.identity, one.issued_us + SECOND) for one in run.issued]
+    held = [HeldCopy("a", OBJECT, group_of(OBJECT), 11_001)]
+    assert missed_purges(run.issued, run.index, run.lives).count == 0
+    assert false_confirmations(confirmed, run.index, run.lives).count == 0
+    assert run.stale(held, confirmed) == 0
+    assert set(everywhere_seconds(run.issued, run.index, run.lives, DEADLINE).values()) == {0.05}
+
+
+def test_a_purge_that_one_front_never_applied_is_found():
+    run = Run()
+    run.drop("b", run.issued[1])
+    found = missed_purges(run.issued, run.index, run.lives)
+    assert found.count == 1
+    assert "b never applied" in found.notes[0]
+    assert run.issued[1].identity not in everywhere_seconds(run.issued, run.index, run.lives, DEADLINE)
+
+
+def test_a_cut_does_not_excuse_a_missed_purge_and_an_end_does():
+    run = Run()
+    run.drop("b", run.issued[1])
+    run.lives[1].disturbances.append(Disturbance(10 * SECOND, 15 * SECOND))
+    assert missed_purges(run.issued, run.index, run.lives).count == 1
+    run.lives[1].end_us = 15 * SECOND
+    assert missed_purges(run.issued, run.index, run.lives).count == 0
+
+
+def test_a_word_of_an_earlier_start_counts_for_nothing():
+    run = Run()
+    run.lives[2] = FrontLife("c", 5000, 5 * SECOND)
+    assert missed_purges(run.issued, run.index, run.lives).count == len(run.issued)
+
+
+def test_the_last_front_makes_the_time_and_one_that_is_cut_off_does_not():
+    run = Run()
+    run.drop("c", run.issued[0])
+    run.applied.append(applied("c", run.issued[0], 1900))
+    times = everywhere_seconds(run.issued, run.index, run.lives, DEADLINE)
+    assert times[run.issued[0].identity] == 1.9
+    run.lives[2].disturbances.append(Disturbance(9 * SECOND, 11 * SECOND))
+    times = everywhere_seconds(run.issued, run.index, run.lives, DEADLINE)
+    assert times[run.issued[0].identity] == 0.05
+
+
+def test_the_time_after_a_cut_is_that_of_the_last_purge_of_the_cut():
+    run = Run()
+    run.lives[0].disturbances.append(Disturbance(9 * SECOND, 13 * SECOND))
+    assert seconds_after_heal(run.issued, run.index, run.lives) == 0  # all had come before the heal
+    run.drop("a", run.issued[2])
+    assert seconds_after_heal(run.issued, run.index, run.lives) is None
+    run.applied.append(applied("a", run.issued[2], 1700))
+    assert seconds_after_heal(run.issued, run.index, run.lives) == 0.7
+    run.issued.append(purge(14))  # issued after the heal, while it may still connect
+    run.applied += [applied(name, run.issued[-1], 900) for name in FRONTS]
+    assert seconds_after_heal(run.issued, run.index, run.lives) == 0.9
+
+
+def test_a_copy_older_than_a_confirmed_purge_is_found_at_once():
+    run = Run()
+    old = [HeldCopy("a", OBJECT, group_of(OBJECT), 9_999)]
+    at = run.issued[0].issued_us + SECOND // 10
+    confirmed = [Confirmation(*run.issued[0].identity, at - 1)]
+    assert run.stale(old, (), at) == 0  # within the deadline, and not confirmed
+    assert run.stale(old, confirmed, at) == 1
+
+
+def test_a_copy_older_than_a_purge_of_its_group_is_found_after_the_deadline():
+    run = Run()
+    old = [HeldCopy("b", OBJECT, group_of(OBJECT), 10_500)]  # newer than the purge of the object alone
+    assert run.stale(old, (), 11 * SECOND + DEADLINE - 1) == 0
+    assert run.stale(old, (), 11 * SECOND + DEADLINE + 1) == 1
+    run.lives[1].disturbances.append(Disturbance(10 * SECOND, 30 * SECOND))
+    assert run.stale(old) == 0  # cut off: nothing was confirmed that it lacks
+    assert run.stale(old, [Confirmation(*run.issued[1].identity, 12 * SECOND)]) == 1
+
+
+def test_a_confirmation_before_the_last_front_applied_it_is_found():
+    run = Run()
+    run.drop("c", run.issued[0])
+    run.applied.append(applied("c", run.issued[0], 1900))
+    early = Confirmation(*run.issued[0].identity, run.issued[0].issued_us + SECOND)
+    late = Confirmation(*run.issued[0].identity, run.issued[0].issued_us + 2 * SECOND)
+    assert false_confirmations([late], run.index, run.lives).count == 0
+    assert false_confirmations([early], run.index, run.lives).count == 1
+
+
+def test_a_confirmation_that_counts_the_word_of_an_earlier_start_is_found():
+    run = Run()
+    shown = Confirmation(*run.issued[0].identity, 20 * SECOND)
+    run.lives[1].end_us = 12 * SECOND
+    run.lives.append(FrontLife("b", 15_000, 16 * SECOND))
+    assert false_confirmations([shown], run.index, run.lives).count == 1
+    run.applied.append(applied("b", run.issued[0], 6000, start_ms=15_000))
+    assert false_confirmations([shown], run.index, run.lives).count == 0
+
+
+def test_a_start_after_the_confirmation_is_no_reason_to_doubt_it():
+    run = Run()
+    shown = Confirmation(*run.issued[0].identity, 20 * SECOND)
+    run.lives.append(FrontLife("d", 21_000, 21 * SECOND))
+    assert false_confirmations([shown], run.index, run.lives).count == 0
+
+
+def test_purges_come_of_the_seed_and_name_all_kinds():
+    targets = [purge_target(3, number, 100) for number in range(400)]
+    assert targets == [purge_target(3, number, 100) for number in range(400)]
+    assert targets != [purge_target(4, number, 100) for number in range(400)]
+    groups = sum(not one.object for one in targets)
+    hot = sum(one.object in HOT_OBJECTS for one in targets)
+    assert 20 < groups < 90 and 140 < hot < 260
+
+
+def test_a_report_comes_through_as_it_was_sent():
+    words = [applied("a", purge(10), 5)]
+    report = HostReport(0.5, 7, words, [], [], [HeldCopy("a", OBJECT, 3, 9)], {"trouble.x": 1})
+    assert decode(encode(report)) == report
