--- a/benchmarks/scale/front_sockets.py
+++ b/benchmarks/scale/front_sockets.py
@@ -1,19 +1,19 @@
 """Sockets that know which hollow front opened them, so that a front can be cut off and its bytes counted.
 
 A hollow host runs many fronts in one process. Their watch clients get a socket class that finds its owner in
-a context variable, which greenlets inherit from who spawned them.
+the locals of the spawn tree, which greenlets inherit from who spawned them.
 """
 
 from __future__ import annotations
 
-from contextvars import ContextVar
 from types import ModuleType
 
+import gevent
 from gevent import socket
 
 from .traffic import tcp_bytes
 
-OWNER: ContextVar[FrontSockets | None] = ContextVar("owner", default=None)
+OWNER = "owner of sockets"  # key in the locals of a spawn tree
 
 
 class FrontSockets:
@@ -26,7 +26,7 @@
 
     def own(self) -> None:
         """Makes this the owner of all sockets that the present greenlet and those it spawns open."""
-        OWNER.set(self)
+        gevent.getcurrent().spawn_tree_locals = {OWNER: self}
 
     def totals(self) -> tuple[int, int]:
         """Bytes of payload received and sent so far."""
@@ -61,7 +61,7 @@
 
     def __init__(self, *words, **options) -> None:
         super().__init__(*words, **options)
-        self.owner = OWNER.get()
+        self.owner = _present_owner()
         if self.owner:
             self.owner.open.add(self)
 
@@ -93,6 +93,10 @@
         module.socket = OwnedSocketModule("owned_sockets")
 
 
+def _present_owner() -> FrontSockets | None:
+    return getattr(gevent.getcurrent(), "spawn_tree_locals", {}).get(OWNER)
+
+
 def _bytes_of(sock: OwnedSocket) -> tuple[int, int]:
     try:
         return tcp_bytes(sock)
--- a/benchmarks/scale/sweep.py
+++ b/benchmarks/scale/sweep.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from contextlib import closing
 from dataclasses import dataclass
@@ -72,7 +71,8 @@
     def __init__(self, seed: int, hosts: int, directory: int, caches: int) -> None:
         self.directory, self.caches, self.names = directory, caches, []
         self.service = Worker("discovery_host", REGION)
-        self.population = Population(hosts, self.service.ready().addresses)
+        workers = [Worker("hollow_host") for _ in range(hosts)]
+        self.population = Population(workers, self.service.ready().addresses)
         self.issuer = PurgeIssuer(seed, directory, self.service.ask)
         self.window = Window(self.population, self.issuer, self.sample, DEADLINE_US, "discovery")
         self.service.ask(PublishCaches(cache_list(caches)))
@@ -86,7 +86,7 @@
         """Starts fronts until there are so many."""
         more = [f"h{number}" for number in range(len(self.names), fronts)]
         self.names += more
-        self.population.start(more, REGION, self.directory, self.caches)
+        self.population.start({REGION: more}, self.directory, self.caches)
 
     def measure(self, sweep: str, purges: float, seconds: float) -> Point:
         """One point at the present number of fronts."""
@@ -139,7 +139,7 @@
     """One line for a terminal."""
     worst = point.purge_everywhere_s_worst
     return (
-        f"{time.strftime('%H:%M:%S')} {point.sweep}: {point.fronts} fronts, {point.purges_per_s:g} purges/s, "
+        f"{point.sweep}: {point.fronts} fronts, {point.purges_per_s:g} purges/s, "
         f"directory {point.directory}, {point.caches} caches: worst "
         f"{'-' if worst is None else f'{worst:.3f} s'}, front {point.front_cpu:.5f} core, "
         f"{point.front_bytes_in_per_s:.0f} B/s in, {point.front_bytes_out_per_s:.1f} out, "
--- a/benchmarks/scale/workload.py
+++ b/benchmarks/scale/workload.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import cache
 
 from marbleglade.standins.world import chance
 
@@ -22,6 +23,7 @@
     )
 
 
+@cache
 def directory_key(number: int) -> int:
     """The object of a directory's entry of that number."""
     return _object_id("entry", number)
