--- a/benchmarks/scale/faults.py
+++ b/benchmarks/scale/faults.py
@@ -36,6 +36,9 @@
     FaultKind.DISCOVERY_ANEW: 3.0,
     FaultKind.REFUSED_CONFIGURATION: 5.0,
 }
+OVERHEAD = dict.fromkeys(FaultKind, 1.5) | {
+    FaultKind.RESTART_FRONTS: 6.0
+}  # seconds beside, on a busy machine
 RESTARTED_SHARE = 0.7
 ZONE_SHARE = 1 / 11  # of the fronts, that stand in one zone
 
@@ -48,6 +51,11 @@
     seconds: float
     draw: float
 
+    @property
+    def takes(self) -> float:
+        """Seconds that it takes with all that belongs to it."""
+        return self.seconds + OVERHEAD[self.kind]
+
     def choose(self, names: list[str]) -> str:
         """The one that it hits."""
         return names[int(self.draw * len(names))]
