--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -16,6 +16,7 @@
 import orjson
 
 from . import measurement_file, slopes, sweep
+from .faults import FaultKind
 from .measurement_file import Budget, Measurement
 from .plots import draw
 from .scenario import Scale, Scenario
@@ -62,12 +63,19 @@
     parser.add_argument("--plot", type=Path, help="a PNG file for the plots")
     parser.add_argument("--write", type=Path, help="the measurement file")
     parser.add_argument("--no-sweeps", action="store_true", help="only the run with a control plane")
+    parser.add_argument(
+        "--only",
+        default="",
+        help=f"only these faults, whatever time they take: {', '.join(one.name.lower() for one in FaultKind)}",
+    )
     return parser.parse_args()
 
 
 def scale_of(options: argparse.Namespace) -> Scale:
     """The size that was asked for."""
     scale = QUICK if options.quick else FULL
+    if options.only:
+        scale = replace(scale, longest=FULL.longest)
     if not options.fronts:
         return scale
     smaller = [size for size in scale.sizes[:-2] if 2 * size < options.fronts]
@@ -86,7 +94,8 @@
     measurement = measurement_file.begin(options.seed, command)
     if not (options.quick or options.no_sweeps):
         measurement.points += sweep.run(sweep.FULL, options.seed, progress)
-    scenario = Scenario(scale_of(options), options.seed, options.quick, progress)
+    only = frozenset(FaultKind[name.upper()] for name in options.only.split(",") if name)
+    scenario = Scenario(scale_of(options), options.seed, options.quick, progress, only)
     summary = scenario.run()
     measurement.points += scenario.points
     for note in scenario.notes:
--- a/benchmarks/scale/fault_runner.py
+++ b/benchmarks/scale/fault_runner.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from .configuring import Configuring
 from .control_plane import ControlPlane, SlowReaders
 from .faults import RESTARTED_SHARE, ZONE_SHARE, Fault, FaultKind
 from .messages import BeginAnew, HalfLine
@@ -27,10 +28,11 @@
         population: Population,
         discovery: Worker,
         issuer: PurgeIssuer,
+        configuring: Configuring,
         listed: int,
     ) -> None:
         self.plane, self.population, self.discovery = plane, population, discovery
-        self.issuer, self.listed = issuer, listed
+        self.issuer, self.configuring, self.listed = issuer, configuring, listed
         self.actions = {
             FaultKind.KILL_NODE: self.kill_node,
             FaultKind.HANG_NODE: self.hang_node,
@@ -41,6 +43,7 @@
             FaultKind.SLOW_READERS: self.slow_readers,
             FaultKind.HALF_LINE: self.half_line,
             FaultKind.DISCOVERY_ANEW: self.begin_anew,
+            FaultKind.REFUSED_CONFIGURATION: self.configure,
         }
 
     @property
@@ -137,3 +140,7 @@
         self.issuer.rate = rate
         gevent.sleep(fault.seconds)
         return region
+
+    def configure(self, fault: Fault) -> str:
+        """Configuration versions, one of which some fronts refuse."""
+        return self.configuring.play(fault.choose(list(REGIONS)))
--- a/benchmarks/scale/hollow_front.py
+++ b/benchmarks/scale/hollow_front.py
@@ -9,6 +9,7 @@
 import os
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from marbleglade.choice import Choice
 from marbleglade.facade import Facade
@@ -23,9 +24,11 @@
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges, lasting
 from marbleglade.standins.frontfleet import settings
-from marbleglade.wire.coordlines import ListChange, Purge
+from marbleglade.wire.coordinator import Follower
+from marbleglade.wire.coordlines import ListChange, Purge, address
 
 from .messages import AppliedPurge, HeldCopy
+from .topology import peer_address
 from .workload import COPY_AGE_MS, HOT_OBJECTS, directory_key, group_of
 
 MILLISECOND = 1_000_000  # nanoseconds
@@ -65,6 +68,25 @@
         return applied
 
 
+@dataclass(slots=True)
+class Told:
+    """What a front was told at its start: its name, and no list of caches."""
+
+    name: str
+    known: tuple[()] = ()
+
+
+class HollowPeers:
+    """The list of peers of a hollow front, to whom it sends nothing; a configuration can change it."""
+
+    def __init__(self, own: tuple[str, int]) -> None:
+        self.listen, self.order, self.everyone = own, [own], None
+
+    def renew(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
+        """Takes another list of peers."""
+        self.order, self.everyone = peers, everyone
+
+
 class NoCaches:
     """Connections to caches, of which a hollow front has none."""
 
@@ -78,7 +100,7 @@
 
 
 class HollowFront:
-    """One start of one front.
+    """One start of one front, with the parts that a client of the control plane asks for.
 
     Attributes:
         name: Its name.
@@ -96,6 +118,9 @@
         self.facade = Facade(
             around.ground, Choice, clock.now, around.most_open, self.counters, lambda text: None
         )
+        self.told, self.orders = Told(name), None
+        self.peers = HollowPeers(address(peer_address(name))) if "-" in name else None
+        self.follower: Follower | None = None
         self.front = RecordingFront(
             name,
             self.start_ms,
--- a/benchmarks/scale/hollow_host.py
+++ b/benchmarks/scale/hollow_host.py
@@ -42,12 +42,12 @@
         self.hollow = hollow
         self.sockets = FrontSockets()
         self.control: ControlClient | None = None
-        follower = Follower(tuple(command.discovery), 0, hollow.front.follow, hollow.guard, anew=True)
+        follower = hollow.follower = Follower(
+            tuple(command.discovery), 0, hollow.front.follow, hollow.guard, anew=True
+        )
         runs = [follower.run]
         if control:
-            self.control = make_client(
-                control, hollow.name, hollow.front, hollow.facade, follower, hollow.guard
-            )
+            self.control = make_client(control, hollow)
             runs.append(self.control.run)
         self.greenlets = [gevent.spawn(self._owned, run) for run in runs]
 
--- a/benchmarks/scale/scenario.py
+++ b/benchmarks/scale/scenario.py
@@ -14,6 +14,7 @@
 from ..rig import folder
 from .checkers import Confirmation, Finding, everywhere_seconds, false_confirmations, missed_purges
 from .checkers import seconds_after_heal, stale_copies
+from .configuring import Configuring
 from .control_plane import ControlPlane, free_ports
 from .fault_runner import FaultRunner
 from .faults import FaultKind, plan
@@ -88,8 +89,16 @@
 class Scenario:
     """One run. `points` are the measured windows; `faults` and `skipped` tell what was played."""
 
-    def __init__(self, scale: Scale, seed: int, quick: bool, progress: Progress) -> None:
-        self.scale, self.seed, self.quick, self.progress = scale, seed, quick, progress
+    def __init__(
+        self,
+        scale: Scale,
+        seed: int,
+        quick: bool,
+        progress: Progress,
+        only: frozenset[FaultKind] = frozenset(),
+    ) -> None:
+        self.scale, self.seed, self.quick, self.progress, self.only = scale, seed, quick, progress, only
+        self.configuring: Configuring | None = None
         self.began = time.monotonic()
         self.folder: Path = folder()
         self.points: list[Point] = []
@@ -206,9 +215,12 @@
 
     def play_faults(self) -> None:
         """Plays the faults of the seed while purges go on, as far as the time reaches."""
-        runner = FaultRunner(self.plane, self.population, self.discovery, self.issuer, self.listed)
+        self.configuring = Configuring(self.plane.settings_path, self.population, self.watch)
+        runner = FaultRunner(
+            self.plane, self.population, self.discovery, self.issuer, self.configuring, self.listed
+        )
         self.issuer.rate = self.scale.purges
-        for fault in plan(self.seed, self.quick, runner.available):
+        for fault in plan(self.seed, self.quick, self.only or runner.available):
             if self.elapsed() + fault.takes > self.scale.longest - MARGIN:
                 self.skipped.append(fault.kind.value)
                 continue
@@ -219,9 +231,6 @@
             self.progress(
                 f"{self.elapsed():.0f} s: {fault.kind.value} ({whom}), {time.monotonic() - began:.1f} s"
             )
-        for kind in FaultKind:
-            if kind not in runner.available:
-                self.skipped.append(f"{kind.value} (not available on this tree)")
         self.issuer.rate = 0
 
     def settle(self) -> None:
@@ -234,8 +243,14 @@
     def look(self) -> None:
         """Looks for stale copies and at what the run takes of the machine; takes in confirmations."""
         self.status = self.watch.ask(Collect())
+        reports = [self.status]
+        if self.configuring:
+            reports += self.configuring.reports
+            self.configuring.reports = []
         self.confirmed += [
-            Confirmation(one.object, one.group, one.unix_ms, one.shown_us) for one in self.status.confirmed
+            Confirmation(one.object, one.group, one.unix_ms, one.shown_us)
+            for report in reports
+            for one in report.confirmed
         ]
         population = self.population
         population.collect(copies=True)
@@ -297,6 +312,7 @@
             doubled=sum(report.doubled for report in reports),
         )
         self._control_cost(summary, before, after)
+        self._configuration(summary)
         self._tell(summary, reports, [missed, false, self.stale])
         return summary
 
@@ -313,6 +329,18 @@
             f"{[round(one, 4) for one in plain]} without"
         )
 
+    def _configuration(self, summary: Summary) -> None:
+        """What became of the configuration versions."""
+        outcome = self.configuring.outcome
+        if outcome.seconds:
+            summary.config_everywhere_s_worst = max(outcome.seconds)
+            summary.config_refused_named = len(outcome.named)
+            self.notes.append(
+                f"configuration versions: in force after {[round(one, 2) for one in outcome.seconds]} s, "
+                f"commands ended after {[round(one, 2) for one in outcome.command_seconds]} s"
+            )
+        summary.faults += outcome.faults
+
     def _tell(self, summary: Summary, reports: list[RealReport], findings: list[Finding]) -> None:
         for finding in findings:
             self.notes += finding.notes[:3]
--- a/benchmarks/scale/summary.py
+++ b/benchmarks/scale/summary.py
@@ -36,11 +36,13 @@
     lost: int | None = None
     doubled: int | None = None
     not_measured: dict[str, str] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)  # other rules that broke
 
     def line(self) -> dict[str, object]:
         """The content of the last line, every figure rounded and every gap explained."""
         content = asdict(self)
         gaps = content.pop("not_measured")
+        del content["faults"]
         for name, value in content.items():
             if value is None:
                 gaps.setdefault(name, NOT_RUN)
@@ -51,7 +53,7 @@
 
     def broken(self) -> list[str]:
         """The rules that broke."""
-        return [f"{name} is {getattr(self, name)}" for name in RULES if getattr(self, name)]
+        return [f"{name} is {getattr(self, name)}" for name in RULES if getattr(self, name)] + self.faults
 
 
 @dataclass(frozen=True, slots=True)
--- a/benchmarks/scale/topology.py
+++ b/benchmarks/scale/topology.py
@@ -45,6 +45,12 @@
     return names
 
 
+def peer_address(name: str) -> str:
+    """Where a hollow front would take messages of its peers; nobody sends any."""
+    region, _, number = name.rpartition("-")
+    return f"127.{REGIONS.index(region) + 1}.{int(number) // 250}.{int(number) % 250 + 1}:4000"
+
+
 def settings_text(
     discovery: Mapping[str, list], nodes: list[NodePlace], hollow: int, real_names: list[str]
 ) -> str:
