Capacity: a measurement of what each role costs by fronts, caches and what is kept

The operators expect 730 fronts before 78 caches within two years and ask for slopes in place of guesses. python -m benchmarks.capacity measures, without sockets, a purge by directory, copies, open requests and purges told lately, a change of the list by caches, the fleet agent and the maintenance lease quorum on simulated time; and on loopback one real front before stand-in caches: memory, descriptors, processor time of a request by the size of its answer.

--- /dev/null
+++ b/benchmarks/capacity/fleet_agent.py
@@ -0,0 +1,187 @@
+"""What a fleet agent sends and computes by the number of members, on simulated time, without requests.
+
+The agents are settled from the start: each knows when the others began. Two kinds are told apart: the member
+that holds the duty of the aggregated load view, which sends to all, and any other member. Processor time is
+that of the agent's own calls with the coding of its datagrams, not of sockets.
+"""
+
+from __future__ import annotations
+
+import heapq
+import statistics
+import sys
+import time
+import tracemalloc
+from dataclasses import dataclass, field
+
+from marbleglade.fleet.members import Members
+from marbleglade.fleet.together import EVERYONE, Together
+from marbleglade.fleet.views import Crowd
+from marbleglade.interface import Seen
+from marbleglade.wire import gossip
+
+from ..simfleet import ground
+from .fit import fitted_by_name
+from .records import Point, Slope
+
+MILLISECOND = 1_000_000  # ns
+SECOND = 1000 * MILLISECOND
+PERIOD = SECOND  # of a probe
+TICK = 250 * MILLISECOND  # the sweep of a front's loop
+STEP = 10 * MILLISECOND
+DELAY = 20 * MILLISECOND  # of a datagram
+SETTLE, MEASURE = 6, 8  # simulated seconds
+BEGAN_MS = 1_700_000_000_000
+LINKS = 9  # links of a loaded front, as many as a report holds
+SAMPLED = 8  # members beside the aggregator whose processor time is taken
+COMMAND = "python -O -m benchmarks.capacity --only fleet"
+
+
+@dataclass(slots=True)
+class Use:
+    """What one member sent and received, and the processor time of its calls, in ns."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    busy: int = 0
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What a front saw of its links, growing with time; an idle front saw nothing."""
+
+    loaded: bool
+    began: int
+
+    def seen(self, now: int) -> Seen:
+        """The counters that a front would hand to its agent now."""
+        if not self.loaded:
+            return Seen(0, 0, 0, 0, {}, [], [])
+        done = (now - self.began) // 2
+        return Seen(done, done, 0, 0, {key: (done, done * 2) for key in range(LINKS)}, [], [])
+
+
+@dataclass(slots=True)
+class SimulatedFleet:
+    """`count` agents that exchange real datagrams in order of time; `loaded` fills their reports."""
+
+    count: int
+    loaded: bool
+    now: int = 100 * SECOND
+    agents: list[Together] = field(default_factory=list)
+    uses: list[Use] = field(default_factory=list)
+    queue: list[tuple[int, int, int, int, bytes]] = field(default_factory=list)
+    number: int = 0
+    timed: frozenset[int] = frozenset()
+
+    def __post_init__(self) -> None:
+        self.uses = [Use() for _ in range(self.count)]
+        for own in range(self.count):
+            settings = ground(own, self.count)
+            settings.zone = own % 11
+            agent = Together(own, self.count, BEGAN_MS, settings, PERIOD, self.now, own)
+            settle(agent.members)
+            self.agents.append(agent)
+
+    def send(self, sender: int, out) -> None:
+        """Codes what is due and puts it under way, one datagram for each receiver."""
+        use = self.uses[sender]
+        for one in out:
+            data = gossip.encode(one.message)
+            receivers = self.agents[sender].members.others() if one.to == EVERYONE else (one.to,)
+            use.sent += len(receivers)
+            use.sent_bytes += len(data) * len(receivers)
+            for receiver in receivers:
+                self.number += 1
+                heapq.heappush(self.queue, (self.now + DELAY, self.number, sender, receiver, data))
+
+    def turn(self, own: int, traffic: Traffic) -> None:
+        """One sweep of a front."""
+        crowd = Crowd(0.5, 100) if self.loaded else None
+        began = time.process_time_ns() if own in self.timed else 0
+        self.send(own, self.agents[own].turn(self.now, lambda: traffic.seen(self.now), lambda: crowd))
+        self.uses[own].busy += time.process_time_ns() - began if began else 0
+
+    def receive(self, sender: int, own: int, data: bytes) -> None:
+        """One datagram at its receiver."""
+        use = self.uses[own]
+        use.received += 1
+        use.received_bytes += len(data)
+        began = time.process_time_ns() if own in self.timed else 0
+        self.send(own, self.agents[own].take(sender, gossip.decode(data), self.now))
+        use.busy += time.process_time_ns() - began if began else 0
+
+    def run(self, seconds: int) -> None:
+        """Passes so much simulated time."""
+        traffic, end = Traffic(self.loaded, 100 * SECOND - PERIOD), self.now + seconds * SECOND
+        while self.now < end:
+            self.now += STEP
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, sender, own, data = heapq.heappop(self.queue)
+                self.receive(sender, own, data)
+            offset = self.now // STEP % (TICK // STEP)
+            for own in range(offset, self.count, TICK // STEP):
+                self.turn(own, traffic)
+
+    def aggregator(self) -> int:
+        """The member that holds the duty of the view."""
+        return next(number for number, agent in enumerate(self.agents) if agent.duty.mine)
+
+
+def settle(members: Members) -> None:
+    """As if all had been up for long: each start is known, and there is no news."""
+    for member in members.all.values():
+        member.start, member.begun = BEGAN_MS, members.ticked - 100 * PERIOD
+    members.news.clear()
+
+
+def measure(count: int, loaded: bool) -> list[Point]:
+    """The figures of one size of the fleet, by role."""
+    fleet = SimulatedFleet(count, loaded)
+    fleet.run(SETTLE)
+    holder = fleet.aggregator()
+    others = [number for number in range(count) if number != holder]
+    sampled = others[:: max(1, len(others) // SAMPLED)]
+    fleet.uses = [Use() for _ in range(count)]
+    fleet.timed = frozenset([holder, *sampled])
+    fleet.run(MEASURE)
+    kind = "loaded" if loaded else "idle"
+    found = []
+    for role, numbers in (("view aggregator", [holder]), ("front", sampled)):
+        uses = [fleet.uses[number] for number in numbers]
+        for quantity, unit, values in (
+            ("bytes sent", "B/s", [use.sent_bytes / MEASURE for use in uses]),
+            ("bytes received", "B/s", [use.received_bytes / MEASURE for use in uses]),
+            ("datagrams sent", "1/s", [use.sent / MEASURE for use in uses]),
+            ("datagrams received", "1/s", [use.received / MEASURE for use in uses]),
+            ("processor time", "core", [use.busy / MEASURE / SECOND for use in uses]),
+        ):
+            name = f"fleet {kind} {role} {quantity}"
+            at = {"fronts": count}
+            found.append(Point(name, role, quantity, unit, at, statistics.fmean(values), COMMAND))
+    return found
+
+
+def member_memory(count: int) -> Point:
+    """Bytes that one member table takes."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    members = Members(0, count, BEGAN_MS, PERIOD, SECOND, 1)
+    settle(members)
+    for member in members.all.values():
+        member.start, member.by = BEGAN_MS + member.round, {0}
+    used = tracemalloc.get_traced_memory()[0] - before + sys.getsizeof(members.news)
+    tracemalloc.stop()
+    return Point("fleet front member table", "front", "memory", "B", {"fronts": count}, used, COMMAND)
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """All sizes; the slopes by fronts."""
+    sizes = (50, 200) if quick else (50, 200, 730, 1460)
+    points = [member_memory(count) for count in sizes]
+    for loaded in (False, True):
+        for count in sizes:
+            points += measure(count, loaded)
+    return points, fitted_by_name(points, "fronts")
--- /dev/null
+++ b/benchmarks/capacity/front_process.py
@@ -0,0 +1,149 @@
+"""One real front under test on loopback: its process, stand-in caches that answer at once, and clients."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+
+from marbleglade.standins.clients import Client
+from marbleglade.standins.coordinator import Coordinator
+from marbleglade.standins.frontfleet import ZONE, settings
+from marbleglade.standins.places import Place
+from marbleglade.standins.regions import free_port
+from marbleglade.standins.world import MS, Library, RegionClock, tag_of
+
+from ..rig import Process
+from .hosted_front import object_number
+
+MEMORY_MB = 1024
+DESCRIPTORS = 1024
+PACE = 1_000_000_000  # bytes a second of one transfer, where the front keeps copies: never the limit here
+PATIENCE_MS = 2500
+READY_SECONDS = 20.0
+PROFILE = "dish-media"
+
+
+class FrontFailedError(RuntimeError):
+    """The front did not answer as it must; no figure may be taken from such a run."""
+
+
+class FrontProcess(Process):
+    """`python -O -m marbleglade` with its configuration."""
+
+    def start(self) -> None:
+        """Starts the program itself, not the one that shifts clocks."""
+        self.words = [sys.executable, "-O", "-m", "marbleglade"]
+        super().start()
+
+    def descriptors(self) -> int:
+        """Open file descriptors."""
+        return len(os.listdir(f"/proc/{self.running.pid}/fd"))
+
+
+class FrontBench:
+    """A front before `caches` stand-in caches that hold every object that is asked for.
+
+    Args:
+        folder: Where its configuration and log go.
+        caches: How many stand-in caches are listed.
+        keeps_copies: Whether the front keeps copies of its own.
+    """
+
+    def __init__(self, folder: Path, caches: int = 4, keeps_copies: bool = False) -> None:
+        self.folder = folder
+        region_clock = RegionClock()
+        self.store = Place("root", Library("store", region_clock, lambda thing: True))
+        self.hub = Place("hub0", clock=region_clock)
+        self.caches = [Place(f"box{number}", clock=region_clock) for number in range(caches)]
+        self.coordinator = Coordinator(ZONE)
+        listed = [*((cache, "box") for cache in self.caches), (self.hub, "hub"), (self.store, "root")]
+        self.coordinator.list(listed, whole=True)
+        self.address = ("127.0.0.1", free_port())
+        self.bodies: dict[int, bytes] = {}
+        self.clients: list[Client] = []
+        self.process = FrontProcess(
+            "front", [], folder, environ={"GW_CONFIG": str(self._configuration(keeps_copies))}
+        )
+        self._wait_ready()
+
+    def _configuration(self, keeps_copies: bool) -> Path:
+        events = [json.loads(line) for line in self.coordinator.events]
+        told = {
+            "name": "front",
+            "listen": ":".join(map(str, self.address)),
+            "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
+            "coordinator": ":".join(map(str, self.coordinator.address)),
+            "known": {"index": len(events), "updates": events},
+            "settings": settings(1, PeerMessages=False),
+        }
+        if keeps_copies:
+            told |= {"flow_bytes_per_s": PACE, "link_bytes_per_s": PACE * 100}
+        path = self.folder / "front.json"
+        path.write_text(json.dumps(told))
+        return path
+
+    def _wait_ready(self) -> None:
+        with gevent.Timeout(READY_SECONDS, FrontFailedError("the front did not get ready")):
+            while True:
+                with suppress(OSError):
+                    client = Client(self.address)
+                    said = client.status()
+                    client.close()
+                    if said and said.word == "yes":
+                        return
+                gevent.sleep(0.05)
+
+    def hold(self, first: int, count: int, size: int) -> list[int]:
+        """So many objects of that size at all caches; gives their numbers."""
+        issued = time.time_ns() // MS
+        found = [object_number(place) for place in range(first, first + count)]
+        for thing in found:
+            body = thing.to_bytes(8) * (size // 8)
+            self.bodies[thing] = body
+            for cache in self.caches:
+                cache.kept[thing, 0] = tag_of(thing, 0, 1), issued, body
+        return found
+
+    def connect(self, count: int) -> None:
+        """Opens client connections until there are so many."""
+        while len(self.clients) < count:
+            self.clients.append(Client(self.address, len(self.clients) + 1))
+
+    def ask_all(self, things: list[int], workers: int) -> None:
+        """Asks for each object once, `workers` at a time, one on each connection; checks every answer.
+
+        Raises `FrontFailedError` where any was not answered with its bytes.
+        """
+        self.connect(workers)
+        left = list(reversed(things))
+        failed: list[str] = []
+
+        def work(client: Client) -> None:
+            while left:
+                thing = left.pop()
+                said = client.ask(PROFILE, thing, patience=PATIENCE_MS)
+                if said is None or said.body != self.bodies[thing]:
+                    failed.append(f"{thing:016x}: {said.word if said else 'no answer'}")
+
+        gevent.joinall([gevent.spawn(work, client) for client in self.clients[:workers]], raise_error=True)
+        broken = sum(client.doubled + client.garbled for client in self.clients)
+        if failed or broken:
+            raise FrontFailedError(f"{len(failed)} of {len(things)} failed, {broken} broken: {failed[:3]}")
+
+    def close(self) -> None:
+        """Ends the front and all stand-ins. Raises `FrontFailedError` where it did not end well."""
+        for client in self.clients:
+            client.close()
+        returned = self.process.stop()
+        for one in (self.coordinator, self.hub, self.store, *self.caches):
+            one.close()
+        faults = [name for name in self.process.counts() if name.startswith(("trouble.", "broken."))]
+        if returned or faults:
+            raise FrontFailedError(f"the front ended with {returned}, counted {faults}")
--- /dev/null
+++ b/benchmarks/capacity/hosted_front.py
@@ -0,0 +1,127 @@
+"""A front's own parts in this process, without sockets, to be filled and told of purges and list changes."""
+
+from __future__ import annotations
+
+import os
+import time
+
+from marbleglade.choice import Choice
+from marbleglade.facade import Facade, Go
+from marbleglade.front import Front
+from marbleglade.ground import Surroundings, read_ground
+from marbleglade.interface import Outcome, Retrieval
+from marbleglade.life import clock
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.memory.copies import Copies, Copy
+from marbleglade.memory.places import Places
+from marbleglade.memory.purges import Purges, lasting
+from marbleglade.memory.room import Room
+from marbleglade.standins.frontfleet import ZONE, settings
+from marbleglade.wire.caches import Caches
+from marbleglade.wire.coordlines import ListChange, Member
+from marbleglade.wire.resp import Ask
+
+SECOND = 1_000_000_000  # ns
+GROUPS = 256  # of purges
+PACE = 2_000_000  # bytes a second of one transfer
+COPIES_BYTES = 1 << 30
+OBJECT_STEP = 0x9E3779B97F4A7C15  # spreads objects over all numbers
+
+
+def object_number(place: int) -> int:
+    """The object of that place in a row; never 0."""
+    return (place + 1) * OBJECT_STEP & 0xFFFF_FFFF_FFFF_FFFF
+
+
+def members(count: int, state: str = "active") -> list[Member]:
+    """So many caches as the discovery service lists them, and a parent and an origin."""
+    caches = [
+        Member(f"box{n}", ("127.0.0.1", 1024 + n), ZONE, "box", 0, state, 1_700_000_000_000)
+        for n in range(count)
+    ]
+    return [
+        *caches,
+        Member("hub0", ("127.0.0.1", 1022), ZONE, "hub", 0, "active", 1),
+        Member("root", ("127.0.0.1", 1023), ZONE, "root", 0, "active", 1),
+    ]
+
+
+class HostedFront:
+    """The decisions, copies and open requests of one front, put together as `life.service` does."""
+
+    def __init__(self, caches: int = 8) -> None:
+        around: Surroundings = read_ground(settings(1, PeerMessages=False), 1, own_width=4.0)
+        ground, counters = around.ground, Counters(strict=False)
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        guard = Guard(counters, Log("measured", counters, sink=self.sink))
+        places, purges = Places(around, clock.from_unix_ms), Purges(lasting(ground))
+        self.profile = around.profiles["menu-pages"]
+        self.facade = Facade(ground, Choice, clock.now, 0, counters, lambda text: None)
+        connections = Caches(
+            places.by_cache,
+            Room(1 << 28),
+            64,
+            around.connect_timeout,
+            around.idle_close,
+            around.streams,
+            clock.now,
+            guard,
+            lambda retrieval, since: False,
+        )
+        self.copies = Copies(COPIES_BYTES)
+        self.front = Front(self.facade, connections, places, purges, self.copies, PACE, guard)
+        self.front.apply(ListChange(1, True, members(caches)))
+
+    def close(self) -> None:
+        """Gives the log's descriptor back."""
+        os.close(self.sink)
+
+    def request(self, number: int, group: int) -> tuple[Ask, Retrieval]:
+        """A client's request of an object, as the door hands it over."""
+        ask = Ask(
+            number,
+            self.profile,
+            "menu-pages",
+            "0" * 16,
+            2 * SECOND,
+            False,
+            f"{number:016x}",
+            0,
+            group,
+            "",
+            b"",
+        )
+        return ask, self.front.take(ask)
+
+    def serve(self, place: int) -> None:
+        """One request that a cache answers at once: the directory lists its object from then on."""
+        _, retrieval = self.request(object_number(place), place % GROUPS)
+        step = self.facade.pick(retrieval)
+        while isinstance(step, Go):
+            self.facade.report(step, Outcome.OK)
+            step = self.facade.pick(retrieval)
+        self.facade.close(retrieval)
+
+    def keep_copy(self, place: int, body: bytes, age: int = 0) -> None:
+        """A copy of the front's own, given out `age` ns ago."""
+        copy = Copy(body, f"{place:016x}", clock.now() - age, place % GROUPS)
+        self.copies.put(object_number(place), 0, copy, 0)
+
+    def hold_open(self, place: int) -> Retrieval:
+        """A request that waits for a cache and was shown the front's own copy, which is too old to be given."""
+        self.profile.fresh = SECOND
+        self.keep_copy(place, b"x", age=2 * SECOND)
+        ask, retrieval = self.request(object_number(place), place % GROUPS)
+        if self.front.answer_now(ask, retrieval) is not None or retrieval.held is None:
+            raise RuntimeError("the request is not open with a copy")
+        return retrieval
+
+
+def seconds_of(work, times: int) -> float:
+    """Processor time of one call of `work`, which gets the number of the call, as the mean of so many."""
+    began = time.process_time_ns()
+    for number in range(times):
+        work(number)
+    return (time.process_time_ns() - began) / times / SECOND
--- /dev/null
+++ b/benchmarks/capacity/list_changes.py
@@ -0,0 +1,63 @@
+"""What a change of the list of caches costs a front by the number of caches, from the line to the decisions."""
+
+from __future__ import annotations
+
+import orjson
+
+from marbleglade.standins.frontfleet import ZONE
+from marbleglade.wire.coordlines import Events
+
+from .fit import fitted_by_name
+from .hosted_front import HostedFront, members, seconds_of
+from .records import Point, Slope
+
+COMMAND = "python -O -m benchmarks.capacity --only list"
+RUNS, CHANGES = 5, 20
+
+
+def line(index: int, caches: int, whole: bool) -> bytes:
+    """A list change as the discovery service sends it: the whole list, or one cache that leaves or is back."""
+    found = members(caches)
+    if not whole:
+        found = found[:1]
+        found[0].state = ("active", "leaving")[index % 2]
+    servers = [
+        {
+            "id": one.id,
+            "addr": ":".join(map(str, one.address)),
+            "zone": ZONE,
+            "kind": one.kind,
+            "cell": one.cell,
+            "state": one.state,
+            "weight": 1,
+            "started_ms": one.started_ms,
+        }
+        for one in found
+    ]
+    told = {"index": index, "endpoints": {"version": index, "full": whole, "servers": servers}}
+    return orjson.dumps(told, option=orjson.OPT_APPEND_NEWLINE)
+
+
+def measure(caches: int, whole: bool) -> list[Point]:
+    """Processor time of one change, and the bytes of its line."""
+    host = HostedFront(caches)
+    lines = [line(2 + number, caches, whole) for number in range(CHANGES)]
+
+    def change(number: int) -> None:
+        for event in Events().feed(lines[number]):
+            host.front.apply(event)
+
+    seconds = min(seconds_of(change, CHANGES) for _ in range(RUNS))
+    host.close()
+    kind, at = "whole list" if whole else "one cache changed", {"caches": caches}
+    return [
+        Point(f"list change {kind}", "front", "processor time of a change", "s", at, seconds, COMMAND),
+        Point(f"list bytes {kind}", "front", "bytes of a change", "B", at, len(lines[0]), COMMAND),
+    ]
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """Both kinds of change at all sizes, with their slopes."""
+    sizes = (8, 78) if quick else (8, 26, 78, 156)
+    points = [point for whole in (True, False) for caches in sizes for point in measure(caches, whole)]
+    return points, fitted_by_name(points, "caches")
--- /dev/null
+++ b/benchmarks/capacity/maintenance.py
@@ -0,0 +1,68 @@
+"""What the leader of the maintenance lease quorum sends by the number of fronts, on simulated time.
+
+Every front is a voter. The figures are those of an order in force with some machines out, without losses.
+"""
+
+from __future__ import annotations
+
+from marbleglade.fleet.grants import Claim, Held, Hold, Vote
+from marbleglade.fleet.order import Cap, Kind, front_name
+from marbleglade.standins.airwaves import Airwaves
+from marbleglade.wire import workgrams
+
+from ..simwork import SimWork
+from .fit import fitted_by_name
+from .records import Point, Slope
+
+SETTLE, MEASURE = 6.0, 12.0  # simulated seconds: until a leader is chosen, and of the measurement
+OUT_AT_ONCE = 4
+LASTING_NS = 600 * 1_000_000_000  # of the work on one machine: nobody comes back during the measurement
+COMMAND = "python -O -m benchmarks.capacity --only maintenance"
+
+
+class CountedAirwaves(Airwaves):
+    """A network without losses that counts the datagrams of the quorum by sender and by receiver."""
+
+    def __init__(self, seed: int, deliver) -> None:
+        super().__init__(seed, deliver)
+        self.sent: dict[int, list[int]] = {}
+        self.received: dict[int, list[int]] = {}
+
+    def send(self, sender: int, to: int, data: bytes, now: int) -> None:
+        """Passes a datagram on."""
+        if isinstance(workgrams.decode(data), Claim | Vote | Hold | Held):
+            self.sent.setdefault(sender, []).append(len(data))
+            self.received.setdefault(to, []).append(len(data))
+        super().send(sender, to, data, now)
+
+
+def measure(fronts: int) -> list[Point]:
+    """The leader's traffic and that of another front."""
+    world = SimWork(fronts, 0, 1, takes=LASTING_NS)
+    air = world.air = CountedAirwaves(1, world.deliver)
+    world.run(SETTLE)
+    names = [front_name(number) for number in range(fronts)]
+    world.ordered(names, [Cap(OUT_AT_ONCE, Kind.FRONT)], takes_ms=600_000)
+    world.run(SETTLE)
+    air.sent.clear()
+    air.received.clear()
+    world.run(MEASURE)
+    leader = next(number for number, front in world.fronts.items() if front.works.grants.leading)
+    other = next(number for number in world.fronts if number != leader)
+    found = []
+    for role, number in (("maintenance leader", leader), ("front", other)):
+        for quantity, sizes in (
+            ("sent", air.sent.get(number, [])),
+            ("received", air.received.get(number, [])),
+        ):
+            for what, unit, value in (("datagrams", "1/s", len(sizes)), ("bytes", "B/s", sum(sizes))):
+                name = f"maintenance {role} {what} {quantity}"
+                at = {"fronts": fronts}
+                found.append(Point(name, role, f"{what} {quantity}", unit, at, value / MEASURE, COMMAND))
+    return found
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """All sizes; the slopes by fronts."""
+    points = [point for fronts in ((50, 200) if quick else (50, 200, 730)) for point in measure(fronts)]
+    return points, fitted_by_name(points, "fronts")
--- /dev/null
+++ b/benchmarks/capacity/purges.py
@@ -0,0 +1,104 @@
+"""What one purge costs a front, by what it keeps: the directory, its own copies, open requests, late purges.
+
+Purges name objects that the front does not know, as all but one in ten thousand do. Processor time of calls
+without sockets; the least of several runs, which is the one that other work on the machine disturbed least.
+"""
+
+from __future__ import annotations
+
+from marbleglade.life import clock
+from marbleglade.wire.coordlines import Purge
+
+from .fit import fitted
+from .hosted_front import HostedFront, object_number, seconds_of
+from .records import Point, Slope
+
+COMMAND = "python -O -m benchmarks.capacity --only purges"
+ABSENT = 1 << 40  # places of objects from here on are known to no front
+RUNS, PURGES = 5, 40
+CATCH_UP = 256  # purges that follow one another, for the cost of those told lately
+
+
+class PurgeCost:
+    """Measures one hosted front's cost of a purge."""
+
+    def __init__(self) -> None:
+        self.host, self.next = HostedFront(), ABSENT
+
+    def purge_choice(self, _: int) -> None:
+        """Tells the decisions alone."""
+        self.next += 1
+        self.host.facade.purged(object_number(self.next), 0, clock.now())
+
+    def purge_copies(self, _: int) -> None:
+        """Tells the own copies alone."""
+        self.next += 1
+        self.host.copies.purge(object_number(self.next), 0, clock.now())
+
+    def purge_front(self, _: int) -> None:
+        """Tells the whole front."""
+        self.next += 1
+        unix_ms = clock.to_unix_ms(clock.now())
+        self.host.front.apply(Purge(self.next, object_number(self.next), 0, unix_ms))
+
+    def least(self, work) -> float:
+        """Seconds of one call, the least of several means."""
+        return min(seconds_of(work, PURGES) for _ in range(RUNS))
+
+
+def by_directory(size: int) -> Point:
+    """With so many objects in the directory."""
+    cost = PurgeCost()
+    for place in range(size):
+        cost.host.serve(place)
+    return _point("purge by directory", "directory_entries", size, cost.least(cost.purge_choice), cost)
+
+
+def by_copies(size: int) -> Point:
+    """With so many copies of the front's own."""
+    cost = PurgeCost()
+    for place in range(size):
+        cost.host.keep_copy(place, b"x")
+    return _point("purge by copies", "copies", size, cost.least(cost.purge_copies), cost)
+
+
+def by_open_requests(size: int) -> Point:
+    """With so many requests open that were shown a copy; the copies' part is left out."""
+    cost = PurgeCost()
+    for place in range(size):
+        cost.host.hold_open(place)
+    cost.host.copies.kept.clear()
+    whole = cost.least(cost.purge_front)
+    return _point("purge by open requests", "open_requests", size, whole, cost)
+
+
+def by_recent_purges(size: int) -> Point:
+    """With so many purges that were told just before, as after a cut between regions."""
+    cost = PurgeCost()
+    for _ in range(size):
+        cost.purge_front(0)
+    whole = min(seconds_of(cost.purge_front, 16) for _ in range(RUNS))
+    return _point("purge by recent purges", "recent_purges", size, whole, cost)
+
+
+def _point(name: str, size: str, at: int, seconds: float, cost: PurgeCost) -> Point:
+    cost.host.close()
+    return Point(name, "front", "processor time of a purge", "s", {size: at}, seconds, COMMAND)
+
+
+SIZES = (
+    (by_directory, "directory_entries", (1024, 2048, 4096, 8192)),
+    (by_copies, "copies", (1000, 4000, 16000)),
+    (by_open_requests, "open_requests", (100, 1000, 4000)),
+    (by_recent_purges, "recent_purges", (100, 400, 1600, 6400)),
+)
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """All of them, each with its slope."""
+    points, slopes = [], []
+    for measure, size, sizes in SIZES:
+        found = [measure(one) for one in (sizes[:2] if quick else sizes)]
+        points += found
+        slopes.append(fitted(found, size))
+    return points, slopes
