Capacity: streams, load views, takeovers, gateways, and the tables made from the record

Adds bytes of a watch and of peers' hints by purges a second, bytes of a load view by zones, how long a fleet on simulated time goes without its aggregator, and the gateway's cost by open requests.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -16,15 +16,30 @@
 from contextlib import suppress
 from pathlib import Path
 
-from . import fleet_agent, front_cost, list_changes, maintenance, page, purges
+from . import (
+    fleet_agent,
+    front_cost,
+    gateway,
+    list_changes,
+    maintenance,
+    page,
+    purges,
+    streams,
+    takeover,
+    view_size,
+)
 from .records import RECORDED, InvalidRecordError, Measurement, Point, Slope, load, save
 
 MEASUREMENTS: dict[str, Callable[[bool], tuple[list[Point], list[Slope]]]] = {
+    "streams": streams.run,
     "purges": purges.run,
     "list": list_changes.run,
+    "view": view_size.run,
     "fleet": fleet_agent.run,
+    "takeover": takeover.run,
     "maintenance": maintenance.run,
     "front": front_cost.run,
+    "gateway": gateway.run,
 }
 FILE = RECORDED / "capacity.json"
 BUSY_LOAD = 0.5  # of the cores: with more, other work may have disturbed the figures
--- /dev/null
+++ b/benchmarks/capacity/failures.py
@@ -0,0 +1,167 @@
+"""The events of the operators' list: what is lost, what carries it, how long service and control take."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from marbleglade.fleet import members
+from marbleglade.wire import coordinator
+
+from . import operators
+from .numbers_shown import shown
+from .records import Measurement
+from .scale_record import ScaleRecord
+from .totals import Term, total
+
+CUT_SECONDS = 3600  # for which regions lose each other
+CATCH_UP = 6144  # bytes a second of one front that catches up: the default of the control plane's settings
+PROBE = 1.0  # seconds between probes of a fleet agent, by default
+NOT_RECORDED = "not recorded"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """One row of the table."""
+
+    event: str
+    lost: str
+    mechanism: str
+    service: str
+    control: str
+    basis: str
+
+
+def suspicion_seconds(fronts: int) -> tuple[float, float]:
+    """How long a fleet agent suspects a member before it holds it dead, least and most: `Members.lasting`."""
+    size = PROBE * max(1.0, math.log10(fronts))
+    return size * members.LEAST, size * members.MOST
+
+
+def failures(recorded: Measurement, scale: ScaleRecord | None) -> list[Failure]:
+    """All rows."""
+    return [
+        _front_machine(recorded),
+        _control_machine(scale),
+        _cache_machine(),
+        _restarts(recorded),
+        _rack(),
+        _zone(scale),
+        _regions(recorded, scale),
+    ]
+
+
+def _front_machine(recorded: Measurement) -> Failure:
+    least, most = suspicion_seconds(operators.FRONTS)
+    takeover = recorded.value("aggregator takeover", fronts=operators.FRONTS)
+    dead = recorded.value("member held dead", fronts=operators.FRONTS)
+    return Failure(
+        "a front machine fails (2 machines a day of any kind)",
+        "its open requests and connections, its own copies and directory",
+        "clients' retry at another front; fleet agents hold it dead; duties are taken over",
+        "as fast as clients and the load balancer turn away: not ours",
+        f"held dead everywhere after {shown(dead, 's')} (by the settings {shown(least, 's')} to "
+        f"{shown(most, 's')} after the first missed probe); where it was the view aggregator "
+        f"{shown(takeover, 's')} without a view",
+        f"simulated time, {operators.FRONTS} fronts",
+    )
+
+
+def _control_machine(scale: ScaleRecord | None) -> Failure:
+    return Failure(
+        "a control machine fails",
+        "its streams; nothing that a front needs",
+        "each front watches a second node in another zone; the first word of either counts",
+        "not touched",
+        _scale_seconds(scale, "purge_everywhere_s_worst", "worst purge with a node killed and one hung: "),
+        "measured on loopback, see the scale run" if scale else NOT_RECORDED,
+    )
+
+
+def _cache_machine() -> Failure:
+    return Failure(
+        "a cache machine fails",
+        f"the copies of one in {operators.CACHES}; requests under way there",
+        "requests are tried again elsewhere within the budget of retries; the circuit opens; the discovery "
+        "service delists it",
+        "a retry: within the latency target of its class",
+        f"a list change: heartbeat bound {shown(coordinator.SILENT, 's')} at worst before the control plane",
+        "worked out; retries are tested, see docs/crossings.md",
+    )
+
+
+def _restarts(recorded: Measurement) -> Failure:
+    entry = recorded.slope("memory by directory")
+    refill = operators.DIRECTORY_ENTRIES * entry.per["directory_entry"]
+    return Failure(
+        "110 restarts or replacements a day, planned",
+        f"own copies and the directory ({shown(refill, 'B')} of state), no request",
+        "the front answers what is open, then ends; the maintenance plan bounds how many are out at once",
+        "no gap: others serve meanwhile; a restarted front fills as it is asked",
+        "a new start counts as confirmed only after it has caught up",
+        "tested with processes (docs/work.md); amount of state measured",
+    )
+
+
+def _rack() -> Failure:
+    return Failure(
+        "a rack or switch (every month or two)",
+        "all machines behind it at once, at most one control node where racks are zones' parts",
+        "as for single machines; a front's two control nodes stand in different zones",
+        "as for single machines",
+        "as for single machines",
+        "worked out",
+    )
+
+
+def _zone(scale: ScaleRecord | None) -> Failure:
+    fronts, caches = operators.FRONTS / operators.ZONES, operators.CACHES / operators.ZONES
+    return Failure(
+        "a zone (a few times a year)",
+        f"about {math.ceil(fronts)} fronts and {math.ceil(caches)} caches with their copies, and the control "
+        "nodes there",
+        "the second control node stands in another zone; a majority of nodes stays where no zone holds half",
+        "other zones take the load: 1 in 11 more each; refill of the lost caches' share from parents",
+        _scale_seconds(scale, "purge_after_cut_s", "purges after a cut applied everywhere within "),
+        "cut measured on loopback, the load worked out" if scale else NOT_RECORDED,
+    )
+
+
+def _regions(recorded: Measurement, scale: ScaleRecord | None) -> Failure:
+    purges = operators.PURGES_PER_S * CUT_SECONDS
+    line_bytes = recorded.slope("watch").per["purge_per_s"]
+    paced = purges * line_bytes / CATCH_UP
+    return Failure(
+        "regions lose each other for an hour (now and then)",
+        "confirmation of the other side's purges; nothing in the own region",
+        "each region's discovery service and control nodes go on; after healing all is applied before "
+        "anything older is given out",
+        "not touched; what can't be known to be unpurged is not given out",
+        f"{purges:,} purges of {shown(line_bytes, 'B')} at {CATCH_UP:,} B/s: {shown(paced, 's')}; applying "
+        f"them at a front: {shown(_applying(recorded, purges), 's')} of processor time by the recorded cost",
+        "worked out" + (_scale_note(scale) if scale else ""),
+    )
+
+
+def _applying(recorded: Measurement, purges: int) -> float:
+    """Processor time of a front that is told so many purges one after the other, as lately as that."""
+    each = ("directory", "copies", "open requests")
+    once = total(recorded, (Term(f"purge by {what}") for what in each), operators.FRONTS)
+    recent = recorded.slope("purge by recent purges")
+    return purges * (once + recent.per["recent_purge"] * purges / 2)
+
+
+def _scale_seconds(scale: ScaleRecord | None, field: str, words: str) -> str:
+    if scale is None:
+        return NOT_RECORDED
+    value = scale.summary.get(field)
+    return f"{words}{shown(value, 's')}" if value is not None else f"not measured: {_why(scale, field)}"
+
+
+def _why(scale: ScaleRecord, field: str) -> str:
+    return scale.not_measured.get(field, "no reason recorded")
+
+
+def _scale_note(scale: ScaleRecord) -> str:
+    value = scale.summary.get("purge_after_cut_s")
+    return f"; scaled cut measured: {shown(value, 's')}" if value is not None else "; no cut was measured"
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -18,6 +18,8 @@
     "recent_purges": "recent_purge",
     "object_bytes": "object_byte",
     "clients": "client",
+    "purges_per_s": "purge_per_s",
+    "zones": "zone",
 }
 
 
--- a/benchmarks/capacity/fleet_agent.py
+++ b/benchmarks/capacity/fleet_agent.py
@@ -75,6 +75,7 @@
     queue: list[tuple[int, int, int, int, bytes]] = field(default_factory=list)
     number: int = 0
     timed: frozenset[int] = frozenset()
+    stopped: set[int] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.uses = [Use() for _ in range(self.count)]
@@ -120,10 +121,12 @@
             self.now += STEP
             while self.queue and self.queue[0][0] <= self.now:
                 _, _, sender, own, data = heapq.heappop(self.queue)
-                self.receive(sender, own, data)
+                if own not in self.stopped:
+                    self.receive(sender, own, data)
             offset = self.now // STEP % (TICK // STEP)
             for own in range(offset, self.count, TICK // STEP):
-                self.turn(own, traffic)
+                if own not in self.stopped:
+                    self.turn(own, traffic)
 
     def aggregator(self) -> int:
         """The member that holds the duty of the view."""
--- /dev/null
+++ b/benchmarks/capacity/front_machine.py
@@ -0,0 +1,47 @@
+"""What a front machine needs for the operators' peak, by how large the parts of an object are."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from . import operators
+from .records import Measurement
+
+USE = 0.6  # share of a core at which a process is meant to run at the peak
+LINK_SIZES = (1, 10, 25, 40, 100)  # Gbit/s
+LINK_USE = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class MachineNeed:
+    """One front machine's load at the peak, and what carries it.
+
+    Attributes:
+        part_bytes: Bytes of one part.
+        parts: Parts of one request, as a mean.
+        requests_per_s: Requests of parts a second at one front machine.
+        bytes_per_s: Sent to clients, and as many received from caches where no own copy serves.
+        cores: Kept wholly busy, by the measured processor time of a request.
+        processes: At the usual use of a core.
+        link: Gbit/s of the smallest usual link that carries it each way.
+    """
+
+    part_bytes: int
+    parts: float
+    requests_per_s: float
+    bytes_per_s: float
+    cores: float
+    processes: int
+    link: int
+
+
+def need(recorded: Measurement, part_bytes: int, fronts: int = operators.FRONTS) -> MachineNeed:
+    """The need where requests are split into parts of that size."""
+    bytes_per_s = operators.BITS_PER_S / 8 / fronts
+    parts = operators.BITS_PER_S / 8 / operators.REQUESTS_PER_S / part_bytes
+    requests_per_s = operators.REQUESTS_PER_S / fronts * parts
+    cores = requests_per_s * recorded.value("request", object_bytes=part_bytes)
+    gigabits = bytes_per_s * 8 / 1e9 / LINK_USE
+    link = next(size for size in LINK_SIZES if size >= gigabits)
+    return MachineNeed(part_bytes, parts, requests_per_s, bytes_per_s, cores, math.ceil(cores / USE), link)
--- /dev/null
+++ b/benchmarks/capacity/gateway.py
@@ -0,0 +1,39 @@
+"""What requests that a gateway holds open cost it: `benchmarks.open_carries`, taken into the record."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+from .fit import fitted
+from .records import Point, Slope
+
+COMMAND = "python -O -m benchmarks.capacity --only gateway"
+LONGEST = 300  # seconds
+FIELDS = (
+    ("gateway request at the asking side", "processor time of a request", "s", "near_ms", 1e-3),
+    ("gateway request at the answering side", "processor time of a request", "s", "far_ms", 1e-3),
+    ("gateway memory at the asking side", "memory of an open request", "B", "near_bytes", 1),
+    ("gateway memory at the answering side", "memory of an open request", "B", "far_bytes", 1),
+)
+
+
+def rows(quick: bool) -> list[dict]:
+    """The rows of a run, one for each count of open requests. Raises `CalledProcessError` where it failed."""
+    command = [sys.executable, "-O", "-m", "benchmarks.open_carries", *(["--quick"] if quick else [])]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=LONGEST, check=True)
+    return json.loads(done.stdout.splitlines()[-1])["rows"]
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """Points by open requests; slopes of processor time."""
+    found = rows(quick)
+    points = [
+        Point(name, "gateway", quantity, unit, {"open_requests": row["open"]}, row[field] * scale, COMMAND)
+        for name, quantity, unit, field, scale in FIELDS
+        for row in found
+    ]
+    timed = [name for name, _, unit, _, _ in FIELDS if unit == "s"]
+    slopes = [fitted([one for one in points if one.name == name], "open_requests") for name in timed]
+    return points, slopes
--- a/benchmarks/capacity/list_changes.py
+++ b/benchmarks/capacity/list_changes.py
@@ -1,4 +1,4 @@
-"""What a change of the list of caches costs a front by the number of caches, from the line to the decisions."""
+"""What a change of the list costs a front by the number of caches, from the line to the decisions."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def line(index: int, caches: int, whole: bool) -> bytes:
-    """A list change as the discovery service sends it: the whole list, or one cache that leaves or is back."""
+    """A list change as the discovery service sends it: the whole list, or one cache that left or is back."""
     found = members(caches)
     if not whole:
         found = found[:1]
--- a/benchmarks/capacity/records.py
+++ b/benchmarks/capacity/records.py
@@ -86,7 +86,7 @@
         raise InvalidRecordError(f"there is no slope {name!r}")
 
     def value(self, name: str, **sizes: float) -> float:
-        """The measured figure of that name at these sizes. Raises `InvalidRecordError` where there is none."""
+        """The measured figure of that name at these sizes. Raises `InvalidRecordError`."""
         for point in self.points:
             if point.name == name and sizes.items() <= point.at.items():
                 return point.value
--- /dev/null
+++ b/benchmarks/capacity/view_size.py
@@ -0,0 +1,40 @@
+"""Bytes of one aggregated load view by the zones that it tells of, and how many of them it can tell of."""
+
+from __future__ import annotations
+
+from marbleglade.fleet.views import CROWDS, LINKS, Crowd, View
+from marbleglade.wire import gossip
+
+from .fit import fitted_by_name
+from .records import Point, Slope
+
+COMMAND = "python -O -m benchmarks.capacity --only view"
+FIRST_ZONE_LINK = 2  # links 0 and 1 are those of fills
+FIGURE = 1_000_000
+
+
+def view(zones: int) -> View:
+    """A view of a fleet in so many zones, cut as the aggregator cuts it."""
+    keys = range(min(LINKS, FIRST_ZONE_LINK + zones))
+    links = {key: (FIGURE, FIGURE) for key in keys}
+    crowds = {zone: Crowd(0.5, 100, 1) for zone in range(min(CROWDS, zones))}
+    return View(1, 1, 730, FIGURE, FIGURE, FIGURE, FIGURE, links, crowds)
+
+
+def told_zones(zones: int) -> int:
+    """Of so many zones, those whose load a view tells."""
+    return len(view(zones).crowds)
+
+
+def run(quick: bool) -> tuple[list[Point], list[Slope]]:
+    """Sizes up to the most zones that a view has room for; how many it tells of the operators' eleven."""
+    points = [
+        Point("view", "view aggregator", "bytes of a view", "B", {"zones": zones}, size, COMMAND)
+        for zones in ((1, CROWDS) if quick else range(1, CROWDS + 1))
+        if (size := len(gossip.encode(view(zones))))
+    ]
+    told = [
+        Point("zones in a view", "view aggregator", "zones told", "1", {"zones": n}, told_zones(n), COMMAND)
+        for n in (CROWDS, 11)
+    ]
+    return [*points, *told], fitted_by_name(points, "zones")
