--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -12,7 +12,7 @@
 from .scale_record import ScaleBudget, ScaleRecord
 from .totals import Term, total
 
-NOT_RECORDED = "The scale run has not been recorded yet."
+NOT_RECORDED = "The scale run with the control plane has not been recorded yet."
 MOST_FRONTS = 100_000  # beyond which the page does not ask whether a budget is kept
 
 
@@ -81,7 +81,7 @@
 
 def with_control(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
     """Each budget in the recorded scale run, with the control plane."""
-    if scale is None:
+    if scale is None or not scale.budgets:
         return [NOT_RECORDED]
     return table(
         ("budget", "limit", "measured", "", "field of the run's last line"),
@@ -149,4 +149,4 @@
 
 def _size(recorded: Measurement, what: str) -> str:
     (variable,) = recorded.slope(f"purge by scan of {what}").per
-    return f"{operators.SIZES[variable]:,}"
+    return f"{operators.sizes(operators.FRONTS)[variable]:,}"
--- a/benchmarks/capacity/cost_tables.py
+++ b/benchmarks/capacity/cost_tables.py
@@ -58,8 +58,7 @@
 
 
 def _scale_value(slope: Slope, fronts: int) -> float:
-    sizes = operators.SIZES | {"front": fronts, "front_purge_per_s": fronts * operators.PURGES_PER_S}
-    return slope.at(**sizes)
+    return slope.at(**operators.sizes(fronts))
 
 
 def slopes(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
--- a/benchmarks/capacity/operators.py
+++ b/benchmarks/capacity/operators.py
@@ -27,8 +27,7 @@
 COPIES = 8192
 OPEN_REQUESTS = 1000
 
-SIZES = {
-    "front": FRONTS,
+_SIZES = {
     "cache": CACHES,
     "zone": ZONES,
     "purge_per_s": PURGES_PER_S,
@@ -40,4 +39,15 @@
     "copy_byte": 170_000_000,
     "client": 128,
 }
-"""What each variable of a slope is at the operators' size; purges of the last 12 s are recent."""
+
+
+def sizes(fronts: int) -> dict[str, float]:
+    """What each variable of a slope is with so many fronts; purges of the last 12 s are recent.
+
+    A variable that is a product, as "front_purge_per_s", is that of its factors.
+    """
+    return _SIZES | {
+        "front": fronts,
+        "front_purge_per_s": fronts * PURGES_PER_S,
+        "purge_per_s_directory_entry": PURGES_PER_S * DIRECTORY_ENTRIES,
+    }
--- a/benchmarks/capacity/purges.py
+++ b/benchmarks/capacity/purges.py
@@ -19,7 +19,7 @@
 WAY = "index" if find_spec("marbleglade.memory.purge_index") else "scan"
 """How this tree finds what a purge means: main before the purge index scanned all that it kept."""
 ABSENT = 1 << 40  # places of objects from here on are known to no front
-RUNS, PURGES = 12, 20
+RUNS, PURGES = 40, 10  # short runs: the least of many meets a quiet moment
 CATCH_UP = 256  # purges that follow one another, for the cost of those told lately
 
 
--- a/benchmarks/capacity/scale_record.py
+++ b/benchmarks/capacity/scale_record.py
@@ -22,7 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ScaleRecord:
-    """One run of `python -m benchmarks.scale`; its fields are those of the measurements' README."""
+    """One run of `python -m benchmarks.scale`; its fields are those of the measurements' README.
+
+    A sweep of fronts that watch the discovery service themselves alone has no budgets.
+    """
 
     taken: str
     machine: str
@@ -46,7 +49,7 @@
         return ScaleRecord(
             **{name: told[name] for name in ScaleRecord.__dataclass_fields__ if name not in _PARTS},
             slopes=[read_slope(one) for one in told["slopes"]],
-            budgets=[ScaleBudget(**one) for one in told["budgets"]],
+            budgets=[ScaleBudget(**one) for one in told.get("budgets", ())],
         )
     except (KeyError, TypeError) as error:
         raise InvalidRecordError(f"{path.name}: {error!r}") from error
--- a/benchmarks/capacity/totals.py
+++ b/benchmarks/capacity/totals.py
@@ -24,7 +24,7 @@
 
 def total(recorded: Measurement, terms: Iterable[Term], fronts: int) -> float:
     """The sum at the operators' size with so many fronts."""
-    sizes = operators.SIZES | {"front": fronts}
+    sizes = operators.sizes(fronts)
     return sum(
         term.times * (fronts if term.each_front else 1) * recorded.slope(term.name).at(**sizes)
         for term in terms
