--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -60,8 +60,8 @@
     return (shown.stdout.strip() or "unknown") + ("-dirty" if changed.stdout.strip() else "")
 
 
-def conditions(before: float, quick: bool) -> dict[str, object]:
-    """When, where and on which commit a measurement was made."""
+def conditions(measured: str, before: float, quick: bool) -> dict[str, object]:
+    """When, where and on which commit a measurement was made that ends now."""
     cores = os.cpu_count() or 1
     return {
         "taken": datetime.date.today().isoformat(),
@@ -69,20 +69,20 @@
         "busy": before > BUSY_LOAD * cores,
         "load_before": before,
         "load_after": load_average(),
-        "commit": commit(),
+        "commit": measured,
         "quick": quick,
     }
 
 
 def measure(name: str, quick: bool, path: Path) -> None:
     """Runs one measurement and files it in place of its earlier run."""
-    before = load_average()
+    measured, before = commit(), load_average()
     points, slopes = MEASUREMENTS[name](quick)
     recorded = Measurement()
     with suppress(InvalidRecordError):
         recorded = load(path)
     recorded.replace(points, slopes)
-    recorded.conditions[VARIANTS.get(name, name)] = conditions(before, quick)
+    recorded.conditions[VARIANTS.get(name, name)] = conditions(measured, before, quick)
     save(path, recorded)
     for slope in slopes:
         per = " ".join(
--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -71,7 +71,17 @@
         _figure(twice),
         VERDICTS[twice.kept],
         "any number of fronts" if least == 1 else f"{least:,} fronts" if least else "",
-        once.origin,
+        once.origin + _after(once),
+    )
+
+
+def _after(budget: Budget) -> str:
+    """The figure of a later tree, where one was recorded."""
+    if budget.after is None:
+        return ""
+    verdict = VERDICTS[budget.after <= budget.limit]
+    return (
+        f"; with purges by index {shown(budget.after, budget.unit)} at {operators.FRONTS} fronts, {verdict}"
     )
 
 
--- a/benchmarks/capacity/cost_tables.py
+++ b/benchmarks/capacity/cost_tables.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from . import budgets, operators
-from .front_machine import need
+from .front_machine import cache_load, need
 from .markdown import table
 from .numbers_shown import digits, line, shown
 from .records import Measurement, Slope
@@ -128,6 +128,18 @@
     )
 
 
+def caches(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
+    """What fronts ask of one cache at the peak."""
+    sizes = (operators.FRONTS, operators.TWICE)
+    loads = [cache_load(recorded, fronts) for fronts in sizes]
+    body = (
+        ("requests of parts a second", *(digits(one.requests_per_s) for one in loads)),
+        ("sent to fronts", *(shown(one.bytes_per_s, "B/s") for one in loads)),
+        ("connections, fronts with 128 clients busy", *(digits(one.connections) for one in loads)),
+    )
+    return table(("one cache at the peak", f"{sizes[0]} fronts", f"{sizes[1]:,} fronts"), body)
+
+
 def gateway(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
     """The gateway's figures by open requests."""
     found = [point for point in recorded.points if point.role == "gateway"]
--- a/benchmarks/capacity/failures.py
+++ b/benchmarks/capacity/failures.py
@@ -9,6 +9,7 @@
 from marbleglade.wire import coordinator
 
 from . import operators
+from .budgets import KEPT
 from .markdown import table
 from .numbers_shown import shown
 from .records import Measurement
@@ -18,7 +19,6 @@
 CUT_SECONDS = 3600  # for which regions lose each other
 CATCH_UP = 6144  # bytes a second of one front that catches up: the default of the control plane's settings
 PROBE = 1.0  # seconds between probes of a fleet agent, by default
-NOT_RECORDED = "not recorded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +86,7 @@
         "each front watches a second node in another zone; the first word of either counts",
         "not touched",
         _scale_seconds(scale, "purge_everywhere_s_worst", "worst purge with a node killed and one hung: "),
-        "measured on loopback, see the scale run" if scale else NOT_RECORDED,
+        _scale_basis(scale, "purge_everywhere_s_worst"),
     )
 
 
@@ -135,7 +135,7 @@
         "the second control node stands in another zone; a majority of nodes stays where no zone holds half",
         "other zones take the load: 1 in 11 more each; refill of the lost caches' share from parents",
         _scale_seconds(scale, "purge_after_cut_s", "purges after a cut applied everywhere within "),
-        "cut measured on loopback, the load worked out" if scale else NOT_RECORDED,
+        f"load worked out; purges {_scale_basis(scale, 'purge_after_cut_s')}",
     )
 
 
@@ -150,30 +150,35 @@
         "anything older is given out",
         "not touched; what can't be known to be unpurged is not given out",
         f"{purges:,} purges of {shown(line_bytes, 'B')} at {CATCH_UP:,} B/s: {shown(paced, 's')}; applying "
-        f"them at a front: {shown(_applying(recorded, purges), 's')} of processor time by the recorded cost",
-        "worked out" + (_scale_note(scale) if scale else ""),
+        f"them takes a front {_applying(recorded, purges)}; "
+        + _scale_seconds(scale, "purge_after_cut_s", "after a cut of scaled length all were applied within "),
+        f"worked out; scaled cut {_scale_basis(scale, 'purge_after_cut_s')}",
     )
 
 
-def _applying(recorded: Measurement, purges: int) -> float:
-    """Processor time of a front that is told so many purges one after the other, as lately as that."""
-    each = ("directory", "copies", "open requests")
-    once = total(recorded, (Term(f"purge by scan of {what}") for what in each), operators.FRONTS)
-    recent = recorded.slope("purge by scan of recent purges")
-    return purges * (once + recent.per["recent_purge"] * purges / 2)
+def _applying(recorded: Measurement, purges: int) -> str:
+    """Processor time of a front that is told so many purges one after the other, for each way recorded."""
+    found = []
+    for way in ("scan", "index"):
+        names = [f"purge by {way} of {what}" for what in KEPT]
+        if names[0] in {slope.name for slope in recorded.slopes}:
+            once = total(recorded, map(Term, names[:-1]), operators.FRONTS)
+            recent = recorded.slope(names[-1]).per["recent_purge"]
+            seconds = purges * (once + max(0.0, recent) * purges / 2)
+            found.append(f"{shown(seconds, 's')} of processor time with purges by {way}")
+    return ", ".join(found)
 
 
 def _scale_seconds(scale: ScaleRecord | None, field: str, words: str) -> str:
-    if scale is None:
-        return NOT_RECORDED
-    value = scale.summary.get(field)
-    return f"{words}{shown(value, 's')}" if value is not None else f"not measured: {_why(scale, field)}"
+    """The figure of that field of the scale run's summary behind some words, or why there is none."""
+    value = scale.summary.get(field) if scale else None
+    return "not measured" if value is None else f"{words}{shown(value, 's')}"
 
 
-def _why(scale: ScaleRecord, field: str) -> str:
-    return scale.not_measured.get(field, "no reason recorded")
-
-
-def _scale_note(scale: ScaleRecord) -> str:
-    value = scale.summary.get("purge_after_cut_s")
-    return f"; scaled cut measured: {shown(value, 's')}" if value is not None else "; no cut was measured"
+def _scale_basis(scale: ScaleRecord | None, field: str) -> str:
+    """How that field is known."""
+    if scale and scale.summary.get(field) is not None:
+        return "measured on loopback in the scale run"
+    return "not measured" + (
+        f" ({scale.not_measured[field]})" if scale and field in scale.not_measured else ""
+    )
--- a/benchmarks/capacity/front_cost.py
+++ b/benchmarks/capacity/front_cost.py
@@ -48,7 +48,9 @@
         found.ask_all(things, WORKERS)
         busy, took = found.process.busy() - busy, now() - began
     at = {"object_bytes": size}
+    attempts = sum(cache.asked for cache in found.caches) / (requests + WARM_UP)
     return [
+        Point("attempts", "cache", "requests of a cache for one of a client", "1", at, attempts, COMMAND),
         Point("request", "front", "processor time of a request", "s", at, busy / requests, COMMAND),
         Point("requests a core", "front", "requests a core", "1/s", at, requests / busy, COMMAND),
         Point("bytes a core", "front", "bytes a core", "B/s", at, requests * size / busy, COMMAND),
@@ -96,6 +98,10 @@
             found.ask_all(found.hold(WARM_UP + size, size, ENTRY_BYTES), size)
             at, count = {"clients": size, "caches": len(found.caches)}, found.process.descriptors()
             points.append(Point("descriptors", "front", "descriptors", "1", at, count, COMMAND))
+            each = sum(len(cache.socks) for cache in found.caches) / len(found.caches)
+            points.append(
+                Point("cache connections", "cache", "connections of a front", "1", at, each, COMMAND)
+            )
     return points
 
 
--- a/benchmarks/capacity/front_machine.py
+++ b/benchmarks/capacity/front_machine.py
@@ -7,6 +7,7 @@
 
 from . import operators
 from .records import Measurement
+from .totals import Term, total
 
 USE = 0.6  # share of a core, and of a link, that is meant to be used at the peak
 LINK_SIZES = (1, 10, 25, 40, 100)  # Gbit/s
@@ -44,3 +45,26 @@
     gigabits = bytes_per_s * 8 / 1e9 / USE
     link = next(size for size in LINK_SIZES if size >= gigabits)
     return MachineNeed(part_bytes, parts, requests_per_s, bytes_per_s, cores, math.ceil(cores / USE), link)
+
+
+@dataclass(frozen=True, slots=True)
+class CacheLoad:
+    """What fronts ask of one cache at the peak, spread evenly, where no front has copies of its own.
+
+    Attributes:
+        requests_per_s: Requests of the largest parts a second, with the attempts measured for each.
+        bytes_per_s: Sent to fronts.
+        connections: Open from all fronts, where each has many clients busy.
+    """
+
+    requests_per_s: float
+    bytes_per_s: float
+    connections: float
+
+
+def cache_load(recorded: Measurement, fronts: int) -> CacheLoad:
+    """The load on one cache with so many fronts."""
+    bytes_per_s = operators.BITS_PER_S / 8 / operators.CACHES
+    attempts = recorded.value("attempts", object_bytes=operators.LARGEST_PART)
+    connections = total(recorded, [Term("cache connections", each_front=True)], fronts)
+    return CacheLoad(bytes_per_s / operators.LARGEST_PART * attempts, bytes_per_s, connections)
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -19,6 +19,7 @@
     "purge-cost": budget_tables.purge_cost,
     "totals": cost_tables.totals,
     "front-machine": cost_tables.front_machine,
+    "caches": cost_tables.caches,
     "failures": failure_table,
     "gateway": cost_tables.gateway,
     "slopes": cost_tables.slopes,
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -9,9 +9,11 @@
 import pytest
 
 from benchmarks.capacity import budgets, page
-from benchmarks.capacity.budget_tables import kept
+from benchmarks.capacity.budget_tables import breaks_at, kept
+from benchmarks.capacity.budgets import Budget
 from benchmarks.capacity.fit import TooFewPointsError, fitted, line
 from benchmarks.capacity.markdown import VERDICTS
+from benchmarks.capacity.numbers_shown import shown
 from benchmarks.capacity.records import RECORDED, InvalidRecordError, Measurement, Point, load, save
 
 NUMBER = re.compile(r"[0-9][0-9.,]*")
@@ -152,3 +154,40 @@
     )
     with pytest.raises(TooFewPointsError):
         line([2, 2], [1, 3])
+
+
+def budget(value: float | None) -> Budget:
+    return Budget("bytes", 6000.0, "B/s", value, "none")
+
+
+@pytest.mark.parametrize(
+    "once, twice, least",
+    [
+        (73_000.0, 146_000.0, 61),  # 100 a front: 60 are just kept
+        (2_000.0, 2_000.0, None),
+        (7_000.0, 7_000.0, 1),
+        (3_000.0, 2_000.0, None),
+        (730.0, 1460.0, 6001),
+        (None, None, 1),
+    ],
+)
+def test_the_fronts_from_which_a_budget_is_not_kept(once, twice, least):
+    assert breaks_at(budget(once), budget(twice)) == least
+
+
+@pytest.mark.parametrize(
+    "value, unit, text",
+    [
+        (0.0, "B", "0 B"),
+        (56_789.0, "B/s", "56.8 kB/s"),
+        (999.9, "B", "1 kB"),
+        (0.002, "B/s", "0.002 B/s"),
+        (0.00325, "s", "3.25 ms"),
+        (-5.55e-05, "s", "-55.5 µs"),
+        (1460.0, "1/s", "1,460 1/s"),
+        (729.0, "1", "729"),
+        (0.0948, "core", "0.0948 core"),
+    ],
+)
+def test_figures_are_shown_with_three_digits_and_a_prefix(value, unit, text):
+    assert shown(value, unit) == text
