--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 
 from . import (
+    control_node,
     fleet_agent,
     front_cost,
     gateway,
@@ -38,6 +39,7 @@
     "fleet": fleet_agent.run,
     "takeover": takeover.run,
     "maintenance": maintenance.run,
+    "control": control_node.run,
     "front": front_cost.run,
     "gateway": gateway.run,
 }
--- a/benchmarks/capacity/cost_tables.py
+++ b/benchmarks/capacity/cost_tables.py
@@ -12,10 +12,18 @@
 
 PART_SIZES = (operators.LARGEST_PART, 20_000, 2_000)  # bytes
 
+CONTROL_MEMORY = (Term("control log memory"), Term("control confirmation memory"))
+
 ROLES: tuple[tuple[str, str, str, tuple[Term, ...]], ...] = (
     ("front", "control bytes received", "B/s", (Term("watch"), Term("hints"), budgets.AGENT_BYTES[1])),
     ("front", "control bytes sent", "B/s", (Term("hints"), budgets.AGENT_BYTES[0])),
     ("front", "fleet datagrams sent", "1/s", (Term("fleet loaded front datagrams sent"),)),
+    (
+        "front",
+        "bytes with two control nodes watched, both ways",
+        "B/s",
+        (Term("control bytes to a front", 2), Term("control bytes from a front", 2)),
+    ),
     ("front", "control processor time", "core", (*budgets.AGENT_CPU, *budgets.PURGES, *budgets.CHANGES)),
     ("front", "member table", "B", budgets.AGENT_MEMORY),
     ("front", "memory with a full directory", "B", (Term("memory by directory"),)),
@@ -26,6 +34,15 @@
     ("view aggregator", "bytes received", "B/s", budgets.AGGREGATOR_BYTES[1:]),
     ("view aggregator", "datagrams sent", "1/s", (Term("fleet loaded view aggregator datagrams sent"),)),
     ("view aggregator", "processor time", "core", budgets.AGGREGATOR_CPU),
+    (
+        "control machine",
+        "processor time, without sockets",
+        "core",
+        (Term("control node purge", operators.PURGES_PER_S),),
+    ),
+    ("control machine", "bytes sent", "B/s", (Term("control bytes to a front", each_front=True),)),
+    ("control machine", "bytes received", "B/s", (Term("control bytes from a front", each_front=True),)),
+    ("control machine", "memory of its state", "B", CONTROL_MEMORY),
     ("maintenance leader", "bytes sent", "B/s", budgets.LEADER_BYTES[:1]),
     ("maintenance leader", "bytes received", "B/s", budgets.LEADER_BYTES[1:]),
     ("maintenance leader", "datagrams sent", "1/s", (Term("maintenance leader quorum datagrams sent"),)),
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -20,6 +20,7 @@
     "clients": "client",
     "purges_per_s": "purge_per_s",
     "zones": "zone",
+    "retained_purges": "retained_purge",
 }
 
 
--- a/benchmarks/capacity/operators.py
+++ b/benchmarks/capacity/operators.py
@@ -34,6 +34,7 @@
     "directory_entry": DIRECTORY_ENTRIES,
     "copy": COPIES,
     "open_request": OPEN_REQUESTS,
+    "retained_purge": 65_536,
     "recent_purge": PURGES_PER_S * 12,
     "object_byte": LARGEST_PART,
     "copy_byte": 170_000_000,
