Tests run in three lines, one of them for what stand-ins hold in order

Change: what knows no time joins the timeless line; tests whose order stand-ins hold and whose waits are long have a line of their own, so what goes by the clock still never has another such test beside it.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	cp requirements-test.txt $@
 
 test: build
-	$(PYTHON) -m pytest -q -n 2 --dist loadgroup
+	$(PYTHON) -m pytest -q -n 3 --dist loadgroup
 
 lint: build
 	.venv/bin/ruff check marbleglade tests benchmarks
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -66,7 +66,9 @@
     parser.add_argument(
         "--only",
         default="",
-        help=f"only these faults, whatever time they take: {', '.join(one.name.lower() for one in FaultKind)}",
+        help="only these faults, whatever time they take: "
+        + ", ".join(one.name.lower() for one in FaultKind),
+        + ", ".join(one.name.lower() for one in FaultKind),
     )
     return parser.parse_args()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,22 +26,50 @@
 
 # Tests that know no sockets and no real time: they may run beside those that do and take a core of their own.
 TIMELESS = {
-    "test_protocols",
-    "test_disk",
-    "test_codecs",
+    "test_age_limit",
+    "test_capacity_page",
     "test_choice",
-    "test_work",
-    "test_hearsay",
+    "test_codecs",
+    "test_configuration_document",
+    "test_control_applied",
+    "test_control_confirmation",
+    "test_control_log",
+    "test_control_quorum",
+    "test_control_selection",
+    "test_control_store",
+    "test_disk",
     "test_fleet",
+    "test_hearsay",
+    "test_protocols",
+    "test_purge_index",
+    "test_scale_checkers",
     "test_wire",
+    "test_work",
 }
+# Tests of processes whose order is held by stand-ins and whose waits are long: they bear a busy machine.
+HELD_BY_STANDINS = {
+    "test_client_departure",
+    "test_cold_fleet",
+    "test_control_client",
+    "test_control_configuration",
+    "test_control_front",
+    "test_control_node",
+    "test_descriptor_pressure",
+    "test_restart_readiness",
+}
+
+
+def _line_of_tests(module: str) -> str:
+    if module in TIMELESS:
+        return "timeless"
+    return "held by stand-ins" if module in HELD_BY_STANDINS else "by the clock"
 
 
 def pytest_collection_modifyitems(items):
-    """Two lines of tests, each in its order: what goes by the clock never has another such test beside it."""
+    """Three lines of tests, each in its order: what goes by the clock never has another such test beside it."""
     for item in items:
-        timeless = item.module.__name__.rpartition(".")[2] in TIMELESS
-        item.add_marker(pytest.mark.xdist_group("timeless" if timeless else "by the clock"))
+        module = item.module.__name__.rpartition(".")[2]
+        item.add_marker(pytest.mark.xdist_group(_line_of_tests(module)))
 
 
 MS = 1_000_000
