--- a/marbleglade/memory/purge_index.py
+++ b/marbleglade/memory/purge_index.py
@@ -9,7 +9,7 @@
 
 
 class PurgeIndex(Generic[Item]):
-    """Items by their object and by their group.
+    """Items, which are no sets, by their object and by their group.
 
     Args:
         unknown_group: the group that stands for "not known": every purge of a group means an item of it, too.
@@ -19,40 +19,66 @@
     def __init__(self, unknown_group: int | None = None) -> None:
         self._unknown_group = unknown_group
         self._labels: dict[Item, tuple[int, int]] = {}  # object and group under which an item is filed
-        self._by_object: dict[int, set[Item]] = {}
-        self._by_group: dict[int, set[Item]] = {}
+        # An item that is alone under its number is filed bare: most objects have one, and a set is large.
+        self._by_object: dict[int, Item | set[Item]] = {}
+        self._by_group: dict[int, Item | set[Item]] = {}
 
     def __len__(self) -> int:
         return len(self._labels)
 
     def add(self, item: Item, object: int, group: int) -> None:
         """Files an item; one that is filed already moves to the object and group that are told now."""
-        if self._labels.get(item) == (object, group):
+        label = object, group
+        known = self._labels.get(item)
+        if known == label:
             return
-        self.discard(item)
-        self._labels[item] = object, group
-        self._by_object.setdefault(object, set()).add(item)
-        self._by_group.setdefault(group, set()).add(item)
+        if known:
+            self.discard(item)
+        self._labels[item] = label
+        _file(self._by_object, object, item)
+        _file(self._by_group, group, item)
 
     def discard(self, item: Item) -> None:
         """Takes an item out, if it is filed."""
-        label = self._labels.pop(item, None)
-        if label is None:
-            return
-        for items_by_number, number in zip((self._by_object, self._by_group), label, strict=True):
-            items = items_by_number[number]
-            items.remove(item)
-            if not items:
-                del items_by_number[number]
+        if label := self._labels.pop(item, None):
+            object, group = label
+            _take_out(self._by_object, object, item)
+            _take_out(self._by_group, group, item)
 
     def meant(self, object: int, group: int) -> set[Item]:
         """The items that a purge of an object or, where that is 0, of a group means.
 
         An item of object 0, which no purge can name, belongs to every group.
         """
-        found = set(self._by_object.get(object, ()))
+        found = _items(self._by_object, object)
         if not object:
-            found.update(self._by_group.get(group, ()))
+            found |= _items(self._by_group, group)
             if self._unknown_group is not None:
-                found.update(self._by_group.get(self._unknown_group, ()))
+                found |= _items(self._by_group, self._unknown_group)
         return found
+
+
+def _file(by_number: dict[int, Item | set[Item]], number: int, item: Item) -> None:
+    known = by_number.get(number)
+    if known is None:
+        by_number[number] = item
+    elif isinstance(known, set):
+        known.add(item)
+    else:
+        by_number[number] = {known, item}
+
+
+def _take_out(by_number: dict[int, Item | set[Item]], number: int, item: Item) -> None:
+    known = by_number[number]
+    if isinstance(known, set):
+        known.remove(item)
+    if not isinstance(known, set) or not known:
+        del by_number[number]
+
+
+def _items(by_number: dict[int, Item | set[Item]], number: int) -> set[Item]:
+    """The items under a number, as a set of the caller's own."""
+    known = by_number.get(number)
+    if known is None:
+        return set()
+    return set(known) if isinstance(known, set) else {known}
