--- a/marbleglade/control/member_table.py
+++ b/marbleglade/control/member_table.py
@@ -21,14 +21,14 @@
         if change.whole:
             self.members.clear()
             self.unreadable.clear()
-        for name in change.unclear:
-            self.unreadable[name] = None
         for member in change.members:
             self.unreadable.pop(member.id, None)
             if member.state == LEFT:
                 self.members.pop(member.id, None)
             else:
                 self.members[member.id] = member
+        for name in change.unclear:
+            self.unreadable[name] = None
 
     def whole(self) -> ListChange:
         """The list in force, as one change that replaces any other list; its number is 0."""
--- a/tests/test_control_log.py
+++ b/tests/test_control_log.py
@@ -119,6 +119,17 @@
     assert not log.append_configuration(2, "b") and log.last == 1 and log.configuration == (3, "c")
 
 
+def test_an_entry_that_turned_unreadable_is_unreadable_in_a_snapshot_too():
+    log = EventLog("s")
+    log.append_list(listed(member("a"), whole=True))
+    log.append_list(listed(unclear=["a"]))
+    session, reader = follow(log)
+    drain(session, reader)
+    assert list(reader.members.unreadable) == ["a"] and list(reader.members.members) == ["a"]
+    log.append_list(listed(member("a", "left")))
+    assert not log.members.unreadable and not log.members.members
+
+
 def test_events_that_fell_out_of_the_log_are_not_given():
     log = EventLog("s", retained_events=8)
     for number in range(5000):  # more than are freed at once
