Control tests: settings, lines, single cases of confirmation, merging and of a discovery service that begins anew

The state machine alone did not find a confirmation of one event too many, nor lists that are not held back in a replay; the single cases are for these.

--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -2,6 +2,7 @@
 
 import os
 from collections import deque
+from dataclasses import replace
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -15,13 +16,18 @@
     run_state_machine_as_test,
 )
 
+from marbleglade.control.confirmation import Confirmation, EarlierStartError, UnknownFrontError
+from marbleglade.control.discovery import DiscoveryFollower
 from marbleglade.control.messages import Applied, FrontHello
 from marbleglade.control.node import ControlNode
 from marbleglade.control.session import ProtocolError, Session, held_by_front
 from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
-from marbleglade.control.status import decode_status, encode_status
+from marbleglade.control.status import InvalidStatusError, decode_status, encode_status
 from marbleglade.control.status_merge import NodeAnswer, merge
-from marbleglade.wire.coordlines import BadLine, Beat, ListChange, Member, Purge
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.wire.coordlines import NEVER, BadLine, Beat, ListChange, Member, Purge
 
 from .test_control_log import Reader
 
@@ -392,3 +398,181 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+# Single cases.
+
+
+def told(confirmation, *indexes):
+    for index in indexes:
+        confirmation.add_purge(index, Purge(index, index, 0, index), SECOND, 1000, True)
+
+
+def lacking(confirmation):
+    return {purge.index: confirmation.lacking(purge) for purge in confirmation.purges}
+
+
+def test_a_front_counts_for_what_it_said_and_for_no_event_more():
+    confirmation = Confirmation(["f1", "f2"])
+    told(confirmation, 1, 2, 3)
+    assert set(lacking(confirmation).values()) == {3}, "a front that never came lacks everything"
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.applied("f1", 1, 2, 2 * SECOND)
+    assert lacking(confirmation) == {1: 2, 2: 2, 3: 3}
+    confirmation.applied("f1", 1, 3, 3 * SECOND)
+    assert lacking(confirmation) == {1: 2, 2: 2, 3: 2} and confirmation.latency.total == 3
+
+
+def test_only_the_present_connection_of_a_front_counts():
+    confirmation = Confirmation(["f1"])
+    told(confirmation, 1)
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.connected("f1", 5, 2, SECOND)
+    confirmation.applied("f1", 1, 1, SECOND)
+    confirmation.configured("f1", 1, 1, SECOND)
+    confirmation.left("f1", 1)
+    confirmation.disconnected("f1", 1, 9)
+    record = confirmation.fronts["f1"]
+    assert lacking(confirmation) == {1: 1} and not record.version and not record.left
+    assert record.connection == 2 and not record.sent
+    with pytest.raises(EarlierStartError):
+        confirmation.admit("f1", 4)
+    with pytest.raises(UnknownFrontError):
+        confirmation.admit("f9", 4)
+
+
+def test_who_left_does_not_count_until_it_is_back_and_then_from_nothing():
+    confirmation = Confirmation(["f1"])
+    told(confirmation, 1)
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.applied("f1", 1, 1, SECOND)
+    confirmation.left("f1", 1)
+    told(confirmation, 2)
+    assert lacking(confirmation) == {1: 0, 2: 0}
+    confirmation.connected("f1", 6, 2, SECOND)
+    assert lacking(confirmation) == {1: 1, 2: 1}
+
+
+def test_the_purges_that_are_kept_are_bounded():
+    confirmation = Confirmation(["f1"], recent=4)
+    told(confirmation, *range(1, 10))
+    assert list(lacking(confirmation)) == [6, 7, 8, 9]
+
+
+def plane_of(*nodes):
+    """Confirmations of several nodes for the fronts f1 and f2, and their merged status."""
+    controls = [ControlNode(SETTINGS, name, sink=os.open(os.devnull, os.O_WRONLY)) for name in nodes]
+
+    def status():
+        return merge(SETTINGS, [NodeAnswer(one.node.name, one.status()) for one in controls])
+
+    return controls, status
+
+
+def test_the_time_to_the_last_word_leaves_out_what_fronts_repeat_at_another_node():
+    (first, second), status = plane_of("c1", "c2")
+    purge = Purge(1, 7, 0, 70)
+    for control in (first, second):
+        control.confirmation.add_purge(1, purge, SECOND, 1000, True)
+    for number, name in enumerate(FRONTS, 1):
+        first.confirmation.connected(name, 5, number, 0)
+        first.confirmation.applied(name, number, 1, SECOND + number * 1_000_000)
+    assert status().purges[0].took_ms == 3
+    second.confirmation.connected("f1", 5, 1, 60 * SECOND)
+    second.confirmation.applied("f1", 1, 1, 60 * SECOND)
+    assert status().purges[0].took_ms == 3
+
+
+def test_a_configuration_counts_by_its_version_and_refusals_are_named():
+    (first, second), status = plane_of("c1", "c2")
+    assert status().configuration.version == 0
+    first.confirmation.add_configuration(1, SECOND, 1000)
+    first.confirmation.add_configuration(2, SECOND, 1000)
+    second.confirmation.add_configuration(1, SECOND, 1000)
+    for number, name in enumerate(FRONTS, 1):
+        second.confirmation.connected(name, 5, number, 0)
+    second.confirmation.configured("f1", 1, 2, 2 * SECOND)
+    second.confirmation.configured("f2", 2, 1, 2 * SECOND)
+    second.confirmation.refused("f3", 3, 2, "no such cache")
+    configuration = status().configuration
+    assert configuration.version == 2 and configuration.lacking.first == ("f2", "f3")
+    assert [(one.front, one.reason) for one in configuration.refusals] == [("f3", "no such cache")]
+    for number, name in enumerate(FRONTS, 1):
+        second.confirmation.configured(name, number, 2, 3 * SECOND)
+    assert status().configuration.lacking.count == 0
+
+
+def test_a_node_of_another_deployment_or_with_other_fronts_is_not_taken_for_what_it_is_not():
+    other = replace(SETTINGS, deployment="other")
+    swapped = replace(
+        SETTINGS, regions=(RegionSettings("east", NOWHERE, ("f3", "f9", "f1")),)
+    )  # f2 is not listed there
+    sink = os.open(os.devnull, os.O_WRONLY)
+    foreign, control = ControlNode(other, "c1", sink=sink), ControlNode(swapped, "c2", sink=sink)
+    control.confirmation.add_purge(1, Purge(1, 7, 0, 70), SECOND, 1000, True)
+    for number, name in enumerate(("f3", "f9", "f1"), 1):
+        control.confirmation.connected(name, 5, number, 0)
+    control.confirmation.applied("f3", 1, 1, 2 * SECOND)
+    status = merge(SETTINGS, [NodeAnswer("c1", foreign.status()), NodeAnswer("c2", control.status())])
+    assert status.silent_nodes == ["c1"] and "another deployment" in status.answers[0].error
+    assert status.purges[0].lacking.first == ("f1", "f2") and status.connected == 2
+    renamed = merge(SETTINGS, [NodeAnswer("c3", control.status())])
+    assert renamed.silent_nodes == ["c3"]
+
+
+def test_a_purge_without_a_moment_is_kept_apart_by_node():
+    (first, second), status = plane_of("c1", "c2")
+    for control in (first, second):
+        control.confirmation.add_purge(1, Purge(1, 7, 0, NEVER), SECOND, 1000, True)
+    for number, name in enumerate(FRONTS, 1):
+        first.confirmation.connected(name, 5, number, 0)
+        first.confirmation.applied(name, number, 1, 2 * SECOND)
+    assert sorted(one.lacking.count for one in status().purges) == [0, 3]
+
+
+@pytest.mark.parametrize("line", [b"", b"[]\n", b"{}\n", b'{"deployment":"x"}\n', b"7\n"])
+def test_a_line_that_is_no_status_is_refused(line):
+    with pytest.raises(InvalidStatusError):
+        decode_status(line)
+
+
+# The discovery service, as a node follows it.
+
+
+def follower():
+    passed, sink = [], os.open(os.devnull, os.O_WRONLY)
+    counters = Counters()
+    one = DiscoveryFollower(
+        NOWHERE,
+        lambda purge, live: passed.append((purge.thing, live)),
+        lambda change: passed.append([member.id for member in change.members]),
+        lambda: passed.append("heartbeat"),
+        Guard(counters, Log("c1", counters, sink=sink)),
+    )
+    return one, passed
+
+
+def test_lists_that_are_replayed_are_passed_on_as_one_and_purges_at_once():
+    one, passed = follower()
+    one._heard(ListChange(1, True, [ControlPlane.cache("a")]))
+    one._heard(Purge(2, 7, 0, 70))
+    one._heard(ListChange(3, False, [ControlPlane.cache("b"), ControlPlane.cache("a", "left")]))
+    assert passed == [(7, False)]
+    one._heard(Beat(3))
+    one._heard(ListChange(4, False, [ControlPlane.cache("c")]))
+    one._heard(Purge(5, 8, 0, 70))
+    assert passed == [(7, False), ["b"], "heartbeat", ["c"], (8, True)]
+
+
+def test_a_service_that_began_anew_without_a_list_leaves_the_one_before_in_force():
+    one, passed = follower()
+    one._heard(ListChange(1, True, [ControlPlane.cache("a")]))
+    one._heard(Beat(1))
+    with pytest.raises(BadLine):
+        one._heard(Beat(0))
+    one._heard(Beat(0))
+    assert passed == [["a"], "heartbeat", "heartbeat"]
+    one._heard(ListChange(1, False, [ControlPlane.cache("b")]))
+    one._heard(Purge(2, 8, 0, 70))
+    one._heard(Beat(2))
+    assert passed[3:] == [(8, True), ["b"], "heartbeat"] and one.held is None
