--- a/marbleglade/control/server.py
+++ b/marbleglade/control/server.py
@@ -39,7 +39,7 @@
 USER_TIMEOUT_MS = 10_000  # unacknowledged data ends a connection after this time
 SPARE_CONNECTIONS = 256  # beside two for each listed front
 BACKLOG = 1024
-PUSHES_A_TURN = 64  # watchers written to before others get their turn
+PUSHES_A_TURN = 1024  # watchers written to before others get their turn: some 15 ms
 BATCHES_A_PUSH = 4
 
 
