Control: which fronts lack a purge is worked out from the numbers that they have applied

Times of purges from a replay are not kept, and those of a node that began anew don't change the time of a purge.

--- a/marbleglade/control/confirmation.py
+++ b/marbleglade/control/confirmation.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import accumulate
+from operator import or_
 
 from ..wire.coordlines import Purge
 from .latency import LatencyHistogram
@@ -86,15 +89,14 @@
 
 @dataclass(slots=True)
 class PurgeRecord:
-    """A purge and the fronts that have not applied it.
+    """A purge, and when fronts first had it; a front lacks it while it has applied only lower numbers.
 
     Attributes:
         index: Its number in the stream.
         received_at: When the node received it.
         received_ms: The same as a Unix millisecond.
         live: It came as it was told, not in a replay of what the discovery service had told before.
-        lacking: Fronts that have not applied it in their present start.
-        words: When fronts had applied it, in whichever start.
+        words: When fronts had applied it, in whichever start; kept for live ones alone.
     """
 
     index: int
@@ -102,7 +104,6 @@
     received_at: int
     received_ms: int
     live: bool
-    lacking: int
     words: FirstWords = field(default_factory=FirstWords)
 
 
@@ -129,14 +130,13 @@
         self.purges: deque[PurgeRecord] = deque(maxlen=recent)
         self.configuration = ConfigurationRecord()
         self.latency = LatencyHistogram()  # from a purge received to applied, over all fronts
-        self._all = (1 << len(self.fronts)) - 1
         self._left = 0
 
     # What the node receives.
 
     def add_purge(self, index: int, purge: Purge, now: int, received_ms: int, live: bool) -> None:
         """Every listed front lacks a new purge."""
-        self.purges.append(PurgeRecord(index, purge, now, received_ms, live, self._all))
+        self.purges.append(PurgeRecord(index, purge, now, received_ms, live))
 
     def add_configuration(self, version: int, now: int, received_ms: int) -> None:
         """Every listed front lacks a new configuration version."""
@@ -170,8 +170,6 @@
         record.start_ms = start_ms
         record.sent = record.applied = record.version = record.refused = 0
         record.reason = ""
-        for purge in self.purges:
-            purge.lacking |= record.bit
 
     def disconnected(self, name: str, connection: int, sent: int) -> None:
         """A connection of a front ended; `sent` is the last event that it was sent."""
@@ -196,7 +194,8 @@
         if record.connection != connection or index <= record.applied:
             return
         for purge in self._purges_within(record.applied, index):
-            self._confirm(purge, record, now)
+            if purge.live and purge.words.note(record, purge.received_at, now):
+                self.latency.add(now - purge.received_at)
         record.applied = index
 
     def _purges_within(self, after: int, upto: int) -> Iterator[PurgeRecord]:
@@ -206,11 +205,6 @@
             if purge.index <= upto:
                 yield purge
 
-    def _confirm(self, purge: PurgeRecord, record: FrontRecord, now: int) -> None:
-        purge.lacking &= ~record.bit
-        if purge.words.note(record, purge.received_at, now) and purge.live:
-            self.latency.add(now - purge.received_at)
-
     def configured(self, name: str, connection: int, version: int, now: int) -> None:
         """A configuration version is in force at the front."""
         record = self.fronts[name]
@@ -229,6 +223,14 @@
 
     # What is asked.
 
-    def lacking(self, purge: PurgeRecord) -> int:
-        """The fronts that count and have not applied a purge."""
-        return purge.lacking & ~self._left
+    def lacking(self) -> list[int]:
+        """For each of `purges` the fronts that have not applied it, also those that ended as planned."""
+        records = sorted(self.fronts.values(), key=lambda record: record.applied)
+        applied = [record.applied for record in records]
+        lowest = [0, *accumulate((record.bit for record in records), or_)]  # the sets of the first so many
+        return [lowest[bisect_left(applied, purge.index)] for purge in self.purges]
+
+    @property
+    def left_fronts(self) -> int:
+        """The fronts that ended as planned and are not back."""
+        return self._left
--- a/marbleglade/control/status_merge.py
+++ b/marbleglade/control/status_merge.py
@@ -216,14 +216,15 @@
         for view, purge in rows:
             lacking &= view.translated(purge.lacking) | ~view.valid
         lacking |= absent
-        receipts = [_receipt(view, purge.received_ms, purge.words) for view, purge in rows]
+        timed = [row for row in rows if row[1].live] or rows
+        receipts = [_receipt(view, purge.received_ms, purge.words) for view, purge in timed]
         summaries.append(
             PurgeSummary(
                 identity,
                 min(receipt.received_ms for receipt in receipts),
                 _lacking(names, lacking),
                 None if lacking else _took_ms(receipts, counting),
-                any(purge.live for _, purge in rows),
+                any(purge.live for _, purge in timed),
             )
         )
     return sorted(summaries, key=lambda summary: summary.received_ms)
--- a/marbleglade/control/status_report.py
+++ b/marbleglade/control/status_report.py
@@ -46,7 +46,7 @@
             current=current,
             discovery_age_ms=None if discovery_age is None else discovery_age // MILLISECOND,
             fronts=tuple(map(_front, self.confirmation.fronts.values())),
-            purges=tuple(map(_purge, self.confirmation.purges)),
+            purges=tuple(map(_purge, self.confirmation.purges, self.confirmation.lacking())),
             configuration=ConfigurationStatus(newest.version, newest.received_ms, _words(newest.words)),
             latency=tuple(self.confirmation.latency.counts),
             counters=self.counters.table(),
@@ -66,7 +66,7 @@
     )
 
 
-def _purge(record: PurgeRecord) -> PurgeStatus:
+def _purge(record: PurgeRecord, lacking: int) -> PurgeStatus:
     purge = record.purge
     return PurgeStatus(
         record.index,
@@ -75,7 +75,7 @@
         purge.unix_ms,
         record.received_ms,
         record.live,
-        record.lacking,
+        lacking,
         _words(record.words),
     )
 
--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -409,7 +409,9 @@
 
 
 def lacking(confirmation):
-    return {purge.index: confirmation.lacking(purge) for purge in confirmation.purges}
+    """By number of a purge the fronts that count and lack it."""
+    sets = zip(confirmation.purges, confirmation.lacking(), strict=True)
+    return {purge.index: fronts & ~confirmation.left_fronts for purge, fronts in sets}
 
 
 def test_a_front_counts_for_what_it_said_and_for_no_event_more():
@@ -483,6 +485,19 @@
     assert status().purges[0].took_ms == 3
 
 
+def test_a_node_that_began_anew_and_heard_a_purge_in_a_replay_does_not_change_its_time():
+    (first, second), status = plane_of("c1", "c2")
+    purge = Purge(1, 7, 0, 70)
+    first.confirmation.add_purge(1, purge, SECOND, 1000, True)
+    second.confirmation.add_purge(1, purge, 90 * SECOND, 90_000, False)
+    for control, now in ((first, 2 * SECOND), (second, 91 * SECOND)):
+        for number, name in enumerate(FRONTS[: 3 if control is second else 2], 1):
+            control.confirmation.connected(name, 5, number, 0)
+            control.confirmation.applied(name, number, 1, now)
+    summary = status().purges[0]
+    assert not summary.lacking.count and summary.live and summary.took_ms == 1000
+
+
 def test_a_configuration_counts_by_its_version_and_refusals_are_named():
     (first, second), status = plane_of("c1", "c2")
     assert status().configuration.version == 0
