--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -11,10 +11,12 @@
 
 from marbleglade.control.messages import (
     LONGEST_REQUEST_LINE,
+    ConfigurationEvent,
     Greeting,
     InvalidLineError,
     decode_stream_line,
 )
+from marbleglade.control.node import ControlNode
 from marbleglade.control.settings import read
 from marbleglade.control.status_query import ask_all
 from marbleglade.standins.coordinator import Coordinator
@@ -349,6 +351,47 @@
     until(lambda: one.status().purges[-1].lacking == 0)
 
 
+class Versions:
+    """A source of configuration versions that is told what to do."""
+
+    def __init__(self, *present):
+        self.present, self.on_change = present, None
+
+    def run(self):
+        gevent.sleep(WAIT)
+
+    def current(self):
+        return self.present or None
+
+
+def test_configuration_versions_go_to_fronts_and_the_status_says_where_they_are_in_force(plane):
+    one = plane(fronts=2, running=False)
+    versions = Versions(3, "third")
+    node = ControlNode(one.settings, "c1", versions)
+    node.start()
+    try:
+        until(lambda: node.heard_at)
+        plain, first, second = one.watch("follow 0"), one.front(1), one.front(2)
+        until(lambda: all(ConfigurationEvent(2, 3, "third") in watcher.events for watcher in (first, second)))
+        versions.on_change(4, "fourth")
+        versions.on_change(4, "another fourth")
+        versions.on_change(2, "second")
+        until(lambda: all(watcher.last == 3 for watcher in (plain, first, second)))
+        assert first.events[-1] == ConfigurationEvent(3, 4, "fourth") and len(plain.events) == 3
+        first.say("configured 3", "configured 4")
+        second.say("configured 3", "refused 4 no such cache")
+        until(lambda: node.status().fronts[1].refused == 4 and node.status().fronts[0].version == 4)
+        code, text, _ = one.command("status")
+        assert code == 1 and "version 4 NOT IN FORCE, lacking 1: f2" in text
+        assert "refused by f2: no such cache" in text
+        second.say("configured 4")
+        until(lambda: node.status().fronts[1].version == 4)
+        assert "version 4 in force everywhere" in one.command("status")[1]
+    finally:
+        node.close()
+    assert not any(name.startswith("trouble") for name in node.counters.counts)
+
+
 def test_the_command_refuses_what_it_can_not_use(plane):
     one = plane(running=False)
     code, text, _ = one.command("check")
