--- /dev/null
+++ b/benchmarks/control_front.py
@@ -0,0 +1,183 @@
+"""What the control plane costs one front: `python -m benchmarks.control_front [--seconds N] [--purges N]`.
+
+Two fronts run side by side, each a process and without requests. One follows a stand-in of the discovery
+service that tells nothing; the other follows two scripted control nodes that tell the same purges. The
+difference of their processor time and memory is the cost; bytes are counted at the nodes. All on loopback.
+The last line is JSON.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+
+from marbleglade.standins.controlnode import StandInNode
+from marbleglade.standins.coordinator import Coordinator
+from marbleglade.standins.frontfleet import settings
+from marbleglade.standins.regions import free_port
+
+WARM_UP = 3.0  # seconds: start, greetings, the first list
+SECOND_NODE_LAG = 0.02  # seconds by which the second node tells a purge later
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+CACHES = 78
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process has used so far."""
+
+    cpu_seconds: float
+    memory_mb: float
+
+
+class MeteredNode(StandInNode):
+    """A scripted node that counts the bytes it writes to the one front."""
+
+    written = 0
+
+    def write(self, data: bytes) -> None:
+        """Counts and writes."""
+        self.written += len(data) * len(self.sockets)
+        super().write(data)
+
+    @property
+    def received(self) -> int:
+        """Bytes that the front wrote."""
+        return sum(len(line) + 1 for line in self.heard)
+
+
+def usage(process: subprocess.Popen) -> Usage:
+    """Reads what a process has used."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    resident = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return Usage((int(fields[11]) + int(fields[12])) / CLOCK_TICKS, int(resident.split()[1]) / 1024)
+
+
+def caches() -> list[dict[str, object]]:
+    """The list that every source tells."""
+    return [
+        {
+            "id": f"k{number}",
+            "addr": "127.0.0.1:9",
+            "zone": "z",
+            "kind": "box",
+            "cell": 0,
+            "state": "active",
+            "started_ms": 1,
+        }
+        for number in range(CACHES)
+    ]
+
+
+def start_front(path: Path, name: str, coordinator: Coordinator, control: str) -> subprocess.Popen:
+    """Starts a front; `control` is its settings file, empty for none."""
+    first = {"index": 1, "endpoints": {"version": 1, "full": True, "servers": caches()}}
+    text = {
+        "name": name,
+        "listen": f"127.0.0.1:{free_port()}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 300},
+        "coordinator": ":".join(map(str, coordinator.address)),
+        "known": {"index": 1, "updates": [first]},
+        "settings": settings(1),
+    }
+    file = path / f"{name}.json"
+    file.write_text(json.dumps(text))
+    environ = {key: value for key, value in os.environ.items() if key != "MARBLEGLADE_CONTROL"}
+    environ |= {"GW_CONFIG": str(file)} | ({"MARBLEGLADE_CONTROL": control} if control else {})
+    with (path / f"{name}.log").open("wb") as log:
+        command = [sys.executable, "-O", "-m", "marbleglade"]
+        return subprocess.Popen(command, stderr=log, env=environ)
+
+
+def write_settings(path: Path, nodes: list[MeteredNode], coordinator: Coordinator) -> str:
+    """The control plane of the front that is named `on`."""
+    discovery = ":".join(map(str, coordinator.address))
+    lines = [
+        'deployment: "d"',
+        f'region {{ name: "east" discovery: "{discovery}" front: "on" }}',
+        *(
+            f'node {{ name: "{node.name}" region: "east" zone: "{node.name}" '
+            f'address: "127.0.0.1:{node.address[1]}" quorum_address: "127.0.0.1:{free_port()}" }}'
+            for node in nodes
+        ),
+    ]
+    (path / "control.textproto").write_text("\n".join(lines))
+    return str(path / "control.textproto")
+
+
+def tell_purges(nodes: list[MeteredNode], per_second: float, seconds: float) -> int:
+    """Tells purges at a rate, each by both nodes; gives how many."""
+    begun, count = time.monotonic(), 0
+    while time.monotonic() - begun < seconds:
+        count += 1
+        moment = time.time_ns() // 1_000_000
+        nodes[count % 2].purge(count, 0, moment)
+        gevent.sleep(SECOND_NODE_LAG)
+        nodes[1 - count % 2].purge(count, 0, moment)
+        gevent.sleep(max(0.0, begun + count / per_second - time.monotonic()))
+    return count
+
+
+def measure(path: Path, per_second: float, seconds: float) -> dict[str, float]:
+    """One run; ends all that it starts."""
+    coordinator = Coordinator()
+    nodes = [MeteredNode(f"c{number}", "d", f"s{number}") for number in (1, 2)]
+    for node in nodes:
+        node.list(caches(), whole=True)
+    control = write_settings(path, nodes, coordinator)
+    coordinator.events.append(b"")  # the number that the fronts were started with
+    fronts = [start_front(path, "off", coordinator, ""), start_front(path, "on", coordinator, control)]
+    try:
+        gevent.sleep(WARM_UP)
+        before = [usage(process) for process in fronts]
+        bytes_before = sum(node.written + node.received for node in nodes)
+        count = tell_purges(nodes, per_second, seconds)
+        after = [usage(process) for process in fronts]
+        traffic = sum(node.written + node.received for node in nodes) - bytes_before
+        confirmed = min(max(_applied(node), default=0) for node in nodes)
+    finally:
+        for process in fronts:
+            process.kill()
+            process.wait()
+        for node in nodes:
+            node.close()
+        coordinator.close()
+    off, on = ((b.cpu_seconds - a.cpu_seconds) / seconds for a, b in zip(before, after, strict=True))
+    return {
+        "purges": count,
+        "confirmed": confirmed - 1,
+        "cpu_share_off": round(off, 5),
+        "cpu_share_on": round(on, 5),
+        "cpu_share_control": round(on - off, 5),
+        "memory_mb_control": round(after[1].memory_mb - after[0].memory_mb, 2),
+        "bytes_per_s": round(traffic / seconds, 1),
+    }
+
+
+def _applied(node: MeteredNode) -> list[int]:
+    return [int(line.split()[1]) for line in node.heard if line.startswith("applied ")]
+
+
+def main() -> None:
+    """Measures and prints."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--purges", type=float, default=12.0, help="a second")
+    told = parser.parse_args()
+    with tempfile.TemporaryDirectory() as path:
+        print(json.dumps(measure(Path(path), told.purges, told.seconds)))
+
+
+if __name__ == "__main__":
+    main()
--- a/marbleglade/control/applied.py
+++ b/marbleglade/control/applied.py
@@ -10,7 +10,7 @@
 from .messages import NO_STREAM, Greeting
 from .selection import HEARTBEAT
 
-CONFIRMATION_PAUSE = 100_000_000  # between two confirmations on one connection
+CONFIRMATION_PAUSE = 200_000_000  # at the least, between two confirmations on one connection
 
 
 class SequenceError(Exception):
--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -37,7 +37,7 @@
 
 SECOND = 1_000_000_000
 MILLISECOND = 1_000_000
-LONGEST_TURN = SECOND // 4  # between two looks at what is due
+LONGEST_TURN = SECOND  # between two looks at what is due, where nothing happens before
 
 
 @dataclass(slots=True)
--- a/marbleglade/control/intake.py
+++ b/marbleglade/control/intake.py
@@ -23,6 +23,7 @@
     def __init__(self, target: Target, guard: Guard) -> None:
         self._target, self._counters, self._log = target, guard.counters, guard.log
         self._recent = RecentPurges()
+        self._discovery_last = 0  # number of the last event of the discovery service
         self.lists = ListSources(target.apply, target.take_away)
         self.versions = ConfigurationVersions(target.configure)
 
@@ -51,10 +52,13 @@
 
     def discovery_event(self, event: ListChange | Purge) -> None:
         """Takes in an event of the front's own watch of the discovery service."""
+        if event.index <= self._discovery_last:
+            self.lists.discovery_began_anew()
         if isinstance(event, Purge):
             self._purge(event)
         else:
             self.lists.change(DISCOVERY, event)
+        self._discovery_last = event.index
 
     def _purge(self, purge: Purge) -> None:
         if self._recent.is_repetition(purge):
--- a/marbleglade/control/lists.py
+++ b/marbleglade/control/lists.py
@@ -159,6 +159,12 @@
         if not total.empty:
             self._forward(stream, total.total())
 
+    def discovery_began_anew(self) -> None:
+        """Its numbers count from 1 again: its lists are held until it was heard up to its last number."""
+        self.totals[DISCOVERY] = NetListChange()
+        if self.in_force == DISCOVERY:
+            self.in_force = None
+
     def known(self, change: ListChange) -> None:
         """The front was started with this change of the discovery service, and has applied it."""
         self.totals[DISCOVERY].add(change)
