--- a/tests/test_control_configuration.py
+++ b/tests/test_control_configuration.py
@@ -1,6 +1,7 @@
 """Configuration among real control nodes: three processes with stores, and relays that hold and drop."""
 
 import json
+import os
 import signal
 import sys
 from contextlib import suppress
@@ -21,13 +22,16 @@
     ReplicaHello,
 )
 from marbleglade.control.store import Store
+from marbleglade.standins.coordinator import Coordinator
 from marbleglade.standins.regions import free_port
 
 from .conftest import listening, until
+from .test_life import told
 
 NODES = ("c0", "c1", "c2")
 PATIENCE = 30.0  # seconds that a step may take on a busy machine
 LOCAL = "127.0.0.1"
+FRONT = "n3"  # as `told` calls it
 
 
 def document(base, mark=9100):
@@ -83,14 +87,14 @@
 class Nodes:
     """Three control nodes. Each reaches the others through relays of its own."""
 
-    def __init__(self, place):
+    def __init__(self, place, discovery=None):
         self.place = place
-        self.discovery = free_port()
+        self.discovery = discovery or free_port()
         self.ports = {name: (free_port(), free_port()) for name in NODES}
         self.relays = {
             (sender, to): Relay(self.ports[to][1]) for sender in NODES for to in NODES if sender != to
         }
-        self.processes = {}
+        self.processes, self.front = {}, None
         for name in NODES:
             self.file(name).write_text(self.text(name))
         self.operators = place / "operators.textproto"
@@ -103,7 +107,7 @@
     def text(self, of):
         lines = [
             'deployment: "shop"',
-            f'region {{ name: "east" discovery: "127.0.0.1:{self.discovery}" front: "front-0" }}',
+            f'region {{ name: "east" discovery: "127.0.0.1:{self.discovery}" front: "{FRONT}" }}',
         ]
         for name, (address, quorum) in self.ports.items():
             quorum = self.relays[of, name].port if of and of != name else quorum
@@ -167,9 +171,27 @@
                 return name
         return None
 
+    def start_front(self):
+        """A front that follows these nodes."""
+        config = self.place / "front.json"
+        listen = f"{LOCAL}:{free_port()}"
+        config.write_text(json.dumps(told(listen=listen, coordinator=f"{LOCAL}:{self.discovery}")))
+        environ = {"GW_CONFIG": str(config), "MARBLEGLADE_CONTROL": str(self.operators)}
+        with self.log("front").open("wb") as log:
+            self.front = subprocess.Popen(
+                [sys.executable, "-m", "marbleglade"], stderr=log, env=os.environ | environ
+            )
+
+    def configuration(self):
+        """What `status` says of the newest version."""
+        return json.loads(run("status", self.operators, "--json").stdout)["configuration"]
+
     def close(self):
         for name in list(self.processes):
             self.kill(name)
+        if self.front:
+            self.front.kill()
+            self.front.wait()
         for relay in self.relays.values():
             relay.close()
 
@@ -315,3 +337,29 @@
     assert isinstance(nodes.propose("region {"), ProposalRefused)
     assert nodes.propose(document(0)) == ProposalAccepted(1)
     assert nodes.said(leader, "term") < 9
+
+
+def test_a_front_takes_versions_over_and_is_named_with_its_reason_where_it_refuses_one(tmp_path):
+    coordinator = Coordinator()
+    coordinator.list_at("k", (LOCAL, 9), "box", whole=True, started_ms=1)
+    nodes = Nodes(tmp_path, coordinator.address[1])
+    try:
+        nodes.start(*NODES)
+        nodes.ready()
+        nodes.start_front()
+        assert nodes.propose(document(0)) == ProposalAccepted(1)
+        until(lambda: nodes.configuration()["done"], PATIENCE, every=0.1)
+        with_peers = document(1).replace("}", 'peer: "127.0.0.1:9" }')
+        assert nodes.propose(with_peers) == ProposalAccepted(2)
+        until(lambda: nodes.configuration()["refused"], PATIENCE, every=0.1)
+        told_by_status = nodes.configuration()
+        assert told_by_status["version"] == 2 and not told_by_status["done"]
+        assert told_by_status["lacking"]["first"] == [FRONT]
+        reason = "it lists peers, and this front was started without"
+        assert told_by_status["refused"] == [{"front": FRONT, "version": 2, "reason": reason}]
+        assert nodes.propose(document(2)) == ProposalAccepted(3)
+        until(lambda: nodes.configuration()["done"], PATIENCE, every=0.1)
+        assert not nodes.configuration()["refused"]
+    finally:
+        nodes.close()
+        coordinator.close()
