--- a/marbleglade/control/quorum.py
+++ b/marbleglade/control/quorum.py
@@ -80,8 +80,7 @@
         self.acceptor = Acceptor(state)
         self.others = tuple(member for member in members if member != name)
         self.majority = len(members) // 2 + 1
-        self.role = Role.FOLLOWER if state.voter else Role.LEARNER
-        self.leader = ""
+        self.role, self.leader = Role.FOLLOWER if state.voter else Role.LEARNER, ""
         self.ballot = Ballot()  # of this node's own candidacy or office
         self.highest = state.promised  # the highest ballot that was heard of
         self.promises: dict[str, Vote] = {}
@@ -210,7 +209,6 @@
             self._vote_on(Round(latest), now)  # it may be chosen already: it is completed first
 
     def _rejected(self, ballot: Ballot, promised: Ballot, now: int) -> None:
-        self.highest = max(self.highest, promised)
         if ballot == self.ballot and self.role in (Role.CANDIDATE, Role.LEADER):
             self._follow("", promised, now)
 
--- a/marbleglade/control/quorum_link.py
+++ b/marbleglade/control/quorum_link.py
@@ -44,9 +44,8 @@
 from .settings import ControlSettings
 from .store import Store, StoreError
 
-HEARTBEAT = (
-    100_000_000  # nanoseconds; a new leader stands after 4 of them, or 2 more for each place in the list
-)
+# Nanoseconds. A new leader stands after 4 heartbeats of silence, and 2 more for each place in the list.
+HEARTBEAT = 200_000_000
 TURNS = 4  # ticks in a heartbeat
 CONNECT_TIMEOUT = 1.0  # seconds
 SEND_TIMEOUT = 2.0  # seconds in which the other side has to take bytes
--- a/tests/test_control_configuration.py
+++ b/tests/test_control_configuration.py
@@ -271,7 +271,7 @@
     path.write_text(document(1))
     others = [name for name in NODES if name != leader]
     nodes.signal(signal.SIGSTOP, *others)  # they take what is written to them, and do not answer
-    done = run("propose", nodes.operators, path, "--timeout", 4)
+    done = run("propose", nodes.operators, path, "--timeout", 1)
     assert (done.returncode, done.stderr.count("\n")) == (6, 1) and "not known" in done.stderr
     nodes.kill(*others)
     until(lambda: nodes.said(leader, "role") == "candidate", PATIENCE, every=0.05)
