--- a/tests/test_control_configuration.py
+++ b/tests/test_control_configuration.py
@@ -164,10 +164,10 @@
             every=0.05,
         )
 
-    def held_of(self):
-        """The node both of whose relays hold what it wrote."""
+    def held_of(self, end):
+        """The node that both relays which begin (0) or end (1) at it hold something of."""
         for name in NODES:
-            if all(relay.held for (sender, _), relay in self.relays.items() if sender == name):
+            if all(relay.held for ends, relay in self.relays.items() if ends[end] == name):
                 return name
         return None
 
@@ -244,14 +244,21 @@
     ]
 
 
-def test_the_leader_is_killed_amid_a_proposal_and_its_verdict_is_told_all_the_same(nodes):
+@pytest.mark.parametrize(
+    ("first_held", "leaders_end"),
+    [(b'["Accept"', 0), (b'["Accepted"', 1)],
+    ids=["before the others know it", "after the others accepted it"],
+)
+def test_the_leader_is_killed_amid_a_proposal_and_its_verdict_is_told_all_the_same(
+    nodes, first_held, leaders_end
+):
     nodes.start(*NODES)
     nodes.ready()
     for relay in nodes.relays.values():
-        relay.hold_from = b'"Accept"'
+        relay.hold_from = first_held
     proposing = gevent.spawn(nodes.propose, document(0))
-    until(lambda: nodes.held_of(), PATIENCE, every=0.02)
-    leader = nodes.held_of()  # nobody else knows the proposal
+    until(lambda: nodes.held_of(leaders_end), PATIENCE, every=0.02)
+    leader = nodes.held_of(leaders_end)
     nodes.kill(leader)
     for relay in nodes.relays.values():
         relay.release()
