--- /dev/null
+++ b/tests/test_control_confirmation.py
@@ -0,0 +1,578 @@
+"""Confirmation across several control nodes: a state machine, and single cases of merging."""
+
+import os
+from collections import deque
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marbleglade.control.confirmation import Confirmation, EarlierStartError, UnknownFrontError
+from marbleglade.control.discovery import DiscoveryFollower
+from marbleglade.control.messages import Applied, FrontHello
+from marbleglade.control.node import ControlNode
+from marbleglade.control.session import ProtocolError, Session, held_by_front
+from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
+from marbleglade.control.status import InvalidStatusError, decode_status, encode_status
+from marbleglade.control.status_merge import NodeAnswer, merge
+from marbleglade.life.counters import Counters
+from marbleglade.life.guard import Guard
+from marbleglade.life.log import Log
+from marbleglade.wire.coordlines import NEVER, BadLine, Beat, ListChange, Member, Purge
+
+from .test_control_log import Reader
+
+SECOND = 1_000_000_000
+FRONTS = ("f1", "f2", "f3")
+NODES = ("c1", "c2", "c3")
+NOWHERE = ("127.0.0.1", 9)
+SETTINGS = ControlSettings(
+    "test",
+    (RegionSettings("east", NOWHERE, FRONTS),),
+    tuple(NodeSettings(name, "east", "zone", NOWHERE, NOWHERE) for name in NODES),
+    2600 * 1_000_000,
+    5000 * 1_000_000,
+    1024,
+)
+
+
+class Discovery:
+    """What the discovery service tells, in its present numbering."""
+
+    def __init__(self):
+        self.era = 0
+        self.events = []
+
+    def tell(self, event):
+        event.index = len(self.events) + 1
+        self.events.append(event)
+
+    def begin_anew(self):
+        """It knows the list as it is now, told as one that is not flagged whole, and the last purge."""
+        members = {}
+        for event in self.events:
+            if isinstance(event, ListChange):
+                members |= {member.id: member for member in event.members}
+        purges = [event for event in self.events if isinstance(event, Purge)]
+        self.era, self.events = self.era + 1, []
+        present = [member for member in members.values() if member.state != "left"]
+        self.tell(ListChange(0, False, present))
+        for purge in purges[-1:]:
+            self.tell(Purge(0, purge.thing, purge.group, purge.unix_ms))
+
+
+class Process:
+    """One start of a front: what it has applied, and its connections by node."""
+
+    def __init__(self, name, start_ms):
+        self.name, self.start_ms = name, start_ms
+        self.purged = {}
+        self.lists = {}  # by stream: the list of caches
+        self.connections = {}
+        self.positions = {}  # by stream: the last event
+
+    def has(self, purge):
+        return self.purged.get(purge.thing, 0) >= purge.unix_ms
+
+
+class Link:
+    """A connection between a front and a node. Both directions are held until they are let on."""
+
+    def __init__(self, process, node, number):
+        self.process, self.node, self.number = process, node, number
+        log, confirmation = node.control.log, node.control.confirmation
+        stream = log.stream if log.stream in process.positions else "-"
+        last = process.positions.get(stream, 0)
+        record = confirmation.admit(process.name, process.start_ms)
+        hello = FrontHello(process.name, process.start_ms, stream)
+        if previous := node.links.get(record.connection):
+            node.close(previous)
+        held = held_by_front(hello, last, log, record)
+        confirmation.connected(process.name, process.start_ms, number, 1)
+        self.session = Session(log, 1024)
+        self.reader = Reader(last, self.session.follow_as_front(held))
+        self.reader.members = process.lists.setdefault(log.stream, self.reader.members)
+        self.lines, self.words, self.said = deque(), deque(), 0
+
+    def send(self, now):
+        batch = self.session.next_batch(now)
+        if batch:
+            self.session.written(batch, len(batch))
+            self.lines.extend(batch.splitlines())
+
+    def apply(self, count):
+        """The front takes in some lines, in turn."""
+        for _ in range(min(count, len(self.lines))):
+            self.reader.read(self.lines.popleft())
+        for (_, thing), unix_ms in self.reader.purged.items():
+            self.process.purged[thing] = max(unix_ms, self.process.purged.get(thing, 0))
+        if self.complete:
+            self.process.positions[self.session.log.stream] = self.reader.last
+
+    @property
+    def complete(self):
+        return self.reader.last >= self.reader.snapshot_to
+
+    def say(self):
+        if self.complete and self.reader.last > self.said:
+            self.said = self.reader.last
+            self.words.append(self.said)
+
+    def hear(self, now):
+        """The node reads one word."""
+        if self.words:
+            index = self.words.popleft()
+            self.session.accept_applied(Applied(index))
+            self.node.control.confirmation.applied(self.process.name, self.number, index, now)
+
+
+class Node:
+    """A control node without sockets: what the discovery service told it, and its connections."""
+
+    def __init__(self, name, discovery, sink):
+        self.name, self.discovery, self.sink = name, discovery, sink
+        self.count = 0
+        self.start()
+
+    def start(self):
+        self.control = ControlNode(SETTINGS, self.name, sink=self.sink)
+        self.links, self.era, self.position, self.beaten = {}, self.discovery.era, 0, False
+
+    def receive(self):
+        """One event of the discovery service, or its heartbeat where there is none."""
+        follower, events = self.control.follower, self.discovery.events
+        if self.era != self.discovery.era:
+            self.era, self.position = self.discovery.era, 0
+            if follower.last > len(events):
+                with pytest.raises(BadLine):
+                    follower._heard(Beat(len(events)))
+            else:  # it can't be told by the numbers alone; the client counts from where it was
+                self.position = follower.last
+        if self.position < len(events):
+            follower._heard(events[self.position])
+            self.position += 1
+        else:
+            follower._heard(Beat(len(events)))
+
+    def receive_all(self):
+        while self.era != self.discovery.era or self.position < len(self.discovery.events):
+            self.receive()
+        self.receive()
+
+    def connect(self, process):
+        self.count += 1
+        link = Link(process, self, self.count)
+        self.links[link.number] = link
+        process.connections[self.name] = link
+
+    def close(self, link):
+        self.links.pop(link.number, None)
+        self.control.confirmation.disconnected(link.process.name, link.number, link.session.sent)
+        if link.process.connections.get(self.name) is link:
+            del link.process.connections[self.name]
+
+    def answer(self):
+        return NodeAnswer(self.name, decode_status(encode_status(self.control.status())))
+
+
+node_names, front_names = st.sampled_from(NODES), st.sampled_from(FRONTS)
+
+
+class ControlPlane(RuleBasedStateMachine):
+    """Nodes, fronts and a discovery service, whose messages go on only when a rule lets them."""
+
+    @initialize()
+    def begin(self):
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.now, self.started = SECOND, 0
+        self.discovery = Discovery()
+        self.discovery.tell(ListChange(0, True, [self.cache("a"), self.cache("b")]))
+        self.nodes = {name: Node(name, self.discovery, self.sink) for name in NODES}
+        for node in self.nodes.values():
+            node.receive_all()
+        self.fronts, self.all_processes, self.purges = {}, {}, []
+        # Of each node: the last start of each front that it was told of, and whether that one left.
+        self.known = {name: {} for name in NODES}
+        for name in FRONTS:
+            self.launch(name)
+
+    @staticmethod
+    def cache(name, state="active"):
+        return Member(name, ("10.0.0.1", 8080), "zone", "edge", 0, state, 5)
+
+    def launch(self, name):
+        self.started += 1
+        self.fronts[name] = Process(name, self.started)
+        self.all_processes[name, self.started] = self.fronts[name]
+
+    def links(self):
+        return [link for name in NODES for link in self.nodes[name].links.values()]
+
+    def pick(self, data):
+        links = self.links()
+        return data.draw(st.sampled_from(range(len(links)))) if links else None
+
+    # What the discovery service does.
+
+    @rule(thing=st.integers(1, 4))
+    def purge(self, thing):
+        self.now += SECOND
+        purge = Purge(0, thing, 0, 1000 + len(self.purges))
+        self.purges.append(purge)
+        self.discovery.tell(purge)
+
+    @rule(name=st.sampled_from("abc"), state=st.sampled_from(["active", "leaving", "left"]))
+    def change(self, name, state):
+        self.discovery.tell(ListChange(0, False, [self.cache(name, state)]))
+
+    @rule()
+    def discovery_begins_anew(self):
+        self.discovery.begin_anew()
+
+    # What nodes do.
+
+    @rule(name=node_names, count=st.integers(1, 4))
+    def receive(self, name, count):
+        for _ in range(count):
+            self.nodes[name].receive()
+
+    @rule(name=node_names)
+    def node_restarts(self, name):
+        node = self.nodes[name]
+        for link in list(node.links.values()):
+            link.process.connections.pop(name, None)
+        self.known[name].clear()
+        node.start()
+        node.receive_all()
+
+    # What fronts do.
+
+    @rule(front=front_names, name=node_names)
+    def connect(self, front, name):
+        process = self.fronts[front]
+        if name in process.connections:
+            return
+        self.nodes[name].connect(process)
+        self.known[name][front] = process.start_ms, False
+
+    @rule(front=front_names)
+    def restart(self, front):
+        """Its old connections stay, with what is under way on them, until the node notices."""
+        self.launch(front)
+
+    @rule(data=st.data(), count=st.integers(1, 9))
+    def exchange(self, data, count):
+        """One connection goes through some steps; each may be left out."""
+        chosen = self.pick(data)
+        if chosen is None:
+            return
+        link = self.links()[chosen]
+        steps = data.draw(st.lists(st.sampled_from(["send", "apply", "say", "hear"]), min_size=1, max_size=6))
+        self.now += SECOND // 4
+        for step in steps:
+            alive = self.fronts[link.process.name] is link.process
+            if step == "send":
+                link.send(self.now)
+            elif step == "apply" and alive:
+                link.apply(count)
+            elif step == "say" and alive:
+                link.say()
+            elif step == "hear":
+                link.hear(self.now)
+
+    @rule(front=front_names)
+    def catch_up(self, front):
+        """A front takes in and says all there is, on all of its connections."""
+        for link in list(self.fronts[front].connections.values()):
+            self.settle(link)
+
+    @rule(data=st.data())
+    def cut(self, data):
+        chosen = self.pick(data)
+        if chosen is not None:
+            link = self.links()[chosen]
+            link.node.close(link)
+
+    @rule(front=front_names)
+    def leave(self, front):
+        process = self.fronts[front]
+        for name, link in list(process.connections.items()):
+            link.node.control.confirmation.left(front, link.number)
+            link.node.close(link)
+            self.known[name][front] = process.start_ms, True
+        self.launch(front)
+
+    @precondition(lambda self: self.links())
+    @rule(data=st.data(), beyond=st.integers(1, 3))
+    def claim_what_was_not_sent(self, data, beyond):
+        link = self.links()[self.pick(data)]
+        with pytest.raises(ProtocolError):
+            link.session.accept_applied(Applied(link.session.sent + beyond))
+
+    def settle(self, link):
+        while (wait := link.session.wait(self.now)) is not None:
+            self.now += wait
+            link.send(self.now)
+        link.apply(len(link.lines))
+        link.say()
+        while link.words:
+            link.hear(self.now)
+
+    # What must hold.
+
+    def status(self, names=NODES):
+        answers = [
+            self.nodes[name].answer() if name in names else NodeAnswer(name, None, "silent") for name in NODES
+        ]
+        return merge(SETTINGS, answers)
+
+    def counting(self, names):
+        """The last start of each front that these nodes were told of, but for those that left; None: none."""
+        for front in FRONTS:
+            told = [self.known[name][front] for name in names if front in self.known[name]]
+            start_ms = max((start_ms for start_ms, _ in told), default=None)
+            if (start_ms, True) not in told:
+                yield front, start_ms and self.all_processes[front, start_ms]
+
+    def check(self, names):
+        for summary in self.status(names).purges:
+            if summary.lacking.count:
+                continue
+            assert summary.took_ms is not None
+            for front, process in self.counting(names):
+                assert process and process.has(summary.identity), (front, summary)
+                links = [link for name in names for link in self.nodes[name].links.values()]
+                assert any(link.process is process for link in links), f"{front} may have started again"
+
+    @invariant()
+    def nothing_is_confirmed_that_a_front_lacks(self):
+        self.check(NODES)
+
+    @rule(name=node_names)
+    def a_node_is_silent(self, name):
+        names = [one for one in NODES if one != name]
+        self.check(names)
+        assert self.status(names).silent_nodes == [name]
+
+    @rule()
+    def all_is_well_for_once(self):
+        """Every front is connected to two nodes, which have received everything, and has said what it has."""
+        for node in self.nodes.values():
+            node.receive_all()
+        for front in FRONTS:
+            for name in NODES[:2]:
+                self.connect(front, name)
+            self.catch_up(front)
+
+    def teardown(self):
+        if not hasattr(self, "nodes"):
+            return
+        self.all_is_well_for_once()
+        status = self.status()
+        assert status.connected == len(FRONTS) and not status.absent.count
+        for name in NODES[:2]:
+            log = self.nodes[name].control.log
+            for process in self.fronts.values():
+                assert process.lists[log.stream].members == log.members.members
+        by_first = {purge.identity("c1") for purge in self.nodes["c1"].answer().status.purges}
+        assert all(not one.lacking.count for one in status.purges if one.identity in by_first)
+        os.close(self.sink)
+
+
+def test_no_purge_is_confirmed_that_a_listed_front_lacks():
+    run_state_machine_as_test(
+        ControlPlane,
+        settings=settings(
+            max_examples=120,
+            stateful_step_count=40,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+# Single cases.
+
+
+def told(confirmation, *indexes):
+    for index in indexes:
+        confirmation.add_purge(index, Purge(index, index, 0, index), SECOND, 1000, True)
+
+
+def lacking(confirmation):
+    return {purge.index: confirmation.lacking(purge) for purge in confirmation.purges}
+
+
+def test_a_front_counts_for_what_it_said_and_for_no_event_more():
+    confirmation = Confirmation(["f1", "f2"])
+    told(confirmation, 1, 2, 3)
+    assert set(lacking(confirmation).values()) == {3}, "a front that never came lacks everything"
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.applied("f1", 1, 2, 2 * SECOND)
+    assert lacking(confirmation) == {1: 2, 2: 2, 3: 3}
+    confirmation.applied("f1", 1, 3, 3 * SECOND)
+    assert lacking(confirmation) == {1: 2, 2: 2, 3: 2} and confirmation.latency.total == 3
+
+
+def test_only_the_present_connection_of_a_front_counts():
+    confirmation = Confirmation(["f1"])
+    told(confirmation, 1)
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.connected("f1", 5, 2, SECOND)
+    confirmation.applied("f1", 1, 1, SECOND)
+    confirmation.configured("f1", 1, 1, SECOND)
+    confirmation.left("f1", 1)
+    confirmation.disconnected("f1", 1, 9)
+    record = confirmation.fronts["f1"]
+    assert lacking(confirmation) == {1: 1} and not record.version and not record.left
+    assert record.connection == 2 and not record.sent
+    with pytest.raises(EarlierStartError):
+        confirmation.admit("f1", 4)
+    with pytest.raises(UnknownFrontError):
+        confirmation.admit("f9", 4)
+
+
+def test_who_left_does_not_count_until_it_is_back_and_then_from_nothing():
+    confirmation = Confirmation(["f1"])
+    told(confirmation, 1)
+    confirmation.connected("f1", 5, 1, SECOND)
+    confirmation.applied("f1", 1, 1, SECOND)
+    confirmation.left("f1", 1)
+    told(confirmation, 2)
+    assert lacking(confirmation) == {1: 0, 2: 0}
+    confirmation.connected("f1", 6, 2, SECOND)
+    assert lacking(confirmation) == {1: 1, 2: 1}
+
+
+def test_the_purges_that_are_kept_are_bounded():
+    confirmation = Confirmation(["f1"], recent=4)
+    told(confirmation, *range(1, 10))
+    assert list(lacking(confirmation)) == [6, 7, 8, 9]
+
+
+def plane_of(*nodes):
+    """Confirmations of several nodes for the fronts f1 and f2, and their merged status."""
+    controls = [ControlNode(SETTINGS, name, sink=os.open(os.devnull, os.O_WRONLY)) for name in nodes]
+
+    def status():
+        return merge(SETTINGS, [NodeAnswer(one.node.name, one.status()) for one in controls])
+
+    return controls, status
+
+
+def test_the_time_to_the_last_word_leaves_out_what_fronts_repeat_at_another_node():
+    (first, second), status = plane_of("c1", "c2")
+    purge = Purge(1, 7, 0, 70)
+    for control in (first, second):
+        control.confirmation.add_purge(1, purge, SECOND, 1000, True)
+    for number, name in enumerate(FRONTS, 1):
+        first.confirmation.connected(name, 5, number, 0)
+        first.confirmation.applied(name, number, 1, SECOND + number * 1_000_000)
+    assert status().purges[0].took_ms == 3
+    second.confirmation.connected("f1", 5, 1, 60 * SECOND)
+    second.confirmation.applied("f1", 1, 1, 60 * SECOND)
+    assert status().purges[0].took_ms == 3
+
+
+def test_a_configuration_counts_by_its_version_and_refusals_are_named():
+    (first, second), status = plane_of("c1", "c2")
+    assert status().configuration.version == 0
+    first.confirmation.add_configuration(1, SECOND, 1000)
+    first.confirmation.add_configuration(2, SECOND, 1000)
+    second.confirmation.add_configuration(1, SECOND, 1000)
+    for number, name in enumerate(FRONTS, 1):
+        second.confirmation.connected(name, 5, number, 0)
+    second.confirmation.configured("f1", 1, 2, 2 * SECOND)
+    second.confirmation.configured("f2", 2, 1, 2 * SECOND)
+    second.confirmation.refused("f3", 3, 2, "no such cache")
+    configuration = status().configuration
+    assert configuration.version == 2 and configuration.lacking.first == ("f2", "f3")
+    assert [(one.front, one.reason) for one in configuration.refusals] == [("f3", "no such cache")]
+    for number, name in enumerate(FRONTS, 1):
+        second.confirmation.configured(name, number, 2, 3 * SECOND)
+    assert status().configuration.lacking.count == 0
+
+
+def test_a_node_of_another_deployment_or_with_other_fronts_is_not_taken_for_what_it_is_not():
+    other = replace(SETTINGS, deployment="other")
+    swapped = replace(
+        SETTINGS, regions=(RegionSettings("east", NOWHERE, ("f3", "f9", "f1")),)
+    )  # f2 is not listed there
+    sink = os.open(os.devnull, os.O_WRONLY)
+    foreign, control = ControlNode(other, "c1", sink=sink), ControlNode(swapped, "c2", sink=sink)
+    control.confirmation.add_purge(1, Purge(1, 7, 0, 70), SECOND, 1000, True)
+    for number, name in enumerate(("f3", "f9", "f1"), 1):
+        control.confirmation.connected(name, 5, number, 0)
+    control.confirmation.applied("f3", 1, 1, 2 * SECOND)
+    status = merge(SETTINGS, [NodeAnswer("c1", foreign.status()), NodeAnswer("c2", control.status())])
+    assert status.silent_nodes == ["c1"] and "another deployment" in status.answers[0].error
+    assert status.purges[0].lacking.first == ("f1", "f2") and status.connected == 2
+    renamed = merge(SETTINGS, [NodeAnswer("c3", control.status())])
+    assert renamed.silent_nodes == ["c3"]
+
+
+def test_a_purge_without_a_moment_is_kept_apart_by_node():
+    (first, second), status = plane_of("c1", "c2")
+    for control in (first, second):
+        control.confirmation.add_purge(1, Purge(1, 7, 0, NEVER), SECOND, 1000, True)
+    for number, name in enumerate(FRONTS, 1):
+        first.confirmation.connected(name, 5, number, 0)
+        first.confirmation.applied(name, number, 1, 2 * SECOND)
+    assert sorted(one.lacking.count for one in status().purges) == [0, 3]
+
+
+@pytest.mark.parametrize("line", [b"", b"[]\n", b"{}\n", b'{"deployment":"x"}\n', b"7\n"])
+def test_a_line_that_is_no_status_is_refused(line):
+    with pytest.raises(InvalidStatusError):
+        decode_status(line)
+
+
+# The discovery service, as a node follows it.
+
+
+def follower():
+    passed, sink = [], os.open(os.devnull, os.O_WRONLY)
+    counters = Counters()
+    one = DiscoveryFollower(
+        NOWHERE,
+        lambda purge, live: passed.append((purge.thing, live)),
+        lambda change: passed.append([member.id for member in change.members]),
+        lambda: passed.append("heartbeat"),
+        Guard(counters, Log("c1", counters, sink=sink)),
+    )
+    return one, passed
+
+
+def test_lists_that_are_replayed_are_passed_on_as_one_and_purges_at_once():
+    one, passed = follower()
+    one._heard(ListChange(1, True, [ControlPlane.cache("a")]))
+    one._heard(Purge(2, 7, 0, 70))
+    one._heard(ListChange(3, False, [ControlPlane.cache("b"), ControlPlane.cache("a", "left")]))
+    assert passed == [(7, False)]
+    one._heard(Beat(3))
+    one._heard(ListChange(4, False, [ControlPlane.cache("c")]))
+    one._heard(Purge(5, 8, 0, 70))
+    assert passed == [(7, False), ["b"], "heartbeat", ["c"], (8, True)]
+
+
+def test_a_service_that_began_anew_without_a_list_leaves_the_one_before_in_force():
+    one, passed = follower()
+    one._heard(ListChange(1, True, [ControlPlane.cache("a")]))
+    one._heard(Beat(1))
+    with pytest.raises(BadLine):
+        one._heard(Beat(0))
+    one._heard(Beat(0))
+    assert passed == [["a"], "heartbeat", "heartbeat"]
+    one._heard(ListChange(1, False, [ControlPlane.cache("b")]))
+    one._heard(Purge(2, 8, 0, 70))
+    one._heard(Beat(2))
+    assert passed[3:] == [(8, True), ["b"], "heartbeat"] and one.held is None
