A front refuses a list of peers that moves it to another place

Fronts of a fleet know each other by their places in the list, and a running front keeps its own: moved, it would speak in another's name. The document is refused whole, with both places in the reason.

--- a/marbleglade/control/configure.py
+++ b/marbleglade/control/configure.py
@@ -96,14 +96,22 @@
         return document
 
     def _check_usable(self, region: RegionConfiguration) -> None:
-        if region.peers and self.parts.own_peer is None:
-            raise ConfigurationRefusedError("it lists peers, and this front was started without")
-        if region.peers and self.parts.own_peer not in region.peers:
-            host, port = self.parts.own_peer
-            raise ConfigurationRefusedError(f"its peers lack this front, {host}:{port}")
+        if region.peers:
+            self._check_peers(region.peers)
         if region.work and self.parts.take_up_work is None:
             raise ConfigurationRefusedError("it holds an order of work, and this front takes part in none")
 
+    def _check_peers(self, peers: tuple[Address, ...]) -> None:
+        """Fronts know each other by their places in the list, so a running front keeps its own."""
+        own, now = self.parts.own_peer, self.parts.in_force().peers
+        if own is None:
+            raise ConfigurationRefusedError("it lists peers, and this front was started without")
+        if own not in peers:
+            raise ConfigurationRefusedError(f"its peers lack this front, {own[0]}:{own[1]}")
+        if own in now and peers.index(own) != now.index(own):
+            places = f"from place {now.index(own)} to {peers.index(own)}"
+            raise ConfigurationRefusedError(f"it moves this front {places} in the list of peers")
+
     def _changes(self, region: RegionConfiguration) -> Changes:
         now = self.parts.in_force()
         peers_change = region.peers and (
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -33,6 +33,7 @@
   {WORK}
 }}
 """
+MOVED = EAST.replace("7001", "7003").replace("7002", "7001")
 OWN = ("127.0.0.1", 7001)
 DISCOVERY = ("127.0.0.1", 9092)
 
@@ -164,6 +165,7 @@
         (Front(("127.0.0.1", 7009)), 5, EAST, "its peers lack this front, 127.0.0.1:7009"),
         (Front(None), 5, EAST, "this front was started without"),
         (Front(works=False), 5, EAST, "takes part in none"),
+        (Front(), 5, MOVED, "moves this front from place 0 to 1 in the list of peers"),
         (Front(), 6, EAST, "says version 5, not 6"),
         (Front(), 5, EAST.replace("shop", "other"), "deployment"),
         (Front(), 3, EAST, "older than 4 in force"),
