--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run gateway bench-gateway bench-overload bench-work schema counters clean
+.PHONY: build test lint run gateway bench-gateway bench-overload bench-work bench-scale schema counters clean
 
 build: .venv/made-from .venv/made-with .venv/tested-with
 
@@ -20,6 +20,11 @@
 	.venv/bin/pip -q install -r requirements-test.txt
 	cp requirements-test.txt $@
 
+# What only the scale run needs: fits, histograms and plots.
+.venv/benched-with: requirements-bench.txt .venv/made-from
+	.venv/bin/pip -q install -r requirements-bench.txt
+	cp requirements-bench.txt $@
+
 test: build
 	$(PYTHON) -m pytest -q -n 2 --dist loadgroup
 
@@ -44,6 +49,10 @@
 bench-work: build
 	$(PYTHON) -O -m benchmarks.work $(ARGS)
 
+# Many fronts under faults: make bench-scale ARGS="--quick --seed 3"
+bench-scale: build .venv/benched-with
+	$(PYTHON) -O -m benchmarks.scale $(ARGS)
+
 # Made anew after a change of a schema, with grpcio-tools in an environment of its own.
 schema:
 	test -d .schema || (python3 -m venv .schema && .schema/bin/pip -q install grpcio-tools==1.85.1)
--- a/benchmarks/scale/faults.py
+++ b/benchmarks/scale/faults.py
@@ -62,10 +62,13 @@
 
 
 def plan(seed: int, quick: bool, available: frozenset[FaultKind]) -> list[Fault]:
-    """The faults in their order. A quick run has those of `ALWAYS` and a few others."""
+    """The faults in their order; a quick run has those of `ALWAYS` first and a few others after them."""
     draws = random.Random(seed)
+    usual = [kind for kind in ALWAYS if kind in available]
     others = [kind for kind in FaultKind if kind in available and kind not in ALWAYS]
+    draws.shuffle(usual)
     draws.shuffle(others)
-    kinds = [kind for kind in ALWAYS if kind in available] + (others[:QUICK_EXTRA] if quick else others)
-    draws.shuffle(kinds)
+    kinds = usual + (others[:QUICK_EXTRA] if quick else others)
+    if not quick:
+        draws.shuffle(kinds)
     return [Fault(kind, SECONDS[kind], draws.random()) for kind in kinds]
--- a/tests/test_scale_checkers.py
+++ b/tests/test_scale_checkers.py
@@ -12,8 +12,12 @@
     seconds_after_heal,
     stale_copies,
 )
+from benchmarks.scale.faults import ALWAYS, FaultKind, plan
 from benchmarks.scale.messages import AppliedPurge, HeldCopy, HostReport, decode, encode
+from benchmarks.scale.summary import AIMS, Summary, kept
+from benchmarks.scale.topology import REGIONS, hollow_names, node_places, peer_address, settings_text
 from benchmarks.scale.workload import HOT_OBJECTS, group_of, purge_target
+from marbleglade.control import settings
 
 SECOND = 1_000_000  # microseconds
 DEADLINE = 2_600_000  # microseconds
@@ -168,3 +172,37 @@
     words = [applied("a", purge(10), 5)]
     report = HostReport(0.5, 7, words, [], [], [HeldCopy("a", OBJECT, 3, 9)], {"trouble.x": 1})
     assert decode(encode(report)) == report
+
+
+def test_the_faults_come_of_the_seed_and_a_quick_run_begins_with_those_that_always_are():
+    every = frozenset(FaultKind)
+    assert plan(5, False, every) == plan(5, False, every) != plan(6, False, every)
+    assert {fault.kind for fault in plan(5, False, every)} == every
+    for seed in range(20):
+        assert {fault.kind for fault in plan(seed, True, every)[: len(ALWAYS)]} == set(ALWAYS)
+    assert [fault.kind for fault in plan(5, True, frozenset({FaultKind.CUT_ZONE}))] == [FaultKind.CUT_ZONE]
+
+
+def test_the_settings_of_a_run_list_every_front_once_and_are_in_order(tmp_path):
+    places = node_places(8, list(range(9000, 9016)))
+    discovery = {region: ["127.0.0.1", 8000 + number] for number, region in enumerate(REGIONS)}
+    path = tmp_path / "control.textproto"
+    path.write_text(settings_text(discovery, places, 730, ["f0", "f1"]))
+    read = settings.read(str(path))
+    fronts = [front for region in read.regions for front in region.fronts]
+    assert len(fronts) == len(set(fronts)) == 732
+    assert set(fronts) == {"f0", "f1", *(name for part in hollow_names(730).values() for name in part)}
+    assert len({(node.region, node.zone) for node in read.nodes}) == 8
+    names = hollow_names(730)
+    assert len({peer_address(name) for part in names.values() for name in part}) == 730
+
+
+def test_the_last_line_says_why_a_field_is_null_and_which_rule_broke():
+    summary = Summary(lost=0, stale=2, purge_everywhere_s_worst=2.7)
+    summary.faults.append("a version is in force where it can't be used")
+    line = summary.line()
+    assert line["doubled"] is None and line["not_measured"]["doubled"] == "not run"
+    assert "lost" not in line["not_measured"] and "faults" not in line
+    assert summary.broken() == ["stale is 2", "a version is in force where it can't be used"]
+    verdicts = {aim.field: kept(aim, summary) for aim in AIMS}
+    assert verdicts["purge_everywhere_s_worst"] is False and verdicts["config_everywhere_s_worst"] is None
