--- a/benchmarks/scale/hollow_host.py
+++ b/benchmarks/scale/hollow_host.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -31,6 +32,7 @@
 )
 from .worker import cpu_of, memory_of, serve
 
+TIMER_INTERVAL = 0.05  # seconds of the timer whose lateness is watched
 REFRESH_INTERVAL = 1.0  # seconds between two rounds of copies
 TROUBLE = ("trouble.", "broken.")  # counters of what must not happen
 
@@ -77,7 +79,9 @@
         self.fronts: dict[str, RunningFront] = {}
         self.left_behind: list = []
         self.troubles: Counter[str] = Counter()
+        self.late_s = 0.0
         gevent.spawn(self._refresh)
+        gevent.spawn(self._watch_lateness)
 
     def _refresh(self) -> None:
         while True:
@@ -86,6 +90,12 @@
                 running.hollow.refresh_copies()
                 gevent.sleep(0)
 
+    def _watch_lateness(self) -> None:
+        while True:
+            began = time.monotonic()
+            gevent.sleep(TIMER_INTERVAL)
+            self.late_s = max(self.late_s, time.monotonic() - began - TIMER_INTERVAL)
+
     def handle(self, command: object) -> object | None:
         """Carries out one command; what it gives is the reply."""
         match command:
@@ -141,7 +151,10 @@
             if copies:
                 held += running.hollow.held()
         pid = os.getpid()
-        return HostReport(cpu_of(pid), memory_of(pid), applied, traffic, states, held, dict(self.troubles))
+        late_s, self.late_s = self.late_s, 0.0
+        return HostReport(
+            cpu_of(pid), memory_of(pid), late_s, applied, traffic, states, held, dict(self.troubles)
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale/messages.py
+++ b/benchmarks/scale/messages.py
@@ -117,10 +117,15 @@
 
 @dataclass(slots=True)
 class HostReport:
-    """What a hollow host saw. `cpu_s` is processor time of the process, `memory_bytes` is resident."""
+    """What a hollow host saw. `cpu_s` is processor time of the process, `memory_bytes` is resident.
+
+    `late_s` is the worst lateness of a timer since the last report: what the machine itself, or the host's
+    own work, held everything up by.
+    """
 
     cpu_s: float
     memory_bytes: int
+    late_s: float
     applied: list[AppliedPurge]
     traffic: list[FrontTraffic]
     fronts: list[FrontState]
--- a/benchmarks/scale/points.py
+++ b/benchmarks/scale/points.py
@@ -38,5 +38,6 @@
     server_cpu: float
     server_bytes_out_per_s: float
     server_memory_bytes: int
+    host_late_s_worst: float
     missed_purges: int
     stale: int
--- a/benchmarks/scale/population.py
+++ b/benchmarks/scale/population.py
@@ -47,6 +47,7 @@
         index: Who applied which purge, from all reports so far.
         lives: Every start of every front.
         empty_bytes: Memory of the hosts before they run fronts.
+        late_s: The worst lateness of a timer in any host, until it is set back to 0.
         troubles: Counters of what must not happen, by name.
     """
 
@@ -61,6 +62,7 @@
         self.troubles: dict[int, dict[str, int]] = {}
         self.copies: list[HeldCopy] = []
         self.copies_at_us = 0
+        self.late_s = 0.0
         for worker in self.workers:
             worker.ready()
         self.empty_bytes = sum(memory_of(worker.pid) for worker in self.workers)
@@ -133,6 +135,7 @@
         gevent.joinall(jobs)
         reports = [job.get() for job in jobs]
         for number, report in enumerate(reports):
+            self.late_s = max(self.late_s, report.late_s)
             for one in report.applied:
                 self.index.add(one)
             self.troubles[number] = report.troubles
--- a/benchmarks/scale/sweep.py
+++ b/benchmarks/scale/sweep.py
@@ -138,10 +138,11 @@
 def describe(point: Point) -> str:
     """One line for a terminal."""
     worst = point.purge_everywhere_s_worst
+    took = "-" if worst is None else f"{worst:.3f} s"
     return (
         f"{point.sweep}: {point.fronts} fronts, {point.purges_per_s:g} purges/s, "
-        f"directory {point.directory}, {point.caches} caches: worst "
-        f"{'-' if worst is None else f'{worst:.3f} s'}, front {point.front_cpu:.5f} core, "
+        f"directory {point.directory}, {point.caches} caches: worst {took} "
+        f"(timers late by {point.host_late_s_worst:.2f} s), front {point.front_cpu:.5f} core, "
         f"{point.front_bytes_in_per_s:.0f} B/s in, {point.front_bytes_out_per_s:.1f} out, "
         f"{point.front_memory_bytes / 1e6:.1f} MB; server {point.server_cpu:.3f} core; "
         f"missed {point.missed_purges}, stale {point.stale}"
--- a/benchmarks/scale/window.py
+++ b/benchmarks/scale/window.py
@@ -43,6 +43,7 @@
     def measure(self, sweep: str, setting: Setting, seconds: float) -> Point:
         """Purges at the setting's rate for so many seconds, then waits until all have arrived."""
         hosts, servers, begin_us = self.population.sample(), self.servers(), now_us()
+        self.population.late_s = 0.0
         self.issuer.rate = setting.purges_per_s
         gevent.sleep(seconds)
         self.issuer.rate = 0
@@ -77,6 +78,7 @@
             max(servers_after.cpu_s[name] - before for name, before in servers.cpu_s.items()) / took,
             (servers_after.bytes_out - servers.bytes_out) / took,
             servers_after.memory_bytes,
+            population.late_s,
             missed_purges(issued, population.index, population.lives).count,
             stale_copies(
                 population.copies, population.copies_at_us, issued, [], population.lives, self.deadline_us
