--- a/benchmarks/scale/hollow_host.py
+++ b/benchmarks/scale/hollow_host.py
@@ -67,7 +67,7 @@
         """Ends it, as planned or not."""
         if leave and self.control:
             self.control.leave()
-        gevent.killall(self.greenlets)
+        gevent.killall(self.greenlets, block=False)
         self.sockets.cut()
 
 
--- a/benchmarks/scale/scenario.py
+++ b/benchmarks/scale/scenario.py
@@ -14,7 +14,7 @@
 from ..rig import folder
 from .checkers import Confirmation, Finding, everywhere_seconds, false_confirmations, missed_purges
 from .checkers import seconds_after_heal, stale_copies
-from .configuring import Configuring
+from .configuring import Configuring, ProposalError
 from .control_plane import ControlPlane, free_ports
 from .fault_runner import FaultRunner
 from .faults import FaultKind, plan
@@ -31,13 +31,13 @@
     StatusReport,
 )
 from .points import Point, Setting
-from .population import Population
+from .population import Population, PopulationError
 from .purging import PurgeIssuer
 from .summary import Summary
 from .sweep import cache_list, describe
 from .topology import PURGE_DEADLINE_MS, REGIONS, hollow_names, node_places, settings_text
 from .window import ServerSample, Window
-from .worker import Worker, memory_of
+from .worker import Worker, WorkerError, memory_of
 
 DEADLINE_US = PURGE_DEADLINE_MS * 1000
 MARGIN = 8.0  # seconds that are kept for the end of a run
@@ -87,7 +87,7 @@
 
 
 class Scenario:
-    """One run. `points` are the measured windows; `faults` and `skipped` tell what was played."""
+    """One run. `points` are the measured windows; `faults`, `failed` and `skipped` tell what was played."""
 
     def __init__(
         self,
@@ -105,6 +105,7 @@
         self.confirmed: list[Confirmation] = []
         self.faults: list[str] = []
         self.skipped: list[str] = []
+        self.failed: list[str] = []
         self.notes: list[str] = []
         self.stale, self.most_processes, self.most_memory = Finding(), 0, 0
         self.status: StatusReport | None = None
@@ -225,7 +226,11 @@
                 self.skipped.append(fault.kind.value)
                 continue
             began = time.monotonic()
-            whom = runner.play(fault)
+            try:
+                whom = runner.play(fault)
+            except (WorkerError, PopulationError, ProposalError) as error:
+                whom = "not carried out"
+                self.failed.append(f"{fault.kind.value} could not be carried out: {error}")
             self.faults.append(f"{fault.kind.value}: {whom}")
             self.look()
             self.progress(
@@ -339,7 +344,7 @@
                 f"configuration versions: in force after {[round(one, 2) for one in outcome.seconds]} s, "
                 f"commands ended after {[round(one, 2) for one in outcome.command_seconds]} s"
             )
-        summary.faults += outcome.faults
+        summary.faults += [*outcome.faults, *self.failed]
 
     def _tell(self, summary: Summary, reports: list[RealReport], findings: list[Finding]) -> None:
         for finding in findings:
