--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -66,7 +66,7 @@
 
 
 def pytest_collection_modifyitems(items):
-    """Three lines of tests, each in its order: what goes by the clock never has another such test beside it."""
+    """Lines of tests, each in its order: what goes by the clock never has another such test beside it."""
     for item in items:
         module = item.module.__name__.rpartition(".")[2]
         item.add_marker(pytest.mark.xdist_group(_line_of_tests(module)))
