--- /dev/null
+++ b/benchmarks/scale/points.py
@@ -0,0 +1,42 @@
+"""Measured points: one setting and what it cost; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """What is varied."""
+
+    fronts: int
+    purges_per_s: float
+    directory: int
+    caches: int
+
+
+@dataclass(slots=True)
+class Point:
+    """A setting and what was measured; `benchmarks/measurements/README.md` tells units and meanings."""
+
+    sweep: str
+    mode: str
+    fronts: int
+    purges_per_s: float
+    directory: int
+    caches: int
+    seconds: float
+    purges: int
+    purge_everywhere_s_p50: float | None
+    purge_everywhere_s_p99: float | None
+    purge_everywhere_s_worst: float | None
+    front_cpu: float
+    front_memory_bytes: float
+    front_bytes_in_per_s: float
+    front_bytes_out_per_s: float
+    front_bytes_per_s_worst: float
+    server_cpu: float
+    server_bytes_out_per_s: float
+    server_memory_bytes: int
+    missed_purges: int
+    stale: int
