--- /dev/null
+++ b/benchmarks/scale/hollow_host.py
@@ -0,0 +1,149 @@
+"""Worker process: many hollow fronts, each with its own connections."""
+
+from __future__ import annotations
+
+import gc
+import os
+from collections import Counter
+from collections.abc import Callable
+
+import gevent
+
+from marbleglade.control import connection
+from marbleglade.control.client import ControlClient
+from marbleglade.control.settings import ControlSettings
+from marbleglade.life.control import make_client, read_settings
+from marbleglade.wire import coordinator
+from marbleglade.wire.coordinator import Follower
+
+from .front_sockets import FrontSockets, install
+from .hollow_front import HollowFront, discard, shared_settings
+from .messages import (
+    Collect,
+    CutFronts,
+    FrontState,
+    FrontTraffic,
+    HealFronts,
+    HostReport,
+    Ready,
+    StartFronts,
+    StopFronts,
+)
+from .worker import cpu_of, memory_of, serve
+
+REFRESH_INTERVAL = 1.0  # seconds between two rounds of copies
+TROUBLE = ("trouble.", "broken.")  # counters of what must not happen
+
+
+class RunningFront:
+    """A hollow front with its watch client and the sockets of that."""
+
+    def __init__(self, hollow: HollowFront, command: StartFronts, control: ControlSettings | None) -> None:
+        self.hollow = hollow
+        self.sockets = FrontSockets()
+        self.control: ControlClient | None = None
+        follower = hollow.follower = Follower(
+            tuple(command.discovery), 0, hollow.front.follow, hollow.guard, anew=True
+        )
+        runs = [follower.run]
+        if control:
+            self.control = make_client(control, hollow)
+            runs.append(self.control.run)
+        self.greenlets = [gevent.spawn(self._owned, run) for run in runs]
+
+    def _owned(self, run: Callable[[], None]) -> None:
+        self.sockets.own()
+        self.hollow.guard.run("hollow", run)
+
+    def state(self) -> FrontState:
+        """Its start, the caches that it knows, its configuration version."""
+        caches = len(self.hollow.places.by_id)
+        version = self.control.survey()["version"] if self.control else 0
+        return FrontState(self.hollow.name, self.hollow.start_ms, caches, version)
+
+    def stop(self, leave: bool) -> None:
+        """Ends it, as planned or not."""
+        if leave and self.control:
+            self.control.leave()
+        gevent.killall(self.greenlets)
+        self.sockets.cut()
+
+
+class HollowHost:
+    """Carries out the scale run's commands at the fronts of this process."""
+
+    def __init__(self) -> None:
+        self.around, self.sink = shared_settings(), discard()
+        self.fronts: dict[str, RunningFront] = {}
+        self.left_behind: list = []
+        self.troubles: Counter[str] = Counter()
+        gevent.spawn(self._refresh)
+
+    def _refresh(self) -> None:
+        while True:
+            gevent.sleep(REFRESH_INTERVAL)
+            for running in list(self.fronts.values()):
+                running.hollow.refresh_copies()
+                gevent.sleep(0)
+
+    def handle(self, command: object) -> object | None:
+        """Carries out one command; what it gives is the reply."""
+        match command:
+            case StartFronts():
+                self.start(command)
+            case StopFronts(names, leave):
+                for name in names:
+                    self.stop(name, leave)
+            case CutFronts(names):
+                for name in names:
+                    self.fronts[name].sockets.cut()
+            case HealFronts(names):
+                for name in names:
+                    self.fronts[name].sockets.heal()
+            case Collect(copies):
+                return self.report(copies)
+            case _:
+                raise ValueError(f"unknown command: {command!r}")
+        return None
+
+    def start(self, command: StartFronts) -> None:
+        """Starts fronts."""
+        control = read_settings(command.control, command.names[0]) if command.control else None
+        for name in command.names:
+            hollow = HollowFront(name, self.around, self.sink)
+            hollow.fill_directory(command.directory)
+            self.fronts[name] = RunningFront(hollow, command, control)
+            gevent.sleep(0)
+        gc.collect()
+        gc.freeze()
+
+    def stop(self, name: str, leave: bool) -> None:
+        """Ends a front; what it applied is reported with the next report."""
+        running = self.fronts.pop(name)
+        running.stop(leave)
+        self.left_behind += running.hollow.front.drain()
+        self._note_troubles(running)
+
+    def _note_troubles(self, running: RunningFront) -> None:
+        counts = running.hollow.counters.counts
+        for name in [one for one in counts if one.startswith(TROUBLE)]:
+            self.troubles[name] += counts.pop(name)
+
+    def report(self, copies: bool) -> HostReport:
+        """All that came since the last report."""
+        applied, self.left_behind = self.left_behind, []
+        traffic, states, held = [], [], []
+        for name, running in self.fronts.items():
+            applied += running.hollow.front.drain()
+            traffic.append(FrontTraffic(name, *running.sockets.totals()))
+            states.append(running.state())
+            self._note_troubles(running)
+            if copies:
+                held += running.hollow.held()
+        pid = os.getpid()
+        return HostReport(cpu_of(pid), memory_of(pid), applied, traffic, states, held, dict(self.troubles))
+
+
+if __name__ == "__main__":
+    install(coordinator, connection)
+    serve(Ready(), HollowHost().handle)
--- /dev/null
+++ b/marbleglade/gateway/requester.py
@@ -0,0 +1,229 @@
+"""The requesting side: links to the gateways of one region, and the requests that are out on them.
+
+To the life of a retrieval these are what the connections to caches are: `fly` sends an attempt and blocks
+until it has ended. Which gateway takes it and whether it goes again is not decided here.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import gevent
+
+from ..facade import Go
+from ..interface import Cache, Outcome
+from ..life import clock
+from ..life.guard import Guard
+from ..memory.room import Room
+from ..wire.caches import Ending, oldest
+from ..wire.coordlines import Purge
+from ..wire.resp import Ask
+from .answer_receiver import AnswerReceiver
+from .clock_offset import ClockOffset
+from .concurrency_limit import ConcurrencyLimit
+from .link_dialer import LinkDialer
+from .link_pb2 import Carry as CarryFrame
+from .link_pb2 import Had, Leaving, Undo
+from .link_receiver import LinkReceiver
+from .links import ForwardedRequest, Link
+from .partial_bodies import PartialBodies, PartialBody
+from .purge_log import PurgeReceiver
+
+MS = 1_000_000  # nanoseconds
+MOST_MARKS = 1 << 14
+
+
+class Requester:
+    """All links to one region. `front` is set once: the life of retrievals on this side, over these links."""
+
+    def __init__(
+        self,
+        home: str,
+        gateway: str,
+        start_ms: int,
+        region: str,
+        peers: list[tuple[str, tuple[str, int]]],
+        silent: int,
+        drift_ppm: float,
+        account: bool,
+        room: Room,
+        parts: PartialBodies,
+        owed: ConcurrencyLimit,
+        guard: Guard,
+    ) -> None:
+        self.home, self.gateway, self.start_ms, self.region = home, gateway, start_ms, region
+        self.silent, self.account, self.room, self.parts, self.owed = silent, account, room, parts, owed
+        self.guard, self.counters, self.log = guard, guard.counters, guard.log
+        self.links = [Link(name, address, offset=ClockOffset(drift_ppm)) for name, address in peers]
+        self.by_cache: dict[Cache, Link] = {}
+        self.purge_receiver = PurgeReceiver(MOST_MARKS)
+        self.aloft: Counter[Cache] = Counter()
+        self.number = 0
+        self.front = None
+        # Tell the rest of this gateway: of a purge, and that what was given out before counts as purged.
+        self.purged: Callable[[Purge], None] = lambda purge: None
+        self.forget: Callable[[int], None] = lambda before_ms: None
+        self.dialer = LinkDialer(self)
+        self.hears = LinkReceiver(self).handlers | AnswerReceiver(self).handlers
+
+    def fly(self, ask: Ask, go: Go) -> Ending:
+        cache, launch = go.launch.cache, go.launch
+        link = self.by_cache.get(cache)
+        left = launch.sent + launch.within - clock.now()
+        if link is None or not link.up or left <= 0:
+            self.counters.add("carry.no_link")
+            return Ending(Outcome.UNREACHED)
+        if self.region in ask.passed or not self.owed.take():
+            self.counters.add("carry.turned_away")
+            return Ending(Outcome.FULL)
+        self.aloft[cache] += 1
+        carry = self._send(link, ask, go, left)
+        ending: Ending | None = None
+        try:
+            with gevent.Timeout(left / 1e9, False):
+                ending = go.ended.get() or Ending(Outcome.CALLED_OFF)
+        finally:
+            if not go.ended.ready():
+                go.ended.set(None)
+            elif ending is None:  # it came in the instant in which the time ran out
+                ending = go.ended.get(block=False)
+            self._release(carry, ending)
+            self.aloft[cache] -= 1
+            if not self.aloft[cache]:
+                del self.aloft[cache]
+        return ending or Ending(Outcome.TIMEOUT)
+
+    def look(self, cache: Cache, within: int) -> dict[str, float]:
+        """Far gateways are heard by their beats and are not probed."""
+        return {}
+
+    def drop(self, ending: Ending) -> None:
+        if ending.answer and ending.answer.body:
+            self.room.give(len(ending.answer.body))
+
+    def outdated(self, caches: list[Cache]) -> None:
+        """A far gateway that began anew is noticed by its links themselves."""
+
+    def connections(self, cache: Cache) -> int:
+        link = self.by_cache.get(cache)
+        return int(bool(link and link.connection))
+
+    def sweep(self) -> None:
+        """Ends what waited long enough for its link to return, and forgets what nobody can use."""
+        now = clock.now()
+        for link in self.links:
+            for carry in [one for one in link.adrift.values() if one.wait_until <= now]:
+                link.adrift.pop(carry.number)
+                self.counters.add("carry.not_returned")
+                self.end(carry, Ending(Outcome.RESET))
+        self.parts.expire(now)
+
+    def _send(self, link: Link, ask: Ask, go: Go, left: int) -> ForwardedRequest:
+        self.number += 1  # one count for all links, rising on each
+        part = self.parts.get((go.launch.retrieval.object, ask.part))
+        carry = ForwardedRequest(self.number, ask, go, clock.now() + left, part)
+        link.open[carry.number] = carry
+        frame = CarryFrame(
+            number=carry.number,
+            trace=ask.trace,
+            profile=ask.profile_name,
+            thing=int(ask.thing, 16),
+            part=ask.part,
+            group=ask.group,
+            within_ms=max(1, left // MS),
+            oldest_ms=self._oldest(link, ask, go),
+            copy=ask.copy,
+            again=ask.again,
+            passed=[*ask.passed, self.home],
+            body=len(ask.body),
+            mark=ask.mark,
+        )
+        if part and self.account:
+            frame.had.CopyFrom(Had(tag=part.tag, issued_ms=part.issued_ms, bytes=len(part.data)))
+        self.counters.add("carry.sent")
+        link.connection.say(carry=frame)
+        if ask.body:
+            link.connection.give(carry.number, ask.body)
+        return carry
+
+    def _oldest(self, link: Link, ask: Ask, go: Go) -> int:
+        """The oldest copy that will do: as decisions and requester say, and none that the region purged."""
+        asked, last = oldest(ask, go), self.purge_receiver.last(int(ask.thing, 16), ask.group)
+        if not last:
+            return asked
+        since = max(1, link.offset.theirs(clock.unix_ns(), clock.unix_ns())[0] // MS - last - 1)
+        usual = asked or ask.profile.fresh // MS or since
+        return min(usual, since)
+
+    def _release(self, carry: ForwardedRequest, ending: Ending | None) -> None:
+        """The launch is over for us; the far side is told, and what came of a body is kept for the next."""
+        had = ending is not None and ending.answer is not None
+        for link in self.links:
+            if link.open.pop(carry.number, None) is not None and link.connection:
+                link.connection.send_queue.drop(carry.number)
+                say = link.connection.later if had else link.connection.say
+                say(undo=Undo(number=carry.number, had=had))
+            link.adrift.pop(carry.number, None)
+        if not had:
+            self._keep_part(carry)
+            self.room.give(carry.held)
+        else:
+            self.parts.drop(carry.key)
+        carry.held, carry.receiver = 0, None
+        outcome = ending.outcome if ending else Outcome.TIMEOUT
+        if outcome is Outcome.OK:
+            self.owed.settled()
+        else:
+            self.owed.ended(outcome in (Outcome.FULL, Outcome.TIMEOUT), clock.now())
+
+    def _keep_part(self, carry: ForwardedRequest) -> None:
+        if carry.receiver and carry.receiver.came and carry.head:
+            # Whoever asks for the object next goes on from there: most often the same client again.
+            until = clock.now() + carry.retrieval.profile.client_timeout
+            self.parts.put(
+                carry.key, PartialBody(carry.head.tag, carry.head.issued_ms, carry.receiver.data(), until)
+            )
+
+    def end(self, carry: ForwardedRequest, ending: Ending) -> None:
+        if carry.go.ended.ready():
+            return  # nobody takes it: its room is still the carry's
+        if ending.answer:
+            carry.held = 0  # the room goes along with the answer
+        carry.go.ended.set(ending)
+
+    def run(self, link: Link) -> None:
+        """Keeps one link up, for as long as the gateway lives."""
+        self.dialer.run(link)
+
+    def beat(self) -> None:
+        for link in self.links:
+            if link.connection:
+                link.connection.beat()
+                link.connection.check()
+
+    def leave(self) -> None:
+        """This gateway stops: the other side is told."""
+        for link in self.links:
+            if link.connection:
+                link.connection.say(leaving=Leaving())
+
+    def survey(self) -> list[dict[str, object]]:
+        """What is believed of each link."""
+        now = clock.now()
+        return [
+            {
+                "link": one.name,
+                "region": self.region,
+                "up": one.up,
+                "start_ms": one.start_ms,
+                "open": len(one.open),
+                "adrift": len(one.adrift),
+                "purges": one.index,
+                "offset_us": (one.offset.low + one.offset.high) // 2000 if one.offset.known else None,
+                "heard_ms": (now - one.connection.heard) // MS if one.connection else None,
+                "owed": self.owed.open,
+                "may_be_owed": int(self.owed.allowed),
+            }
+            for one in self.links
+        ]
