A test that nodes call a purge done only once the front has applied it

Need: confirmation is never to come early, and a planned end is to be known, with real nodes and a real front.

Change: the front is stopped while a purge is told; the nodes' status names it as lacking; it goes on and the purge is done; after SIGTERM it counts as left.

--- a/tests/test_control_front.py
+++ b/tests/test_control_front.py
@@ -67,6 +67,36 @@
     assert not [line for line in one.log.lines(event="control") if "age_limit_ms" in line]
 
 
+def status(one):
+    """What the nodes know, by the command line."""
+    command = [sys.executable, "-m", "marbleglade", "control", "status", str(one.settings), "--json"]
+    return json.loads(subprocess.run(command, capture_output=True, text=True, check=True).stdout)
+
+
+def test_a_purge_is_done_only_once_the_front_has_applied_it_and_leaving_is_known(rig, coordinator):
+    one = rig(2, scripted=False, discovery=coordinator.address)
+    coordinator.list_at("k", ("127.0.0.1", 9), "box", whole=True, started_ms=1)
+    for name in one.names:
+        one.start_node(name)
+    one.start_front(known={"index": 0, "updates": []})
+    wait(lambda: len(one.current()) == 2)
+    one.front.send_signal(signal.SIGSTOP)
+    coordinator.purge(7, 0, clock.unix_ns() // 1_000_000)
+    wait(lambda: len(status(one)["purges"]) == 1)
+    assert status(one)["purges"][0]["lacking"] == {"count": 1, "first": ["n3"]}
+    one.front.send_signal(signal.SIGCONT)
+    wait(lambda: status(one)["purges"][0]["done"])
+    assert one.count("control.purge") == 1
+    one.front.send_signal(signal.SIGTERM)
+    wait(lambda: one.front.poll() is not None)
+    assert status(one)["fronts"] == {
+        "listed": 1,
+        "connected": 0,
+        "left": 1,
+        "absent": {"count": 0, "first": []},
+    }
+
+
 def started(rig, **named):
     """A front that uses two scripted nodes, which list a and b."""
     one = rig(**named)
