--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -15,7 +15,7 @@
 
     try:
         service.run(assignment.read(os.environ))
-    except assignment.Unfit as trouble:
+    except assignment.InvalidConfigurationError as trouble:
         print(f"marbleglade: {trouble}", file=sys.stderr)
         return 2
     return 0
--- a/marbleglade/command/fleet.py
+++ b/marbleglade/command/fleet.py
@@ -18,11 +18,11 @@
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
     """Check FILE, the part of a fleet that MARBLEGLADE_FLEET names, and print what is in force."""
-    from ..fleet.reading import Unfit, read
+    from ..fleet.reading import InvalidConfigurationError, read
 
     try:
         told = read(file)
-    except Unfit as trouble:
+    except InvalidConfigurationError as trouble:
         give_up([str(trouble)])
     click.echo(f"beat_ms: {told.beat_ms}")
 
--- a/marbleglade/command/line.py
+++ b/marbleglade/command/line.py
@@ -39,21 +39,21 @@
 
 
 def _read(path: str, name: str):
-    from ..deployment.reading import Unfit, read
+    from ..deployment.reading import InvalidDeploymentError, read
 
     try:
         return read(path, name)
-    except Unfit as trouble:
+    except InvalidDeploymentError as trouble:
         give_up(trouble.faults)
 
 
 def _loaded(path: str):
     """A deployment and its faults; none of the first where it can't be read."""
-    from ..deployment.reading import Unfit, faults, load
+    from ..deployment.reading import InvalidDeploymentError, faults, load
 
     try:
         told = load(path)
-    except Unfit as trouble:
+    except InvalidDeploymentError as trouble:
         return None, trouble.faults
     return told, faults(told)
 
--- a/marbleglade/command/work.py
+++ b/marbleglade/command/work.py
@@ -17,11 +17,11 @@
 
 
 def _read(file: str):
-    from ..fleet.workfile import Unfit, read
+    from ..fleet.workfile import InvalidConfigurationError, read
 
     try:
         return read(file)
-    except Unfit as trouble:
+    except InvalidConfigurationError as trouble:
         give_up(str(trouble).split("; "))
 
 
--- a/marbleglade/control/connection.py
+++ b/marbleglade/control/connection.py
@@ -11,10 +11,11 @@
 from ..life import clock
 from ..wire.coordlines import LONGEST_LINE, Beat
 from ..wire.sockets import SCRATCH, send_now
+from .applied import StreamProgress
 from .messages import (
     Applied,
-    FrontHello,
     Follow,
+    FrontHello,
     Greeting,
     InvalidLineError,
     Request,
@@ -22,7 +23,6 @@
     decode_stream_line,
     encode_request,
 )
-from .applied import StreamProgress
 from .settings import NodeSettings
 
 SECOND = 1_000_000_000
--- a/marbleglade/control/discovery.py
+++ b/marbleglade/control/discovery.py
@@ -6,7 +6,7 @@
 
 from ..life.guard import Guard
 from ..wire.coordinator import Follower
-from ..wire.coordlines import BadLine, Beat, Event, ListChange, Purge
+from ..wire.coordlines import Beat, Event, InvalidLineError, ListChange, Purge
 from .member_table import MemberTable
 
 
@@ -50,7 +50,7 @@
         followed = self.last
         try:
             super()._heard(event)
-        except BadLine:
+        except InvalidLineError:
             if followed and not self.last:
                 self.replaying, self.held = True, MemberTable()
             raise
--- a/marbleglade/control/versions.py
+++ b/marbleglade/control/versions.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from .configuration import ConfigurationRefusedError
-from .messages import Configured, ConfigurationEvent, Refused
+from .messages import ConfigurationEvent, Configured, Refused
 
 
 class ConfigurationVersions:
--- a/marbleglade/deployment/reading.py
+++ b/marbleglade/deployment/reading.py
@@ -86,7 +86,7 @@
 }
 
 
-class Unfit(Exception):
+class InvalidDeploymentError(Exception):
     """The deployment can't be used; `faults` holds one line for each reason."""
 
     def __init__(self, faults: list[str]) -> None:
@@ -116,11 +116,11 @@
 
 
 def load(path: str) -> Message:
-    """The file at `path`, decoded and with its defaults. Raises `Unfit`."""
+    """The file at `path`, decoded and with its defaults. Raises `InvalidDeploymentError`."""
     try:
         told = parsed(path, Deployment(), LONGEST)
     except ValueError as trouble:
-        raise Unfit([str(trouble)]) from trouble
+        raise InvalidDeploymentError([str(trouble)]) from trouble
     for block, figures in DEFAULTS.items():
         part = getattr(told, block)
         for name, value in figures.items():
@@ -229,7 +229,11 @@
 
 
 def read(path: str, name: str = "") -> Deployed:
-    """A deployment as one of its gateways stands in it: `name`, else the file's `self`. Raises `Unfit`."""
+    """A deployment as one of its gateways stands in it: `name`, else the file's `self`.
+
+    Raises:
+        InvalidDeploymentError: It can't be used.
+    """
     told = load(path)
     wrong = faults(told)
     name = name or told.self
@@ -239,7 +243,7 @@
     elif not found and name != told.self:
         wrong.append(f"no gateway is named {name!r}")
     if wrong:
-        raise Unfit(wrong)
+        raise InvalidDeploymentError(wrong)
     return Deployed(told, *found[0])
 
 
--- a/marbleglade/disk/files.py
+++ b/marbleglade/disk/files.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 
-class Busy(OSError):
+class StoreBusyError(OSError):
     """Another process has the place."""
 
 
@@ -23,7 +23,7 @@
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as trouble:
             os.close(self.lock)
-            raise Busy(f"{place} is used by another process") from trouble
+            raise StoreBusyError(f"{place} is used by another process") from trouble
         self.open: dict[int, int] = {}
 
     def _path(self, number: int) -> Path:
--- a/marbleglade/disk/index.py
+++ b/marbleglade/disk/index.py
@@ -16,7 +16,7 @@
 MARK = struct.Struct("<Q")
 
 
-class NewerForm(OSError):
+class NewerFormatError(OSError):
     """The place was written by a later program."""
 
 
@@ -29,7 +29,7 @@
         form = self.fact("form")
         if form > FORM:
             self.env.close()
-            raise NewerForm(f"{place} has form {form}, and this program knows {FORM}")
+            raise NewerFormatError(f"{place} has form {form}, and this program knows {FORM}")
         if not form:
             self.commit(facts={"form": FORM})
 
--- a/marbleglade/drill/__main__.py
+++ b/marbleglade/drill/__main__.py
@@ -2,11 +2,11 @@
 
 import sys
 
-from .wire import Malformed, serve
+from .wire import MalformedMessageError, serve
 
 if __name__ == "__main__":
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except Malformed as trouble:
+    except MalformedMessageError as trouble:
         print(f"marbleglade.drill: {trouble}", file=sys.stderr)
         sys.exit(2)
--- a/marbleglade/drill/wire.py
+++ b/marbleglade/drill/wire.py
@@ -8,7 +8,7 @@
 from typing import BinaryIO
 
 from ..choice import Choice
-from ..ground import STATES, Missing, Surroundings, file_report, read_ground
+from ..ground import STATES, MissingSettingError, Surroundings, file_report, read_ground
 from ..interface import Cache, Launch, Outcome, Retrieval, Told
 
 OUTCOMES = {
@@ -30,7 +30,7 @@
     """The call that a line asks for which only the door heeds."""
 
 
-class Malformed(Exception):
+class MalformedMessageError(Exception):
     """A line that the wire does not allow; says which and where."""
 
 
@@ -95,7 +95,7 @@
         return launch
 
     def settle(self, retrieval: Retrieval) -> None:
-        raise Malformed("an instance here holds no copies")
+        raise MalformedMessageError("an instance here holds no copies")
 
     def call_off(self, launch: Launch) -> None:
         retrieval = launch.retrieval
@@ -240,7 +240,7 @@
 
     def seat(self) -> Seat:
         if self.current not in self.seats:
-            raise Malformed(f"instance {self.current} was never started")
+            raise MalformedMessageError(f"instance {self.current} was never started")
         return self.seats[self.current]
 
     def reply(self) -> bytes:
@@ -257,19 +257,19 @@
         name, _, rest = line.partition(" ")
         if self.due_entries:
             if name != "ENTRY" or len(fields := rest.split(" ")) < 7 or fields[5] not in STATES:
-                raise Malformed("an ENTRY of a LIST was expected")
+                raise MalformedMessageError("an ENTRY of a LIST was expected")
             self.filling.append(fields)
             self.due_entries -= 1
             return nothing
         if name == "ROUND":
             if self.batch is not None:
-                raise Malformed("a batch is open already")
+                raise MalformedMessageError("a batch is open already")
             clock, self.batch = rest.split(" ")
             int(self.batch)
             self.clock[0] = ns(clock)
             return nothing
         if self.batch is None:
-            raise Malformed("no batch is open")
+            raise MalformedMessageError("no batch is open")
         if name == "COMMIT":
             reply = self.reply()
             self.batch = None
@@ -293,7 +293,7 @@
         elif name == "ENDPOINTS":
             form, place, _version = rest.split(" ")
             if form not in ("diff", "snapshot", "disk", "error"):
-                raise Malformed(f"unknown list form {form}")
+                raise MalformedMessageError(f"unknown list form {form}")
             return self.seat().on_endpoints(form, None if form == "error" else self.lists[int(place)])
         elif name == "ACCEPT":
             return self.seat().on_accept(*rest.split(" "))
@@ -316,7 +316,7 @@
         elif name == "FROM_PEER":
             self.seat()
         else:
-            raise Malformed(f"unknown message {name}")
+            raise MalformedMessageError(f"unknown message {name}")
         return nothing
 
     def start(self, around: Surroundings) -> None:
@@ -330,8 +330,15 @@
         try:
             line = raw.decode().rstrip("\n")
             asked = drill.read(line) if line else nothing
-        except (Malformed, Missing, ValueError, KeyError, TypeError, IndexError) as trouble:
-            raise Malformed(f"line {place}: {line[:200]!r}: {trouble}") from trouble
+        except (
+            MalformedMessageError,
+            MissingSettingError,
+            ValueError,
+            KeyError,
+            TypeError,
+            IndexError,
+        ) as trouble:
+            raise MalformedMessageError(f"line {place}: {line[:200]!r}: {trouble}") from trouble
         if isinstance(asked, bytes):
             sink.write(asked)
             sink.flush()
--- a/marbleglade/fleet/reading.py
+++ b/marbleglade/fleet/reading.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import Message
 
-from ..life.assignment import Unfit
+from ..life.assignment import InvalidConfigurationError
 from ..textproto import parsed
 from .fleet_pb2 import FleetPart
 
@@ -21,11 +21,11 @@
 
 
 def whole(path: str, into: Message) -> Message:
-    """The file at `path`, read into a message. Raises `Unfit`, whose text is one line."""
+    """The file at `path`, read into a message. Raises `InvalidConfigurationError`, whose text is one line."""
     try:
         return parsed(path, into, LONGEST)
     except ValueError as trouble:
-        raise Unfit(" ".join(str(trouble).split())) from trouble
+        raise InvalidConfigurationError(" ".join(str(trouble).split())) from trouble
 
 
 def outside(name: str, value: int, bounds: dict[str, tuple[int, int]]) -> str:
@@ -35,9 +35,9 @@
 
 
 def read(path: str) -> Told:
-    """The file at `path`, with its defaults. Raises `Unfit`."""
+    """The file at `path`, with its defaults. Raises `InvalidConfigurationError`."""
     told = whole(path, FleetPart())
     beat_ms = told.beat_ms if told.HasField("beat_ms") else BEAT_MS
     if wrong := outside("beat_ms", beat_ms, BOUNDS):
-        raise Unfit(f"{path}: {wrong}")
+        raise InvalidConfigurationError(f"{path}: {wrong}")
     return Told(beat_ms)
--- a/marbleglade/fleet/workfile.py
+++ b/marbleglade/fleet/workfile.py
@@ -10,7 +10,7 @@
 
 from google.protobuf.message import DecodeError
 
-from ..life.assignment import Unfit
+from ..life.assignment import InvalidConfigurationError
 from .order import Cap, Kind, Machine, Order, front_name
 from .reading import LONGEST, outside, whole
 from .work_pb2 import Job, WorkOrder
@@ -72,9 +72,9 @@
 
 
 def order_of(told: WorkOrder) -> Order:
-    """Raises `Unfit` with all faults."""
+    """Raises `InvalidConfigurationError` with all faults."""
     if wrong := list(faults(told)):
-        raise Unfit("; ".join(wrong))
+        raise InvalidConfigurationError("; ".join(wrong))
     machines = tuple(
         Machine(
             machine_of(job),
@@ -104,22 +104,22 @@
 
 
 def read(path: str) -> tuple[Order, bytes]:
-    """The order in a file, and the bytes that pass it on. Raises `Unfit`."""
+    """The order in a file, and the bytes that pass it on. Raises `InvalidConfigurationError`."""
     told = whole(path, WorkOrder())
     try:
         return order_of(told), packed(told)
-    except Unfit as trouble:
-        raise Unfit(f"{path}: {trouble}") from trouble
+    except InvalidConfigurationError as trouble:
+        raise InvalidConfigurationError(f"{path}: {trouble}") from trouble
 
 
 def received(data: bytes) -> Order:
-    """The order in what another front passed on. Raises `Unfit`."""
+    """The order in what another front passed on. Raises `InvalidConfigurationError`."""
     told, inflate = WorkOrder(), zlib.decompressobj()
     try:
         raw = inflate.decompress(data, LONGEST)
         if inflate.unconsumed_tail or not inflate.eof or inflate.unused_data:
-            raise Unfit("too long, or not whole")
+            raise InvalidConfigurationError("too long, or not whole")
         told.ParseFromString(raw)
     except (zlib.error, DecodeError) as trouble:
-        raise Unfit(f"no order: {trouble}") from trouble
+        raise InvalidConfigurationError(f"no order: {trouble}") from trouble
     return order_of(told)
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -12,7 +12,7 @@
 from functools import lru_cache
 
 from ..interface import name_of
-from ..life.assignment import Unfit
+from ..life.assignment import InvalidConfigurationError
 from ..wire.workgrams import MOST_PARTS, PART_BYTES, Have, Part, Want, Workgram
 from .duties import holder
 from .grants import RENEW, Claim, Grants, Held, Hold, Vote
@@ -229,9 +229,9 @@
         try:
             order = received(raw)
             if zlib.crc32(raw) != have.digest or order.asked_ms != have.asked_ms:
-                raise Unfit("not what was offered")
+                raise InvalidConfigurationError("not what was offered")
             self.take_up(order, raw, now)
-        except Unfit:
+        except InvalidConfigurationError:
             self.unfit = have.digest  # it is not asked for again
 
     def survey(self) -> dict[str, object]:
--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/workshell.py
@@ -9,7 +9,7 @@
 from ..front import Front
 from ..interface import Role, State
 from ..life import clock
-from ..life.assignment import Unfit
+from ..life.assignment import InvalidConfigurationError
 from ..wire import workgrams
 from ..wire.workgrams import Workgram
 from .drain import Drain, Stage
@@ -52,7 +52,7 @@
         try:
             taken = self.works.take_up(*read(self.path), clock.now())
             self.say("work", taken_up=taken)
-        except Unfit as trouble:
+        except InvalidConfigurationError as trouble:
             self.say("work", unfit=str(trouble))
 
     def turn(self, now: int) -> list[Out]:
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -11,9 +11,9 @@
 from ..life import clock
 from ..life.guard import Guard
 from ..wire.sockets import chunks, send_now
-from .frames import InvalidFrameError, Frames, encode, encode_chunk
+from .flow_control import CHUNK, FlowControlError, SendQueue
+from .frames import Frames, InvalidFrameError, encode, encode_chunk
 from .link_pb2 import Beat, Credit
-from .flow_control import CHUNK, SendQueue, FlowControlError
 
 UNSENT = 4 * CHUNK  # bytes that the machine may hold unsent, so that what is urgent is not behind them
 WINDOW = 64 * CHUNK  # bytes of bodies under way on one connection, at most
--- a/marbleglade/gateway/life.py
+++ b/marbleglade/gateway/life.py
@@ -30,13 +30,13 @@
 from ..wire.coordinator import Follower
 from ..wire.coordlines import ListChange, Purge
 from ..wire.placedoor import PlaceDoor
-from .responder import Responder
-from .requester import Requester
-from .request_journal import RequestJournal
-from .region_router import Across, RegionRouter
 from .concurrency_limit import ConcurrencyLimit
 from .partial_bodies import PartialBodies
 from .purge_log import PurgeSender
+from .region_router import Across, RegionRouter
+from .request_journal import RequestJournal
+from .requester import Requester
+from .responder import Responder
 from .routes import UNKNOWN, Routes, rules
 
 MS = 1_000_000
--- a/marbleglade/gateway/responder.py
+++ b/marbleglade/gateway/responder.py
@@ -17,14 +17,14 @@
 from ..wire.resp import Ask
 from ..wire.sockets import accepted
 from . import frames, link_recovery
-from .request_journal import PeerSession, RequestJournal, JournalEntry, Fate
 from .connection import OPENING, WINDOW, Connection
-from .region_router import RegionRouter, RoutedRequest
+from .flow_control import BodyReceiver
 from .frames import VERSION, InvalidFrameError
 from .link_pb2 import Carry, Caught, Credit, Head, Hello, Leaving, Purge, Refused
 from .link_pb2 import Fate as FateFrame
 from .purge_log import PurgeMark, PurgeSender
-from .flow_control import BodyReceiver
+from .region_router import RegionRouter, RoutedRequest
+from .request_journal import Fate, JournalEntry, PeerSession, RequestJournal
 
 MS = 1_000_000
 WORDS = {End.PUSHED_BACK: Head.PUSHED_BACK, End.BROKEN_OFF: Head.BROKEN_OFF}
--- a/marbleglade/ground.py
+++ b/marbleglade/ground.py
@@ -22,7 +22,7 @@
 SPOKEN = re.compile(r"[^\s,=]{1,128}")  # a name that can stand in a list of fields
 
 
-class Missing(ValueError):
+class MissingSettingError(ValueError):
     """A setting that is needed is absent, of the wrong shape or absurd."""
 
 
@@ -59,19 +59,19 @@
 
     def __init__(self, value: object, path: str) -> None:
         if not isinstance(value, dict):
-            raise Missing(f"setting {path or 'Options'} is no object")
+            raise MissingSettingError(f"setting {path or 'Options'} is no object")
         self.value, self.path = value, path
 
     def need(self, key: str, kind: type | tuple[type, ...]):
         if not isinstance(self.value.get(key), kind):
-            raise Missing(f"setting {self.path}{key} is missing or malformed")
+            raise MissingSettingError(f"setting {self.path}{key} is missing or malformed")
         return self.value[key]
 
     def number(self, key: str, least: float = 0):
         """A number that some deployment could have; guards against figures that stop a front much later."""
         value = self.value.get(key)
         if type(value) not in (int, float) or not math.isfinite(value) or not least <= value <= MOST:
-            raise Missing(f"setting {self.path}{key} is missing, malformed or absurd")
+            raise MissingSettingError(f"setting {self.path}{key} is missing, malformed or absurd")
         return value
 
     def optional(self, key: str, other: float = 0, least: float = 0):
@@ -79,7 +79,7 @@
 
     def whole(self, key: str, least: int = 0) -> int:
         if type(value := self.number(key, least)) is not int and value != int(value):
-            raise Missing(f"setting {self.path}{key} is no whole number")
+            raise MissingSettingError(f"setting {self.path}{key} is no whole number")
         return int(value)
 
     def optional_whole(self, key: str, other: int = 0, least: int = 0) -> int:
@@ -92,7 +92,7 @@
     def names(self, key: str) -> list[str]:
         values = self.need(key, list) if self.value.get(key) is not None else []
         if not all(isinstance(one, str) for one in values):
-            raise Missing(f"setting {self.path}{key} holds what is no name")
+            raise MissingSettingError(f"setting {self.path}{key} holds what is no name")
         return values
 
     def time(self, key: str, least: float = 0) -> int:
@@ -114,7 +114,7 @@
     limits, rules, own = top.within("Limits"), top.within("Rules"), top.within("Specifics")
     reports = top.value.get("Report") or {}
     if not isinstance(reports, dict):
-        raise Missing("setting Report is no object")
+        raise MissingSettingError("setting Report is no object")
     fresh, grace = own.numbers("MaxAge"), own.numbers("GraceFor")
     never_kept, zone = own.need("NeverKept", list), top.whole("Zone")
     profiles: dict[str, Profile] = {}
@@ -123,10 +123,12 @@
         repeat, group = one.need("Repeat", str), one.value.get("Group", "all")
         for field, said, known in (("Repeat", repeat, REPEATS), ("Group", group, GROUPS)):
             if not isinstance(said, str) or said not in known:
-                raise Missing(f"setting Classes[{place}].{field} is unknown")
+                raise MissingSettingError(f"setting Classes[{place}].{field} is unknown")
         name = str(one.value.get("Name", place))
         if not SPOKEN.fullmatch(name) or name in profiles:
-            raise Missing(f"setting Classes[{place}].Name can't be spoken, or is there twice: {name!r}")
+            raise MissingSettingError(
+                f"setting Classes[{place}].Name can't be spoken, or is there twice: {name!r}"
+            )
         profiles[name] = profile = Profile(
             agreed=one.time("Aim", least=LEAST_TIME),
             stretch=one.optional("AimStretch"),
@@ -140,9 +142,11 @@
             credit=float(one.optional("Gain") or 1.0),
         )
         if profile.repeat is Repeat.RECEIPTED and not profile.window:
-            raise Missing(f"setting Classes[{place}].KeyTtl is missing, and repeats are dropped for no time")
+            raise MissingSettingError(
+                f"setting Classes[{place}].KeyTtl is missing, and repeats are dropped for no time"
+            )
     if not profiles:
-        raise Missing("setting Classes is empty")
+        raise MissingSettingError("setting Classes is empty")
     ground = Ground(
         profiles=list(profiles.values()),
         seed=seed,
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -114,7 +114,11 @@
         return not (self.stop.asked_at or (self.orders and self.orders.going))
 
     def _read_control_settings(self) -> ControlSettings | None:
-        """The control plane, where one is named. Raises `Unfit` before anything else is done."""
+        """The control plane, where one is named.
+
+        Raises:
+            InvalidConfigurationError: It can't be used; nothing else was done before.
+        """
         path = os.environ.get("MARBLEGLADE_CONTROL")
         if not path:
             return None
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..ground import Missing, Reader, Surroundings, read_ground
+from ..ground import MissingSettingError, Reader, Surroundings, read_ground
 from ..wire.coordlines import ListChange, Other, Purge, address, event
 
 # What a running front can't change.
@@ -26,7 +26,7 @@
 LEAST_SOCKETS = 16  # with fewer some part of a front would have none
 
 
-class Unfit(Exception):
+class InvalidConfigurationError(Exception):
     """The configuration is absent, unreadable or lacks something; says what."""
 
 
@@ -78,14 +78,16 @@
 def load(environ: Mapping[str, str]) -> dict:
     path = environ.get("GW_CONFIG")
     if not path:
-        raise Unfit("GW_CONFIG is not set")
+        raise InvalidConfigurationError("GW_CONFIG is not set")
     try:
         with open(path, "rb") as file:
             told = orjson.loads(file.read())
     except (OSError, ValueError) as trouble:
-        raise Unfit(f"the file that GW_CONFIG names can't be read: {trouble}") from trouble
+        raise InvalidConfigurationError(
+            f"the file that GW_CONFIG names can't be read: {trouble}"
+        ) from trouble
     if not isinstance(told, dict):
-        raise Unfit("the configuration is no object")
+        raise InvalidConfigurationError("the configuration is no object")
     return told
 
 
@@ -100,7 +102,9 @@
         peers = [address(one) for one in told["peers"]] if told.get("peers") else None
         peers_all = address(told["peers_all"]) if told.get("peers_all") else None
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
-        raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
+        raise InvalidConfigurationError(
+            f"the configuration's {field} can't be used: {trouble!r}"
+        ) from trouble
     return Renewal(coordinator, known, peers, peers_all, fixed(told), kin(told))
 
 
@@ -108,7 +112,7 @@
     told = load(environ)
     for field in ("name", "listen", "seed", "limits", "coordinator", "known", "settings"):
         if field not in told:
-            raise Unfit(f"the configuration lacks {field}")
+            raise InvalidConfigurationError(f"the configuration lacks {field}")
     try:
         field = "seed"
         seed = int(str(told["seed"]), 16)
@@ -134,10 +138,12 @@
         peer_listen, peers_all = (
             address(told[field]) if told.get(field) else None for field in ("peer_listen", "peers_all")
         )
-    except Missing as trouble:
-        raise Unfit(str(trouble)) from trouble
+    except MissingSettingError as trouble:
+        raise InvalidConfigurationError(str(trouble)) from trouble
     except (ValueError, KeyError, TypeError, AttributeError) as trouble:
-        raise Unfit(f"the configuration's {field} can't be used: {trouble!r}") from trouble
+        raise InvalidConfigurationError(
+            f"the configuration's {field} can't be used: {trouble!r}"
+        ) from trouble
     return Assignment(
         str(told["name"]),
         listen,
--- a/marbleglade/life/control.py
+++ b/marbleglade/life/control.py
@@ -13,7 +13,7 @@
 from ..wire.coordlines import ListChange, Purge
 from ..wire.datagrams import PlaceLeaves
 from . import clock
-from .assignment import Unfit
+from .assignment import InvalidConfigurationError
 
 if TYPE_CHECKING:
     from .assembly import Assembly
@@ -48,13 +48,17 @@
 
 
 def read_settings(path: str, name: str) -> ControlSettings:
-    """The control plane for a front. Raises `Unfit` with one line where it can't be used."""
+    """The control plane for a front.
+
+    Raises:
+        InvalidConfigurationError: It can't be used; the text is one line.
+    """
     try:
         settings = read(path)
     except InvalidSettingsError as error:
-        raise Unfit(f"MARBLEGLADE_CONTROL: {error}") from error
+        raise InvalidConfigurationError(f"MARBLEGLADE_CONTROL: {error}") from error
     if settings.region_of(name) is None:
-        raise Unfit(f"MARBLEGLADE_CONTROL: {path} lists no front {name}")
+        raise InvalidConfigurationError(f"MARBLEGLADE_CONTROL: {path} lists no front {name}")
     return settings
 
 
--- a/marbleglade/life/renewal.py
+++ b/marbleglade/life/renewal.py
@@ -28,7 +28,7 @@
     def renew(self) -> None:
         try:
             told = assignment.reread(self.environ)
-        except assignment.Unfit as trouble:
+        except assignment.InvalidConfigurationError as trouble:
             self.log.counters.add("renewal.unfit")
             self.log.say("renewal", unfit=str(trouble))
             return
--- a/marbleglade/standins/places.py
+++ b/marbleglade/standins/places.py
@@ -12,7 +12,7 @@
 from gevent.event import AsyncResult, Event
 from gevent.lock import Semaphore
 
-from ..wire.cachelines import Answers, BadLine, Errand
+from ..wire.cachelines import Answers, Errand, InvalidLineError
 from ..wire.errands import Errands, Look, Odd, Undo, encode
 from .world import MS, Library, body_of, chance, group_of, tag_of
 
@@ -136,7 +136,7 @@
 
     def _read(self, sock: socket.socket) -> None:
         errands, turn, open_ = Errands(), Semaphore(), {}
-        with suppress(OSError, BadLine):
+        with suppress(OSError, InvalidLineError):
             while data := sock.recv(65536):
                 for asked in errands.feed(data):
                     if isinstance(asked, Undo):
@@ -304,7 +304,7 @@
             self.closed = True
 
     def _read(self) -> None:
-        with suppress(OSError, BadLine):
+        with suppress(OSError, InvalidLineError):
             while data := self.sock.recv(65536):
                 for answer in self.answers.feed(data):
                     if result := self.waiting.pop(answer.id, None):
--- a/marbleglade/wire/cachelines.py
+++ b/marbleglade/wire/cachelines.py
@@ -15,7 +15,7 @@
 WORDS = (*COPY, *PROBED, "NONE", "SHED", "FAULT", "LATE")
 
 
-class BadLine(Exception):
+class InvalidLineError(Exception):
     """Bytes that can't be read as an answer; the connection can't be followed any more."""
 
 
@@ -139,7 +139,7 @@
             if len(self.buffer) < size + 2:
                 return answers
             if self.buffer[size : size + 2] != b"\r\n":
-                raise BadLine("a body without its end")
+                raise InvalidLineError("a body without its end")
             answers.append(Answer(id, word, fields, bytes(memoryview(self.buffer)[:size])))
             del self.buffer[: size + 2]
             self.head = None
@@ -148,7 +148,7 @@
         end = self.buffer.find(b"\r\n", 0, LONGEST_LINE)
         if end < 0:
             if len(self.buffer) >= LONGEST_LINE:
-                raise BadLine("a line without end")
+                raise InvalidLineError("a line without end")
             return False
         try:
             id, word, fields, size = self.buffer[:end].decode().split(" ")
@@ -158,9 +158,9 @@
                 raise ValueError(word)
             length = int(size)
         except ValueError as trouble:
-            raise BadLine("not an answer") from trouble
+            raise InvalidLineError("not an answer") from trouble
         if length > LONGEST_OBJECT:
-            raise BadLine("a body too long")
+            raise InvalidLineError("a body too long")
         self.head = id, word, named, length
         del self.buffer[: end + 2]
         return True
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -20,7 +20,7 @@
 from ..life.guard import Guard
 from ..memory.places import Place
 from ..memory.room import Room
-from .cachelines import PROBED, Answer, Answers, BadLine, Errand, encode_look, encode_undo
+from .cachelines import PROBED, Answer, Answers, Errand, InvalidLineError, encode_look, encode_undo
 from .resp import Ask
 from .sockets import chunks, ended, send_now
 
@@ -395,7 +395,7 @@
                     line.held += missing
         except OSError:
             self.counters.add("cache.reset")
-        except BadLine:
+        except InvalidLineError:
             self.counters.add("cache.bad_line")
         except Exception as trouble:
             self.guard.note("cache", trouble)
@@ -416,7 +416,7 @@
         if not answer.fits(flight.look, flight.copy, flight.kept):
             line.flights[flight.id] = flight
             self.room.give(size)
-            raise BadLine("not an answer to what was asked")
+            raise InvalidLineError("not an answer to what was asked")
         outcome = Outcome.OK if answer.word in PROBED else OUTCOMES[answer.word]
         self.counters.add(f"cache.{answer.word}")
         flight.line, line.last = None, flight.id
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -17,7 +17,7 @@
 from ..life.guard import Guard
 from ..memory.traces import Traces
 from .hangup import hung_up
-from .resp import Ask, BadFrame, Frames, Nevermind, Status, decode, encode
+from .resp import Ask, Frames, InvalidFrameError, Nevermind, Status, decode, encode
 from .sockets import SCRATCH, TURN, chunks, send_now, unread
 
 MOST_OPEN = 32  # the protocol's bound on one connection
@@ -149,7 +149,7 @@
                     continue
                 try:
                     self._take_in(client, data)
-                except BadFrame:
+                except InvalidFrameError:
                     # It can't be followed further. What it asked for before is answered first.
                     self.counters.add("client.bad_frame")
                     client.ended, client.frames, client.unhandled = True, Frames(), deque()
@@ -222,7 +222,7 @@
                 left -= size
                 try:
                     self._cut(client, SCRATCH[:size])
-                except BadFrame as trouble:  # what stands before it is still answered
+                except InvalidFrameError as trouble:  # what stands before it is still answered
                     client.frames.bad = trouble
             for words in [one for one in client.unhandled if self._cancels_open(client, one)]:
                 client.unhandled.remove(words)
@@ -235,7 +235,7 @@
             return False
         try:
             return decode(words, self.profiles).tag in client.open
-        except BadFrame:  # it ends the connection once it is its turn
+        except InvalidFrameError:  # it ends the connection once it is its turn
             return False
 
     def _look_for_hangup(self, client: Client) -> None:
@@ -264,7 +264,7 @@
     def _heard(self, client: Client, words: list[bytes]) -> None:
         message = decode(words, self.profiles)
         if not isinstance(message, Nevermind) and message.tag in client.open:
-            raise BadFrame("a tag that is open already")  # any answer to it would be a second one
+            raise InvalidFrameError("a tag that is open already")  # any answer to it would be a second one
         if isinstance(message, Ask):
             if not self.traces.new(message.trace, client.last):
                 self.counters.add("retrieval.repeated_trace")
@@ -306,7 +306,7 @@
         client.turned_away += 1
         self._at_door(client, tag, word)
         if client.turned_away > MOST_OPEN:
-            raise BadFrame("nothing but what can't be taken")
+            raise InvalidFrameError("nothing but what can't be taken")
 
     def _serve(self, client: Client, ask: Ask, retrieval: Retrieval) -> None:
         self.buffered += len(ask.body)
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -10,7 +10,17 @@
 
 from ..life import clock
 from ..life.guard import Guard
-from .coordlines import BadLine, Beat, Event, Events, Garbled, ListChange, Other, Purge, encode_follow
+from .coordlines import (
+    Beat,
+    Event,
+    Events,
+    GarbledLineError,
+    InvalidLineError,
+    ListChange,
+    Other,
+    Purge,
+    encode_follow,
+)
 from .sockets import chunks
 
 BEAT = 1.0  # seconds: the protocol promises a line as often
@@ -48,7 +58,7 @@
             self.moved.clear()
             try:
                 self._follow()
-            except (OSError, BadLine) as trouble:
+            except (OSError, InvalidLineError) as trouble:
                 self.counters.add(f"coordinator.{type(trouble).__name__}")
             except Exception as trouble:
                 self.guard.note("coordinator", trouble)
@@ -76,7 +86,7 @@
         """Events told another way, by a new configuration; only what follows on is taken."""
         for event in events:
             if event.index == self.last + 1:
-                with suppress(BadLine):  # it comes again from the coordinator
+                with suppress(InvalidLineError):  # it comes again from the coordinator
                     self._heard(event)
 
     def _follow(self) -> None:
@@ -108,7 +118,7 @@
             try:
                 yield from events.feed(data)
                 return
-            except Garbled:
+            except GarbledLineError:
                 if self.garbled != self.last:
                     self.garbled = self.last
                     raise
@@ -122,10 +132,10 @@
             self.counters.add("coordinator.anew")
             self.last, self.gap = 0, -1
             self.moved.set()  # asked for at once
-            raise BadLine("its numbers began anew")
+            raise InvalidLineError("its numbers began anew")
         if event.index > (self.last if beat else self.last + 1) and self.gap != self.last:
             self.gap = self.last
-            raise BadLine("an event is missing")
+            raise InvalidLineError("an event is missing")
         if beat or event.index <= self.last:
             self.counters.add("coordinator.doubled", not beat)
             if beat and self.complete and event.index == self.last:
@@ -141,6 +151,6 @@
                 self.guard.note("event", trouble)
                 if self.failed != event.index:
                     self.failed = event.index
-                    raise BadLine("an event could not be taken in") from trouble
+                    raise InvalidLineError("an event could not be taken in") from trouble
         self.last = event.index
         self.counters.add("coordinator.events")
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -15,11 +15,11 @@
 NEVER = 1 << 53  # no Unix millisecond is as late
 
 
-class BadLine(Exception):
+class InvalidLineError(Exception):
     """A line that can't be used; what came before it still counts."""
 
 
-class Garbled(BadLine):
+class GarbledLineError(InvalidLineError):
     """A line that can't be read; what stands behind it is given to who asks on."""
 
 
@@ -155,9 +155,9 @@
                 value = orjson.loads(line)
                 one = Beat(value) if type(value) is int else event(value)
             except (ValueError, KeyError, TypeError) as trouble:
-                raise Garbled("not an event") from trouble
+                raise GarbledLineError("not an event") from trouble
             yield one
         if len(self.buffer) > LONGEST_LINE:
             told, self.endless, self.buffer = self.endless, True, bytearray()
             if not told:
-                raise Garbled("a line without end")
+                raise GarbledLineError("a line without end")
--- a/marbleglade/wire/cut.py
+++ b/marbleglade/wire/cut.py
@@ -12,7 +12,7 @@
 COUNT = struct.Struct("!B")
 
 
-class Bad(Exception):
+class InvalidMessageError(Exception):
     """What can't be read."""
 
 
@@ -34,20 +34,20 @@
 
     def one(self, form: struct.Struct) -> tuple:
         if self.left < form.size:
-            raise Bad
+            raise InvalidMessageError
         self.at += form.size
         return form.unpack_from(self.data, self.at - form.size)
 
     def list(self, form: struct.Struct, most: int) -> list[tuple]:
         count = self.one(COUNT)[0]
         if count > most:
-            raise Bad
+            raise InvalidMessageError
         return [self.one(form) for _ in range(count)]
 
     def rest(self, most: int) -> bytes:
         """All that is left; some bytes, and no more than that."""
         if not 0 < self.left <= most:
-            raise Bad
+            raise InvalidMessageError
         begin, self.at = self.at, len(self.data)
         return self.data[begin:]
 
@@ -62,6 +62,6 @@
     cut = Cut(data[HEAD.size :])
     try:
         found = message(kind, number, cut)
-    except (Bad, ValueError):
+    except (InvalidMessageError, ValueError):
         return None
     return None if cut.left else found
--- a/marbleglade/wire/errands.py
+++ b/marbleglade/wire/errands.py
@@ -5,7 +5,7 @@
 import re
 from dataclasses import dataclass
 
-from .cachelines import LONGEST_LINE, NUMBER, BadLine, Errand
+from .cachelines import LONGEST_LINE, NUMBER, Errand, InvalidLineError
 from .resp import HEX16, LONGEST_OBJECT, MARK
 
 ID = re.compile(r"[!-+\--~]{1,64}")
@@ -64,7 +64,7 @@
             if len(self.buffer) < size + 2:
                 return asked
             if self.buffer[size : size + 2] != b"\r\n":
-                raise BadLine("a body without its end")
+                raise InvalidLineError("a body without its end")
             body = bytes(memoryview(self.buffer)[:size])
             del self.buffer[: size + 2]
             self.head = None
@@ -74,27 +74,27 @@
         end = self.buffer.find(b"\r\n", 0, LONGEST_LINE)
         if end < 0:
             if len(self.buffer) >= LONGEST_LINE:
-                raise BadLine("a line without end")
+                raise InvalidLineError("a line without end")
             return None
         try:
             words = self.buffer[:end].decode("ascii").split(" ")
         except UnicodeDecodeError as trouble:
-            raise BadLine("not a line of words") from trouble
+            raise InvalidLineError("not a line of words") from trouble
         del self.buffer[: end + 2]
         if len(words) < 2 or not ID.fullmatch(words[1]):
-            raise BadLine("no id")
+            raise InvalidLineError("no id")
         word, id = words[:2]
         if word == "undo" and len(words) == 2:
             return Undo(id)
         if word in ("ping", "top") and len(words) == 2:
             return Look(id, word == "top")
         if word != "do" or len(words) != 4 or not NUMBER.fullmatch(words[3]):
-            raise BadLine("not an errand")
+            raise InvalidLineError("not an errand")
         pairs = [] if words[2] == "-" else [one.split("=", 1) for one in words[2].split(",")]
         if any(len(one) != 2 for one in pairs) or len(dict(pairs)) < len(pairs):
-            raise BadLine("fields that say nothing, or two things")
+            raise InvalidLineError("fields that say nothing, or two things")
         if (size := int(words[3])) > LONGEST_OBJECT:
-            raise BadLine("a body too long")
+            raise InvalidLineError("a body too long")
         return id, dict(pairs), size
 
 
--- a/marbleglade/wire/gossip.py
+++ b/marbleglade/wire/gossip.py
@@ -19,7 +19,7 @@
     Shut,
     View,
 )
-from .cut import Bad, Cut, listed, read
+from .cut import Cut, InvalidMessageError, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
 PING, ACK, PING_FOR, REPORT, VIEW = range(5, 10)
@@ -127,7 +127,7 @@
             [one for (one,) in cut.list(MARK, ANSWERED)],
         )
     if kind not in (PING, ACK, PING_FOR) or number >= 2**32:
-        raise Bad
+        raise InvalidMessageError
     target = cut.one(TARGET)[0] if kind != ACK else 0
     updates = [
         Update(one, Status(status), start, round, by)
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -15,7 +15,7 @@
 from ..interface import Repeat
 from ..life import clock
 from ..life.guard import Guard
-from .cachelines import BadLine, Errand
+from .cachelines import Errand, InvalidLineError
 from .errands import Asked, Errands, Look, Odd, Undo, encode
 from .resp import Ask
 from .sockets import accepted, chunks
@@ -72,7 +72,7 @@
                         return
                     self._heard(visitor, asked)
                 visitor.began = (visitor.began or visitor.last) if visitor.errands.amid else 0
-        except BadLine:
+        except InvalidLineError:
             self.counters.add("place.bad_line")
         except OSError:
             self.counters.add("place.reset")
@@ -96,7 +96,7 @@
 
     def _errand(self, visitor: Visitor, errand: Errand) -> None:
         if errand.id in visitor.open:
-            raise BadLine("an id that is open already")
+            raise InvalidLineError("an id that is open already")
         profile = self.crossing.profiles.get(errand.profile)
         if profile is None or errand.within * MS > 2 * profile.client_timeout:
             self.counters.add("place.unusable")
--- a/marbleglade/wire/resp.py
+++ b/marbleglade/wire/resp.py
@@ -21,7 +21,7 @@
 )
 
 
-class BadFrame(Exception):
+class InvalidFrameError(Exception):
     """Bytes that no client of this protocol sends; the connection can't be followed any more."""
 
 
@@ -73,7 +73,7 @@
         self.buffer = bytearray()
         self.words: list[bytes] = []  # of the frame in hand
         self.due = 0  # words that it still lacks
-        self.bad: BadFrame | None = None  # what stands behind the last whole frame can't be read
+        self.bad: InvalidFrameError | None = None  # what stands behind the last whole frame can't be read
 
     @property
     def amid(self) -> bool:
@@ -92,7 +92,7 @@
                 continue
             try:
                 after = self._step(at)
-            except BadFrame as trouble:
+            except InvalidFrameError as trouble:
                 if not frames:
                     raise
                 self.bad = trouble
@@ -125,24 +125,24 @@
         end = self.buffer.find(b"\r\n", at, at + 24)
         if end < 0:
             if len(self.buffer) - at >= 24:
-                raise BadFrame("no length where one belongs")
+                raise InvalidFrameError("no length where one belongs")
             return -1
         head, number = self.buffer[at : at + 1], bytes(self.buffer[at + 1 : end])
         if head != (b"$" if self.due else b"*") or not NUMBER.fullmatch(number):
-            raise BadFrame("not an array of bulk strings")
+            raise InvalidFrameError("not an array of bulk strings")
         size = int(number)
         if not self.due:
             if not 0 < size <= MOST_WORDS:
-                raise BadFrame("an array too short or too long")
+                raise InvalidFrameError("an array too short or too long")
             self.due = size
             return end + 2
         if size > (LONGEST_OBJECT if len(self.words) == 4 else LONGEST_WORD):
-            raise BadFrame("a word too long")
+            raise InvalidFrameError("a word too long")
         start, stop = end + 2, end + 2 + size
         if len(self.buffer) < stop + 2:
             return -1
         if self.buffer[stop : stop + 2] != b"\r\n":
-            raise BadFrame("a word without its end")
+            raise InvalidFrameError("a word without its end")
         self.words.append(bytes(self.buffer[start:stop]))
         self.due -= 1
         return stop + 2
@@ -151,7 +151,7 @@
 def decode(words: list[bytes], profiles: dict[str, Profile]) -> Message:
     """One frame as a typed value."""
     if len(words) < 2 or not NUMBER.fullmatch(words[1]) or not (tag := int(words[1])):
-        raise BadFrame("no tag that can be read")
+        raise InvalidFrameError("no tag that can be read")
     if words[0] == b"ASK":
         return _ask(tag, words, profiles) or Unusable(tag)
     if words[0] == b"NEVERMIND":
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -11,7 +11,7 @@
 
 from ..fleet.grants import Claim, Entry, Grantgram, Held, Hold, Vote
 from ..fleet.order import MOST_OUT
-from .cut import Bad, Cut, listed, read
+from .cut import Cut, InvalidMessageError, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
 CLAIM, VOTE, HOLD, HELD, HAVE, WANT, PART = range(16, 23)
@@ -93,7 +93,7 @@
 
 def _message(kind: int, number: int, cut: Cut) -> Workgram:
     if kind in (CLAIM, VOTE, HOLD, HELD) and number >= 2**32:
-        raise Bad
+        raise InvalidMessageError
     if kind == CLAIM:
         return Claim(number)
     if kind == VOTE:
@@ -111,17 +111,17 @@
         return Want(*cut.one(WANTS))
     if kind == PART:
         return Part(*cut.one(WANTS), cut.rest(PART_BYTES))
-    raise Bad
+    raise InvalidMessageError
 
 
 def _table(cut: Cut) -> tuple[Entry, ...]:
     entries = tuple(Entry(*row[:-1], _either(row[-1])) for row in cut.list(ENTRY, MOST_OUT))
     if len({one.machine for one in entries}) < len(entries):
-        raise Bad
+        raise InvalidMessageError
     return entries
 
 
 def _either(flag: int) -> bool:
     if flag > 1:
-        raise Bad
+        raise InvalidMessageError
     return bool(flag)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -44,13 +44,13 @@
     ],
 )
 def test_a_bad_frame_is_told(data):
-    with pytest.raises(resp.BadFrame):
+    with pytest.raises(resp.InvalidFrameError):
         resp.Frames().feed(data)
 
 
 @pytest.mark.parametrize("words", [[b"ASK"], [b"ASK", b"x"], [b"STATUS", b"0"], [b"ASK", b"-4"]])
 def test_a_tag_that_cannot_be_read_ends_the_connection(words):
-    with pytest.raises(resp.BadFrame):
+    with pytest.raises(resp.InvalidFrameError):
         resp.decode(words, PROFILES)
 
 
@@ -215,7 +215,7 @@
     ],
 )
 def test_an_unreadable_answer_is_told(data):
-    with pytest.raises(cachelines.BadLine):
+    with pytest.raises(cachelines.InvalidLineError):
         cachelines.Answers().feed(data)
 
 
@@ -258,7 +258,7 @@
     ],
 )
 def test_an_unreadable_event_is_told(line):
-    with pytest.raises(coordlines.BadLine):
+    with pytest.raises(coordlines.InvalidLineError):
         list(coordlines.Events().feed(line))
 
 
@@ -306,10 +306,10 @@
 def test_what_stands_behind_a_line_that_cannot_be_read_is_given_to_who_asks_on():
     events = coordlines.Events()
     for bad in (b"nonsense\n", b"x" * (2 << 20) + b"y\n"):
-        with pytest.raises(coordlines.Garbled):
+        with pytest.raises(coordlines.GarbledLineError):
             list(events.feed(bad + b"5\n"))
         assert list(events.feed(b"6\n")) == [coordlines.Beat(5), coordlines.Beat(6)]
-    with pytest.raises(coordlines.Garbled):
+    with pytest.raises(coordlines.GarbledLineError):
         list(events.feed(b"x" * (2 << 20)))
     assert list(events.feed(b"x" * (2 << 20))) == [] and list(events.feed(b"x\n7\n")) == [coordlines.Beat(7)]
 
--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -27,7 +27,7 @@
 from marbleglade.life.counters import Counters
 from marbleglade.life.guard import Guard
 from marbleglade.life.log import Log
-from marbleglade.wire.coordlines import NEVER, BadLine, Beat, ListChange, Member, Purge
+from marbleglade.wire.coordlines import NEVER, InvalidLineError, Beat, ListChange, Member, Purge
 
 from .test_control_log import Reader
 
@@ -153,7 +153,7 @@
         if self.era != self.discovery.era:
             self.era, self.position = self.discovery.era, 0
             if follower.last > len(events):
-                with pytest.raises(BadLine):
+                with pytest.raises(InvalidLineError):
                     follower._heard(Beat(len(events)))
             else:  # it can't be told by the numbers alone; the client counts from where it was
                 self.position = follower.last
@@ -583,7 +583,7 @@
     one, passed = follower()
     one._heard(ListChange(1, True, [ControlPlane.cache("a")]))
     one._heard(Beat(1))
-    with pytest.raises(BadLine):
+    with pytest.raises(InvalidLineError):
         one._heard(Beat(0))
     one._heard(Beat(0))
     assert passed == [["a"], "heartbeat", "heartbeat"]
--- a/tests/test_control_quorum.py
+++ b/tests/test_control_quorum.py
@@ -35,13 +35,13 @@
 MOST_IN_FLIGHT = 400  # messages
 
 
-class Violation(Exception):
+class ViolationError(Exception):
     """A promise of the quorum is broken."""
 
 
 def hold(condition, promise):
     if not condition:
-        raise Violation(promise)
+        raise ViolationError(promise)
 
 
 class Cluster:
@@ -456,7 +456,7 @@
     cluster = Cluster(3)
     a_lost_store_and_a_cut(cluster)
     assert not cluster.leader()
-    with pytest.raises(Violation, match="one version has one document"):
+    with pytest.raises(ViolationError, match="one version has one document"):
         a_lost_store_and_a_cut(LostStoreVotesAtOnce(3))
 
 
@@ -537,7 +537,7 @@
     class Machine(SafetyMachine):
         cluster_class = faulty
 
-    with pytest.raises(Violation):
+    with pytest.raises(ViolationError):
         run_state_machine_as_test(
             Machine, settings=settings(SETTINGS, max_examples=400, phases=[Phase.generate])
         )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 from marbleglade.choice import Choice
 from marbleglade.facade import End, Facade, Go
 from marbleglade.gateway.connection import Connection
-from marbleglade.ground import Missing, read_ground
+from marbleglade.ground import MissingSettingError, read_ground
 from marbleglade.interface import NEVER_RAN, Held, Outcome, Repeat, Retrieval, State
 from marbleglade.life import assignment, clock
 from marbleglade.life.counters import Counters
@@ -159,7 +159,7 @@
     ],
 )
 def test_an_absurd_setting_is_named_and_not_guessed(path, value, named):
-    with pytest.raises(Missing) as trouble:
+    with pytest.raises(MissingSettingError) as trouble:
         read_ground(settings(*path, value=value), 7)
     assert named in str(trouble.value) and "\n" not in str(trouble.value)
 
@@ -169,7 +169,7 @@
         settings(*ONE, value=OPTIONS["Classes"][0] | {"Repeat": "guarded", "KeyTtl": None}),
         settings("Classes", value=OPTIONS["Classes"] * 2),
     ):
-        with pytest.raises(Missing, match="KeyTtl|twice"):
+        with pytest.raises(MissingSettingError, match="KeyTtl|twice"):
             read_ground(new, 7)
 
 
@@ -189,7 +189,9 @@
 )
 def test_an_absurd_assignment_is_named(tmp_path, changes):
     (tmp_path / "c.json").write_text(json.dumps(told(**changes)))
-    with pytest.raises(assignment.Unfit, match="|".join(("limits", "known", "bytes_per_s", "peers"))):
+    with pytest.raises(
+        assignment.InvalidConfigurationError, match="|".join(("limits", "known", "bytes_per_s", "peers"))
+    ):
         assignment.read({"GW_CONFIG": str(tmp_path / "c.json")})
 
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -16,8 +16,8 @@
 )
 
 from marbleglade.disk import records
-from marbleglade.disk.files import Busy, Files
-from marbleglade.disk.index import Index, NewerForm
+from marbleglade.disk.files import StoreBusyError, Files
+from marbleglade.disk.index import Index, NewerFormatError
 from marbleglade.disk.shelf import Budget, Shelf, emptiest
 from marbleglade.disk.sketch import Sketch
 from marbleglade.disk.table import Table, key_of
@@ -37,7 +37,7 @@
     return (b"%d %d %d|" % (thing, part, version) * size)[:size]
 
 
-class Crash(Exception):
+class CrashError(Exception):
     pass
 
 
@@ -257,7 +257,7 @@
     def point(self, name):
         if name == self.stop:
             self.stop = ""
-            raise Crash
+            raise CrashError
 
     def crash(self):
         self.files.crash()
@@ -269,7 +269,7 @@
         version = self.versions_of.get(thing, 1)
         try:
             put(self.tier, thing, part, version, version * 10, thing % 3, 3, size)
-        except Crash:
+        except CrashError:
             self.crash()
 
     @rule(thing=things)
@@ -281,7 +281,7 @@
         at = max(1, (self.versions_of.get(thing, 1) - back) * 10)
         try:
             self.tier.purge(0 if of_group else thing, thing % 3, at)
-        except Crash:
+        except CrashError:
             self.crash()
             return  # it was not said to hold
         self.marks.append((0 if of_group else thing, thing % 3, at))
@@ -303,7 +303,7 @@
     def checkpoint(self):
         try:
             self.tier.checkpoint()
-        except Crash:
+        except CrashError:
             self.crash()
 
     @rule(number=strategies.integers(1, 9), at=strategies.integers(0, 60_000))
@@ -405,11 +405,11 @@
     tier.close()
     tier = tier_of(Files(str(tmp_path)), Index(str(tmp_path)))
     assert [tier.get(thing, 0) is not None for thing in range(5)] == [True] * 4 + [False] and tier.number == 9
-    with pytest.raises(Busy, match="used by another"):
+    with pytest.raises(StoreBusyError, match="used by another"):
         Files(str(tmp_path))
     tier.index.commit(facts={"form": 99})
     tier.close()
-    with pytest.raises(NewerForm, match="form 99"):
+    with pytest.raises(NewerFormatError, match="form 99"):
         Index(str(tmp_path))
 
 
--- a/tests/test_fleet_command.py
+++ b/tests/test_fleet_command.py
@@ -6,7 +6,7 @@
 from click.testing import CliRunner
 
 from marbleglade.command.line import line
-from marbleglade.fleet.reading import Unfit, read
+from marbleglade.fleet.reading import InvalidConfigurationError, read
 
 from .test_deploy import ROOT
 
@@ -30,7 +30,7 @@
     if wanted:
         assert read(str(path)).beat_ms == wanted and done.output == f"beat_ms: {wanted}\n"
     else:
-        with pytest.raises(Unfit):
+        with pytest.raises(InvalidConfigurationError):
             read(str(path))
         assert done.exit_code == 2 and done.output.count("\n") == 1
 
--- a/tests/test_gateway_doors.py
+++ b/tests/test_gateway_doors.py
@@ -11,7 +11,7 @@
 import pytest
 from gevent import socket
 
-from marbleglade.deployment.reading import Unfit, faults, load, read
+from marbleglade.deployment.reading import InvalidDeploymentError, faults, load, read
 from marbleglade.gateway import frames
 from marbleglade.gateway.link_pb2 import Beat, Carry, Caught, Chunk, Credit, Hello, Purge, Query, Undo
 from marbleglade.gateway.flow_control import CHUNK
@@ -362,7 +362,7 @@
 def test_a_deployment_that_is_none(tmp_path, text, why):
     path = tmp_path / "two.textproto"
     path.write_bytes(text.encode("latin-1"))
-    with pytest.raises(Unfit, match=why):
+    with pytest.raises(InvalidDeploymentError, match=why):
         read(str(path))
 
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -108,7 +108,7 @@
 
 
 def test_without_a_configuration_it_does_not_start():
-    with pytest.raises(assignment.Unfit, match="GW_CONFIG"):
+    with pytest.raises(assignment.InvalidConfigurationError, match="GW_CONFIG"):
         assignment.read({})
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from marbleglade.drill.wire import Malformed, serve
+from marbleglade.drill.wire import MalformedMessageError, serve
 
 from .conftest import OPTIONS
 
@@ -108,7 +108,7 @@
     ],
 )
 def test_malformed_lines_are_named(batch, word):
-    with pytest.raises(Malformed, match="line [0-9]+: ") as trouble:
+    with pytest.raises(MalformedMessageError, match="line [0-9]+: ") as trouble:
         play(batch)
     assert word in str(trouble.value)
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -23,7 +23,7 @@
 )
 from marbleglade.fleet.work_pb2 import WorkOrder
 from marbleglade.fleet.workfile import faults, order_of, received
-from marbleglade.life.assignment import Unfit
+from marbleglade.life.assignment import InvalidConfigurationError
 from marbleglade.wire import workgrams
 from marbleglade.wire.workgrams import Have, Part, Want
 
@@ -214,13 +214,13 @@
 def test_each_fault_of_an_order_is_named(change, fault):
     told = text_format.Parse(change, WorkOrder())
     assert any(fault in one for one in faults(told))
-    with pytest.raises(Unfit):
+    with pytest.raises(InvalidConfigurationError):
         received(zlib.compress(told.SerializeToString()))
 
 
 @pytest.mark.parametrize("data", [b"", b"junk", zlib.compress(b"\xff" * 40), zlib.compress(b"x" * 100_000)])
 def test_what_is_no_order_is_not_taken_from_another_front(data):
-    with pytest.raises(Unfit):
+    with pytest.raises(InvalidConfigurationError):
         received(data)
 
 
