--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -14,17 +14,19 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+import gevent
 import pytest
 from gevent import socket
 
 from marbleglade.choice import Choice
 from marbleglade.wire.clients import Client
-from marbleglade.wire.sockets import send_now
+from marbleglade.wire.sockets import SCRATCH, send_now
 
-from .conftest import full, until, words
+from .conftest import WAIT, full, until, words
 from .departure_rig import (
     GRACE,
     HELD_OBJECT,
+    HELD_SIZE,
     SMALL_BUFFER,
     UNKNOWN_CANCEL,
     Attempt,
@@ -339,3 +341,72 @@
         rig.wait_for_attempts(TRACE, before + state.follow)
     rig.settle()
     assert rig.began_after(TRACE, since) == state.follow
+
+
+# What is read of a client while it does not take its answers: only so can its cancel be heard.
+
+
+@pytest.fixture
+def unread(started):
+    """A client that does not read, its connection at the front, and the answer that waits for it."""
+    rig = started()
+    rig.hold_copy()
+    sock = rig.client(SMALL_BUFFER)
+    sock.sendall(rig.request(1, f"{1:016x}", HELD_OBJECT))
+    until(lambda: blocked(rig))
+    (connection,) = rig.clients.clients
+    return rig, sock, connection, words(b"1", b"ok", b"", b"x" * HELD_SIZE)
+
+
+def read(sock: socket.socket, size: int) -> bytes:
+    data = b""
+    while len(data) < size and (more := sock.recv(1 << 16)):
+        data += more
+    return data
+
+
+def test_messages_read_ahead_are_owed_and_handled_once_answers_are_taken(unread):
+    rig, sock, connection, first = unread
+    ask(rig, sock)
+    until(lambda: connection.unhandled)
+    seen, done = [], rig.clients._done
+
+    def note_and_go_on(client: Client) -> None:
+        seen.append((len(client.unhandled), client.owed))
+        done(client)
+
+    rig.clients._done = (
+        note_and_go_on  # called as the answers have been taken, before anything else is handled
+    )
+    assert not rig.attempts(TRACE) and read(sock, len(first)) == first
+    rig.wait_for_attempts(TRACE, 1)
+    assert (1, True) in seen
+
+
+def test_no_more_is_read_ahead_than_one_buffer_holds(unread):
+    rig, sock, connection, first = unread
+    flood = FLOOD * 3
+    sending = gevent.spawn(sock.sendall, flood)
+    until(lambda: len(connection.unhandled) >= len(SCRATCH) // len(UNKNOWN_CANCEL) - 1)
+    rig.settle()
+    assert len(connection.unhandled) <= len(SCRATCH) // len(UNKNOWN_CANCEL)
+    assert read(sock, len(first)) == first
+    sending.get(timeout=WAIT)
+    until(lambda: not connection.unhandled)
+
+
+@pytest.mark.parametrize("apart", [False, True])
+@pytest.mark.parametrize("garbage", [b"GET / HTTP/1.1\r\n\r\n", words(b"NEVERMIND", b"x")])
+def test_what_stands_before_garbage_read_ahead_is_answered_and_then_it_ends(unread, garbage, apart):
+    rig, sock, connection, first = unread
+    if apart:
+        ask(rig, sock)
+        until(lambda: connection.unhandled)
+        sock.sendall(garbage)
+    else:
+        sock.sendall(rig.request(TAG, TRACE) + garbage)
+    until(lambda: connection.frames.bad or len(connection.unhandled) == 2)
+    assert read(sock, len(first)) == first
+    answer(rig.wait_for_attempts(TRACE, 1), full(b" HIT - 2\r\nok\r\n"))
+    last = words(b"%d" % TAG, b"ok", b"", b"ok")
+    assert read(sock, len(last) + 1) == last  # and then the end
