--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,8 +1,10 @@
 """The deploy file as the standing test asks for it, and what the line `run` starts, seen from outside."""
 
+import importlib.util
 import json
 import os
 import shlex
+import shutil
 import signal
 import subprocess
 import sys
@@ -56,6 +58,25 @@
     assert DEPLOY["packages"] == []
 
 
+def test_build_leaves_each_module_compiled_as_run_and_sim_start_it(tmp_path):
+    """The file system is read-only at run: what the build does not compile, each start compiles anew."""
+    compile_all = DEPLOY["build"].rpartition(" && ")[2]
+    assert compile_all.startswith(".venv/bin/python -m compileall ")
+    shutil.copytree(
+        ROOT / "marbleglade", tmp_path / "marbleglade", ignore=shutil.ignore_patterns("__pycache__")
+    )
+    library = tmp_path / ".venv" / "lib"
+    library.mkdir(parents=True)
+    (library / "used.py").write_text("USED = True\n")
+    (tmp_path / ".venv" / "bin").symlink_to(Path(sys.executable).parent)
+    subprocess.run(["/bin/sh", "-c", compile_all], cwd=tmp_path, check=True)
+    for source in tmp_path.rglob("marbleglade/**/*.py"):
+        for optimization in ("", "1"):
+            cached = importlib.util.cache_from_source(str(source), optimization=optimization)
+            assert Path(cached).exists(), cached
+    assert len(list(library.glob("__pycache__/used.*.pyc"))) == 2
+
+
 def test_node_and_policy_name_every_file_that_the_front_loads():
     # `command` is what `python -m marbleglade WORD` imports; `run` has no word.
     modules = {
