--- a/benchmarks/capacity/control_node.py
+++ b/benchmarks/capacity/control_node.py
@@ -53,7 +53,7 @@
         sent = 0
         for session in self.sessions.values():
             batch = session.next_batch(now)
-            session.written(batch, len(batch), now)
+            session.written(batch, len(batch))
             sent += len(batch)
         return sent
 
