Lines of tests are held by a scheduler of our own; a fleet that can't start is ended

Seen: tests that go by the clock ran side by side on both workers, though marked as one group. Checked: the marks were there and pytest-xdist read them, but an item's id stayed as it was: with pytest 9.2 what pytest-xdist 3.8 writes into the item is not what the id is read from, so loadgroup never grouped. Marking items as they are collected changed nothing. Change: a scheduler that gives each line to one worker (timeless; held by stand-ins; fleets of processes; all else by the clock), and four workers. In test_cold_fleet processes outlived a fleet that was not ready in time; they are ended now.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	cp requirements-bench.txt $@
 
 test: build
-	$(PYTHON) -m pytest -q -n 3 --dist loadgroup
+	$(PYTHON) -m pytest -q -n 4 --dist loadscope
 
 lint: build
 	.venv/bin/ruff check marbleglade tests benchmarks
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -59,17 +59,33 @@
 }
 
 
+# Fleets of processes before scripted troubles, by the clock.
+FLEETS = {"test_fleet_processes", "test_work_processes"}
+
+
 def _line_of_tests(module: str) -> str:
+    """The line in which a module's tests run, one after the other: lines run side by side."""
     if module in TIMELESS:
         return "timeless"
-    return "held by stand-ins" if module in HELD_BY_STANDINS else "by the clock"
+    if module in HELD_BY_STANDINS:
+        return "held by stand-ins"
+    return "fleets" if module in FLEETS else "by the clock"
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    """Gives each line of tests to one worker.
+
+    Groups of pytest-xdist 3.8 have no effect with pytest 9.2, which does not read what they add to an id.
+    """
+    from xdist.scheduler import LoadScopeScheduling
 
+    class Lines(LoadScopeScheduling):
+        def _split_scope(self, nodeid: str) -> str:
+            path = nodeid.partition("::")[0]
+            return _line_of_tests(path.rpartition("/")[2].removesuffix(".py"))
 
-def pytest_collection_modifyitems(items):
-    """Lines of tests, each in its order: what goes by the clock never has another such test beside it."""
-    for item in items:
-        module = item.module.__name__.rpartition(".")[2]
-        item.add_marker(pytest.mark.xdist_group(_line_of_tests(module)))
+    return Lines(config, log)
 
 
 MS = 1_000_000
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -40,7 +40,11 @@
         )
         for box in self.fleet.boxes:
             box.work = WORK
-        self.fleet.ready(STARTED_WITHIN)
+        try:
+            self.fleet.ready(STARTED_WITHIN)
+        except BaseException:
+            self.fleet.close()  # no process outlives a test that could not begin
+            raise
         self.load = PageLoad(self.fleet, seed, RATE, OBJECTS)
         gevent.sleep(SETTLES)
 
