--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -13,6 +13,9 @@
 from .totals import Term, total
 
 NOT_RECORDED = "The scale run with the control plane has not been recorded yet."
+RULES = ("stale", "missed_purges", "falsely_confirmed", "lost", "doubled")
+"""Fields of the scale run's last line that count broken rules."""
+RUN_SIZES = ("fronts", "real_fronts", "processes", "purges_per_s", "control_machines")
 MOST_FRONTS = 100_000  # beyond which the page does not ask whether a budget is kept
 
 
@@ -93,19 +96,31 @@
     """Each budget in the recorded scale run, with the control plane."""
     if scale is None or not scale.budgets:
         return [NOT_RECORDED]
-    return table(
-        ("budget", "limit", "measured", "", "field of the run's last line"),
+    run = ", ".join(f"{scale.summary.get(name)} {name.replace('_', ' ')}" for name in RUN_SIZES)
+    body = [
         (
-            (
-                one.name,
-                f"{digits(one.limit)} {one.unit}",
-                _scale_figure(one),
-                VERDICTS[kept(one)],
-                f"`{one.summary_field}`",
-            )
-            for one in scale.budgets
-        ),
-    )
+            one.name,
+            f"{digits(one.limit)} {one.unit}",
+            _scale_figure(one),
+            VERDICTS[kept(one)],
+            f"`{one.summary_field}`",
+        )
+        for one in scale.budgets
+    ]
+    body += [
+        (f"rule: {name}", "0", str(value), VERDICTS[held], f"`{name}`") for name, value, held in rules(scale)
+    ]
+    return [
+        f"The run had {run}; seed {scale.seed}.",
+        "",
+        *table(("budget", "limit", "measured", "", "field of the run's last line"), body),
+    ]
+
+
+def rules(scale: ScaleRecord) -> list[tuple[str, object, bool | None]]:
+    """What must never happen: its name, how often it did, and whether the rule held; None: not looked at."""
+    found = [(name, scale.summary.get(name)) for name in RULES]
+    return [(name, value, None if value is None else value == 0) for name, value in found]
 
 
 def kept(budget: ScaleBudget) -> bool | None:
@@ -131,6 +146,9 @@
                 f"- {one.name}: {_scale_figure(one)} against {digits(one.limit)} {one.unit} "
                 "with the control plane" + (f" ({why})" if why else "")
             )
+    for name, value, held in rules(scale) if scale and scale.budgets else ():
+        if not held:
+            found.append(f"- rule: {name}: {value} against 0 with the control plane")
     return found or ["- none of those that were measured"]
 
 
@@ -139,7 +157,7 @@
     if budget.after is not None:
         return budget.after <= budget.limit
     value = scale.summary.get(budget.mended_by) if scale and budget.mended_by else None
-    return value is not None and value <= budget.limit
+    return value is not None and value <= budget.limit and all(held for _, _, held in rules(scale))
 
 
 def purge_cost(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -9,7 +9,7 @@
 import pytest
 
 from benchmarks.capacity import budgets, page
-from benchmarks.capacity.budget_tables import breaks_at, kept
+from benchmarks.capacity.budget_tables import breaks_at, kept, rules
 from benchmarks.capacity.budgets import Budget
 from benchmarks.capacity.fit import TooFewPointsError, fitted, line
 from benchmarks.capacity.markdown import VERDICTS
@@ -68,6 +68,8 @@
             assert f"- {one.name}: " in written["still"]
     for one in scale.budgets if scale else ():
         assert (f"- {one.name}: " in written["still"]) is not (kept(one) is True)
+    for name, value, _ in rules(scale) if scale and scale.budgets else ():
+        assert (f"- rule: {name}: " in written["still"]) is (value != 0)
 
 
 def test_the_budget_named_first_is_the_one_exceeded_by_most(written):
