--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -19,7 +19,8 @@
 from .faults import FaultKind
 from .measurement_file import Budget, Measurement
 from .plots import draw
-from .scenario import Scale, Scenario
+from .deployment import Scale
+from .scenario import Scenario
 from .summary import AIMS, Summary, kept
 
 QUICK = Scale(
@@ -94,7 +95,8 @@
     measurement = measurement_file.begin(options.seed, command)
     if not (options.quick or options.no_sweeps):
         measurement.points += sweep.run(sweep.FULL, options.seed, progress)
-        finish(measurement, Summary(), options)  # kept, should the next part fail
+        if options.write:
+            measurement.write(options.write)  # kept, should the next part fail
     only = frozenset(FaultKind[name.upper()] for name in options.only.split(",") if name)
     scenario = Scenario(scale_of(options), options.seed, options.quick, progress, only)
     summary = scenario.run()
@@ -113,7 +115,6 @@
 
 def finish(measurement: Measurement, summary: Summary, options: argparse.Namespace) -> None:
     """Fits the slopes, and writes what was asked for."""
-    measurement.slopes = []
     modes = ("control",) if options.no_sweeps else ("discovery", "control")
     for mode in () if options.quick else modes:
         found, left_out = slopes.fit_all(measurement.points, mode)
--- /dev/null
+++ b/benchmarks/scale/deployment.py
@@ -0,0 +1,184 @@
+"""All processes of a scale run: discovery services, control nodes, hollow and real fronts, status watch."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import time
+from dataclasses import dataclass
+
+import gevent
+
+from ..rig import folder
+from .control_plane import ControlPlane, free_ports
+from .messages import (
+    BeginLoad,
+    Collect,
+    FinishLoad,
+    LibraryPurge,
+    PublishCaches,
+    PublishPurge,
+    RealReport,
+    RealSample,
+)
+from .population import Population
+from .sweep import cache_list
+from .topology import REGIONS, hollow_names, node_places, settings_text
+from .window import ServerSample
+from .worker import Worker, memory_of
+
+
+@dataclass(frozen=True, slots=True)
+class Scale:
+    """The size of a run.
+
+    Attributes:
+        sizes: Numbers of hollow fronts that are measured, rising; the last is twice the one before it.
+        real: Real fronts with control.
+        reference: Real fronts beside them under the same load without any control traffic.
+        nodes: Control nodes.
+        hosts: Processes of hollow fronts.
+        directory: Entries of each hollow front's directory.
+        caches: Caches listed beside those of the real fronts.
+        purges: Purges a second.
+        other_purges: Other rates that are measured at all sizes but the last.
+        window: Seconds of each measured window.
+        rest: Seconds before a window, in which fronts that were just started catch up.
+        rate: Requests a second at each real front.
+        longest: Seconds after which no further fault begins.
+    """
+
+    sizes: tuple[int, ...]
+    real: int
+    reference: int
+    nodes: int
+    hosts: int
+    directory: int
+    caches: int
+    purges: float
+    other_purges: tuple[float, ...]
+    window: float
+    rest: float
+    rate: float
+    longest: float
+
+    @property
+    def hollow(self) -> int:
+        """Hollow fronts at the end."""
+        return self.sizes[-1]
+
+
+@dataclass(frozen=True, slots=True)
+class RealFrontsSample:
+    """The counters of the real fronts with control and of those without, at one moment (seconds)."""
+
+    at: float
+    controlled: RealSample
+    reference: RealSample
+
+
+class Deployment:
+    """The processes of a run.
+
+    Attributes:
+        listed: Caches in the list that the discovery services tell.
+        most_processes: The most processes that were seen at once.
+        most_memory: The most resident bytes that they took together.
+    """
+
+    def __init__(self, scale: Scale, seed: int) -> None:
+        self.scale, self.seed, self.folder = scale, seed, folder()
+        self.most_processes = self.most_memory = 0
+        self.workers: list[Worker] = []
+        self.plane: ControlPlane | None = None
+        self.population: Population | None = None
+
+    def build(self) -> None:
+        """Starts all processes but the hollow fronts, and waits for them."""
+        scale = self.scale
+        self.discovery = self._worker("discovery_host", *REGIONS)
+        hosts = [Worker("hollow_host") for _ in range(scale.hosts)]
+        addresses = self.discovery.ready().addresses
+        places = node_places(scale.nodes, free_ports(2 * scale.nodes))
+        path = self.folder / "control.textproto"
+        real_names = [f"f{number}" for number in range(scale.real)]
+        path.write_text(settings_text(addresses, places, scale.hollow, real_names))
+        self.plane = ControlPlane(path, places)
+        self.real = self._real_host(scale.real, str(path))
+        self.reference = self._real_host(scale.reference, "-")
+        self.watch = self._worker("status_watch", str(path))
+        self.population = Population(hosts, addresses, str(path))
+        servers = self.real.ready().addresses["servers"]
+        self.reference.ready()
+        self.watch.ready()
+        self.listed = len(servers) + scale.caches
+        self.discovery.ask(PublishCaches(servers + cache_list(scale.caches)))
+        self.plane.ready()
+
+    def _worker(self, module: str, *words: str) -> Worker:
+        worker = Worker(module, *words)
+        self.workers.append(worker)
+        return worker
+
+    def _real_host(self, count: int, control: str) -> Worker:
+        return self._worker("real_host", str(count), str(self.seed), str(self.scale.rate), control)
+
+    def begin_load(self) -> list[int]:
+        """Starts the clients of the real fronts; gives some objects that they ask for."""
+        objects = self.real.ask(BeginLoad()).objects
+        self.reference.ask(BeginLoad())
+        return [int(one, 16) for one in objects]
+
+    def finish_load(self) -> list[RealReport]:
+        """Ends the clients and the real fronts."""
+        jobs = [gevent.spawn(worker.ask, FinishLoad()) for worker in (self.real, self.reference)]
+        return [job.get() for job in jobs]
+
+    def grow(self, count: int) -> None:
+        """Starts hollow fronts until there are so many."""
+        more = {
+            region: [name for name in names if name not in self.population.current]
+            for region, names in hollow_names(count).items()
+        }
+        self.population.start(more, self.scale.directory, self.listed)
+
+    def moment(self, object_id: int, group: int) -> int:
+        """The origin's word on when what is purged became old, in Unix milliseconds."""
+        return self.real.ask(LibraryPurge(object_id, group)).unix_ms
+
+    def publish(self, purge: PublishPurge) -> None:
+        """Tells every discovery service."""
+        self.discovery.ask(purge)
+        self.real.ask(purge)
+
+    def sample_nodes(self) -> ServerSample:
+        """The counters of the control nodes; bytes are those that hollow fronts received, a node's mean."""
+        received = sum(one.received for report in self.population.collect() for one in report.traffic)
+        return ServerSample(self.plane.cpu(), self.plane.memory(), received / len(self.plane.places))
+
+    def sample_real(self) -> RealFrontsSample:
+        """The counters of the real fronts."""
+        return RealFrontsSample(time.monotonic(), self.real.ask(Collect()), self.reference.ask(Collect()))
+
+    def weigh(self) -> None:
+        """Looks at how many processes there are and what memory they take."""
+        sample = self.sample_real()
+        pids = [
+            os.getpid(),
+            *(worker.pid for worker in self.workers),
+            *self.population.pids,
+            *self.plane.pids,
+            *sample.controlled.pids,
+            *sample.reference.pids,
+        ]
+        self.most_processes = max(self.most_processes, len(pids))
+        self.most_memory = max(self.most_memory, sum(map(memory_of, pids)))
+
+    def close(self) -> list[str]:
+        """Ends every process and removes the files; gives what went wrong at the nodes' ends."""
+        if self.population:
+            self.population.close()
+        wrong = self.plane.close() if self.plane else []
+        gevent.joinall([gevent.spawn(worker.stop) for worker in self.workers])
+        shutil.rmtree(self.folder, ignore_errors=True)
+        return wrong
--- a/benchmarks/scale/plots.py
+++ b/benchmarks/scale/plots.py
@@ -33,6 +33,7 @@
         "bytes a second of a front",
         lambda one: one.front_bytes_in_per_s + one.front_bytes_out_per_s,
     )
+    path.parent.mkdir(parents=True, exist_ok=True)
     figure.tight_layout()
     figure.savefig(path, dpi=DOTS_PER_INCH)
     pyplot.close(figure)
--- a/benchmarks/scale/points.py
+++ b/benchmarks/scale/points.py
@@ -30,14 +30,14 @@
     purge_everywhere_s_p50: float | None
     purge_everywhere_s_p99: float | None
     purge_everywhere_s_worst: float | None
-    front_cpu: float
-    front_memory_bytes: float
-    front_bytes_in_per_s: float
-    front_bytes_out_per_s: float
-    front_bytes_per_s_worst: float
-    server_cpu: float
-    server_bytes_out_per_s: float
-    server_memory_bytes: int
-    host_late_s_worst: float
-    missed_purges: int
-    stale: int
+    front_cpu: float = 0.0
+    front_memory_bytes: float = 0.0
+    front_bytes_in_per_s: float = 0.0
+    front_bytes_out_per_s: float = 0.0
+    front_bytes_per_s_worst: float = 0.0
+    server_cpu: float = 0.0
+    server_bytes_out_per_s: float = 0.0
+    server_memory_bytes: int = 0
+    host_late_s_worst: float = 0.0
+    missed_purges: int = 0
+    stale: int = 0
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -11,6 +11,8 @@
 COMMAND = "python -m benchmarks.scale"
 ROUNDING = 6  # significant digits in the measurement file
 
+PRODUCT = "purge_per_s_directory_entry"
+
 Variable = Callable[[Point], float]
 
 VARIABLES: dict[str, Variable] = {
@@ -18,7 +20,7 @@
     "purge_per_s": lambda point: point.purges_per_s,
     "front_purge_per_s": lambda point: point.fronts * point.purges_per_s,
     "directory_entry": lambda point: point.directory,
-    "purge_per_s_directory_entry": lambda point: point.purges_per_s * point.directory,
+    PRODUCT: lambda point: point.purges_per_s * point.directory,
     "cache": lambda point: point.caches,
 }
 RANGES: dict[str, Variable] = {
@@ -100,6 +102,8 @@
 
 def _slope(name: str, model: Model, mode: str, points: list[Point]) -> Slope:
     varied = [one for one in model.variables if len({VARIABLES[one](point) for point in points}) > 1]
+    if PRODUCT in varied and len({point.directory for point in points}) == 1:
+        varied.remove(PRODUCT)  # the same as purges a second then
     settings = [{one: VARIABLES[one](point) for one in varied} for point in points]
     found = fit(varied, settings, [model.value(point) for point in points])
     return Slope(
--- a/benchmarks/scale/window.py
+++ b/benchmarks/scale/window.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from .checkers import everywhere_seconds, missed_purges, stale_copies
+from .checkers import IssuedPurge, everywhere_seconds, missed_purges, stale_copies
 from .latency import summarize
 from .points import Point, Setting
 from .population import HostSample, Population, now_us
@@ -48,16 +48,22 @@
         gevent.sleep(seconds)
         self.issuer.rate = 0
         end_us, hosts_after, servers_after = now_us(), self.population.sample(), self.servers()
+        late_s = self.population.late_s
         issued = self.issuer.between(begin_us, end_us)
         self.settle(issued)
-        population, took = self.population, (end_us - begin_us) / 1e6
-        population.collect(copies=True)
-        latency = summarize(
-            everywhere_seconds(issued, population.index, population.lives, self.deadline_us).values()
-        )
-        received, sent, worst = _traffic(hosts, hosts_after, took)
-        count = len(received) or 1
-        cpu = sum(b.cpu_s - a.cpu_s for a, b in zip(hosts, hosts_after, strict=True))
+        self.population.collect(copies=True)
+        point = self._point(sweep, setting, issued, (end_us - begin_us) / 1e6)
+        point.host_late_s_worst = late_s
+        _fill_front(point, self.population.empty_bytes, hosts, hosts_after)
+        _fill_server(point, servers, servers_after)
+        return point
+
+    def _point(self, sweep: str, setting: Setting, issued: list[IssuedPurge], seconds: float) -> Point:
+        """A point with what is known of the purges."""
+        population = self.population
+        index, lives = population.index, population.lives
+        latency = summarize(everywhere_seconds(issued, index, lives, self.deadline_us).values())
+        stale = stale_copies(population.copies, population.copies_at_us, issued, [], lives, self.deadline_us)
         return Point(
             sweep,
             self.mode,
@@ -65,24 +71,13 @@
             setting.purges_per_s,
             setting.directory,
             setting.caches,
-            round(took, 3),
+            round(seconds, 3),
             len(issued),
             latency.p50,
             latency.p99,
             latency.worst,
-            cpu / took / count,
-            (sum(one.memory_bytes for one in hosts_after) - population.empty_bytes) / count,
-            sum(received.values()) / count,
-            sum(sent.values()) / count,
-            worst,
-            max(servers_after.cpu_s[name] - before for name, before in servers.cpu_s.items()) / took,
-            (servers_after.bytes_out - servers.bytes_out) / took,
-            servers_after.memory_bytes,
-            population.late_s,
-            missed_purges(issued, population.index, population.lives).count,
-            stale_copies(
-                population.copies, population.copies_at_us, issued, [], population.lives, self.deadline_us
-            ).count,
+            missed_purges=missed_purges(issued, index, lives).count,
+            stale=stale.count,
         )
 
     def settle(self, issued: list) -> float:
@@ -96,13 +91,24 @@
         return (now_us() - began_us) / 1e6
 
 
-def _traffic(
-    before: list[HostSample], after: list[HostSample], seconds: float
-) -> tuple[dict[str, float], dict[str, float], float]:
-    """Bytes a second received and sent by each front, and those of the front with most."""
+def _fill_front(point: Point, empty_bytes: int, before: list[HostSample], after: list[HostSample]) -> None:
+    """Fills in what a front costs."""
     received, sent = {}, {}
     for first, last in zip(before, after, strict=True):
         for front, total in last.received.items():
-            received[front] = (total - first.received.get(front, 0)) / seconds
-            sent[front] = (last.sent[front] - first.sent.get(front, 0)) / seconds
-    return received, sent, max((received[one] + sent[one] for one in received), default=0.0)
+            received[front] = (total - first.received.get(front, 0)) / point.seconds
+            sent[front] = (last.sent[front] - first.sent.get(front, 0)) / point.seconds
+    count = len(received) or 1
+    cpu_s = sum(last.cpu_s - first.cpu_s for first, last in zip(before, after, strict=True))
+    point.front_cpu = cpu_s / point.seconds / count
+    point.front_memory_bytes = (sum(one.memory_bytes for one in after) - empty_bytes) / count
+    point.front_bytes_in_per_s = sum(received.values()) / count
+    point.front_bytes_out_per_s = sum(sent.values()) / count
+    point.front_bytes_per_s_worst = max((received[one] + sent[one] for one in received), default=0.0)
+
+
+def _fill_server(point: Point, before: ServerSample, after: ServerSample) -> None:
+    """Fills in what the servers cost."""
+    point.server_cpu = max(after.cpu_s[name] - first for name, first in before.cpu_s.items()) / point.seconds
+    point.server_bytes_out_per_s = (after.bytes_out - before.bytes_out) / point.seconds
+    point.server_memory_bytes = after.memory_bytes
