--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -23,7 +23,7 @@
         limit: In `unit`.
         value: The figure, in `unit`; None where there is no mechanism that could keep it, or no measurement.
         origin: "measured", "simulated" or "worked out", or why there is no figure.
-        mended_by: The field of the scale run's summary that shows it with the control plane; "": none does.
+        mended_by: The field of the scale run's summary that answers it with the control plane; "": none does.
         after: The figure on a later tree that was recorded beside it; None: there is none.
     """
 
--- a/benchmarks/capacity/failures.py
+++ b/benchmarks/capacity/failures.py
@@ -85,7 +85,11 @@
         "its streams; nothing that a front needs",
         "each front watches a second node in another zone; the first word of either counts",
         "not touched",
-        _scale_seconds(scale, "purge_everywhere_s_worst", "worst purge with a node killed and one hung: "),
+        _scale_seconds(
+            scale,
+            "purge_everywhere_s_worst",
+            "worst purge of the scale run, a node killed and one hung among its faults: ",
+        ),
         _scale_basis(scale, "purge_everywhere_s_worst"),
     )
 
