--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -112,8 +112,8 @@
     ]
     return [
         f"The run had {run}; seed {scale.seed}.",
-        f"The load of the machine was {scale.load_before} before and {scale.load_after} after; timers of the run's own "
-        f"processes came up to {shown(_latest_timer(scale), 's')} late.",
+        f"The load of the machine was {scale.load_before} before and {scale.load_after} after; timers of the "
+        f"run's own processes came up to {shown(_latest_timer(scale), 's')} late.",
         "",
         *table(("budget", "limit", "measured", "", "field of the run's last line"), body),
     ]
@@ -160,7 +160,7 @@
 
 
 def _answered(budget: Budget, scale: ScaleRecord | None) -> bool:
-    """Whether a later figure stands in the place of this one: of the index, or of the scale run's own budgets."""
+    """Whether a later figure stands in the place of this one: by the index, or of the scale run."""
     if budget.after is not None:
         return budget.after <= budget.limit
     fields = {one.summary_field for one in scale.budgets if one.measured is not None} if scale else set()
