--- a/benchmarks/capacity/cost_tables.py
+++ b/benchmarks/capacity/cost_tables.py
@@ -26,6 +26,12 @@
         (Term("control bytes to a front", 2), Term("control bytes from a front", 2)),
     ),
     ("front", "control processor time", "core", (*budgets.AGENT_CPU, *budgets.PURGES, *budgets.CHANGES)),
+    (
+        "front",
+        "control processor time, purges by index",
+        "core",
+        (*budgets.AGENT_CPU, *budgets.INDEXED_PURGES, *budgets.CHANGES),
+    ),
     ("front", "member table", "B", budgets.AGENT_MEMORY),
     ("front", "memory with a full directory", "B", (Term("memory by directory"),)),
     ("front", "memory with 170 MB of own copies", "B", (Term("memory by copies"),)),
@@ -58,7 +64,7 @@
         (
             role,
             quantity,
-            *(shown(total(recorded, terms, fronts), unit) for fronts in sizes),
+            *(_total(recorded, terms, fronts, unit) for fronts in sizes),
             " + ".join(map(str, terms)),
         )
         for role, quantity, unit, terms in ROLES
@@ -67,7 +73,10 @@
         (
             slope.role.replace("_", " "),
             f"{slope.quantity}, {slope.mode}",
-            *(shown(_scale_value(slope, fronts), _unit(slope)) for fronts in sizes),
+            *(
+                _at_size(slope.at(**operators.sizes(fronts)), _unit(slope), [slope], fronts)
+                for fronts in sizes
+            ),
             f"{slope.name} of the scale run",
         )
         for slope in (scale.slopes if scale else ())
@@ -75,8 +84,18 @@
     return table(("role", "quantity", f"at {sizes[0]} fronts", f"at {sizes[1]:,} fronts", "sum of"), body)
 
 
-def _scale_value(slope: Slope, fronts: int) -> float:
-    return slope.at(**operators.sizes(fronts))
+def _total(recorded: Measurement, terms: tuple[Term, ...], fronts: int, unit: str) -> str:
+    return _at_size(
+        total(recorded, terms, fronts), unit, [recorded.slope(term.name) for term in terms], fronts
+    )
+
+
+def _at_size(value: float, unit: str, lines: list[Slope], fronts: int) -> str:
+    """A figure of some lines, with a word where they were not measured with so many fronts."""
+    if value < 0:
+        return "not known: the line falls below 0"
+    within = all(fronts <= line.range.get("fronts", [fronts, fronts])[1] for line in lines)
+    return shown(value, unit) + ("" if within else " (worked out)")
 
 
 def slopes(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
