--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -13,6 +13,9 @@
 from .totals import Term, total
 
 NOT_RECORDED = "The scale run with the control plane has not been recorded yet."
+RULES = ("stale", "missed_purges", "falsely_confirmed", "lost", "doubled")
+"""Fields of the scale run's last line that count broken rules."""
+RUN_SIZES = ("fronts", "real_fronts", "processes", "purges_per_s", "control_machines")
 MOST_FRONTS = 100_000  # beyond which the page does not ask whether a budget is kept
 
 
@@ -93,19 +96,38 @@
     """Each budget in the recorded scale run, with the control plane."""
     if scale is None or not scale.budgets:
         return [NOT_RECORDED]
-    return table(
-        ("budget", "limit", "measured", "", "field of the run's last line"),
+    run = ", ".join(f"{scale.summary.get(name)} {name.replace('_', ' ')}" for name in RUN_SIZES)
+    body = [
         (
-            (
-                one.name,
-                f"{digits(one.limit)} {one.unit}",
-                _scale_figure(one),
-                VERDICTS[kept(one)],
-                f"`{one.summary_field}`",
-            )
-            for one in scale.budgets
-        ),
-    )
+            one.name,
+            f"{digits(one.limit)} {one.unit}",
+            _scale_figure(one),
+            VERDICTS[kept(one)],
+            f"`{one.summary_field}`",
+        )
+        for one in scale.budgets
+    ]
+    body += [
+        (f"rule: {name}", "0", str(value), VERDICTS[held], f"`{name}`") for name, value, held in rules(scale)
+    ]
+    return [
+        f"The run had {run}; seed {scale.seed}.",
+        f"The load of the machine was {scale.load_before} before and {scale.load_after} after; timers of the "
+        f"run's own processes came up to {shown(_latest_timer(scale), 's')} late.",
+        "",
+        *table(("budget", "limit", "measured", "", "field of the run's last line"), body),
+    ]
+
+
+def _latest_timer(scale: ScaleRecord) -> float:
+    """Seconds by which the machine and the bench itself held work up, at the worst."""
+    return max((point.get("host_late_s_worst", 0.0) for point in scale.points), default=0.0)
+
+
+def rules(scale: ScaleRecord) -> list[tuple[str, object, bool | None]]:
+    """What must never happen: its name, how often it did, and whether the rule held; None: not looked at."""
+    found = [(name, scale.summary.get(name)) for name in RULES]
+    return [(name, value, None if value is None else value == 0) for name, value in found]
 
 
 def kept(budget: ScaleBudget) -> bool | None:
@@ -122,7 +144,7 @@
     found = [
         f"- {budget.name}: {_figure(budget)} against {shown(budget.limit, budget.unit)}, as before"
         for budget in budgets.before(recorded)
-        if not budget.kept and not _mended(budget, scale)
+        if not budget.kept and not _answered(budget, scale)
     ]
     for one in scale.budgets if scale else ():
         if not kept(one):
@@ -131,15 +153,18 @@
                 f"- {one.name}: {_scale_figure(one)} against {digits(one.limit)} {one.unit} "
                 "with the control plane" + (f" ({why})" if why else "")
             )
+    for name, value, held in rules(scale) if scale and scale.budgets else ():
+        if not held:
+            found.append(f"- rule: {name}: {value} against 0 with the control plane")
     return found or ["- none of those that were measured"]
 
 
-def _mended(budget: Budget, scale: ScaleRecord | None) -> bool:
-    """Whether a recorded figure of a later tree shows that this budget is kept."""
+def _answered(budget: Budget, scale: ScaleRecord | None) -> bool:
+    """Whether a later figure stands in the place of this one: by the index, or of the scale run."""
     if budget.after is not None:
         return budget.after <= budget.limit
-    value = scale.summary.get(budget.mended_by) if scale and budget.mended_by else None
-    return value is not None and value <= budget.limit
+    fields = {one.summary_field for one in scale.budgets if one.measured is not None} if scale else set()
+    return budget.mended_by in fields
 
 
 def purge_cost(recorded: Measurement, scale: ScaleRecord | None) -> list[str]:
