Tests over sockets of held connects, repeat windows, late silence and idle fronts

Need: four terms of the acceptance had no test of ours. The front is the real program as a process; the caches, clients and discovery services are stand-ins that hold, reset and release. The rig is tests/acceptance_rig.py.

- Connections that never come up (full listen queue): an attempt counts as one that never ran, another cache answers or the request is refused at its end; no descriptor, connection or in-flight count is left; also one in fifty.
- Repeats by key: within the window at a cache of the group under the same key, not after it, not outside.
- Silence of the watch after a reload: noticed, followed again from the last number, a drain and a purge kept.
- A front without clients over several idle periods: STATUS yes, serves, exit code 0.

--- /dev/null
+++ b/tests/test_acceptance_terms.py
@@ -0,0 +1,278 @@
+"""Terms of the acceptance that other files do not force, each against the real program over loopback sockets.
+
+Connections that never come up, short windows for repeats, a discovery service that falls silent after a
+reload, and a front that serves nobody for a while.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable
+
+import gevent
+import pytest
+
+from .acceptance_rig import (
+    ORDER,
+    PAGE,
+    PATIENCE_MS,
+    PAYMENT,
+    WITHIN,
+    Attempt,
+    EffectLog,
+    FrontProcess,
+    ScriptedCache,
+    SilentCoordinator,
+    front_settings,
+    object_ranked,
+)
+from marbleglade.standins.clients import Said
+
+from .conftest import until
+from .fleet_rig import UnreachableAddress
+
+CONNECT_MS = 400.0
+FIFTY = 50
+ALL = (PAGE, ORDER, PAYMENT)
+LONG_CONNECT_MS = 8000.0
+LONG_WINDOW_MS, SHORT_WINDOW_MS = 20_000, 300
+TOLD_WITHIN = 7.0  # seconds after which what a discovery service has to tell counts as told
+REQUESTS = 10
+IDLE_CLOSE_MS = 300.0
+PROBED_AIM_MS = 100.0  # a probe each six to ten times as long
+REPORT = {"Via": "probe", "Names": ["x1"]}
+PROBES, BEATS = 3, 2
+KEY = "a31c3d6cffc90fc47fc97a47e35d8a29"
+
+
+@pytest.fixture
+def unreachable():
+    address = UnreachableAddress()
+    yield address
+    address.close()
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Starts a front of a test."""
+    fronts: list[FrontProcess] = []
+    numbers = itertools.count(1)
+
+    def begin(*parts: object, **more: object) -> FrontProcess:
+        folder = tmp_path / f"front{next(numbers)}"
+        folder.mkdir()
+        front = FrontProcess(folder, *parts, **more)
+        fronts.append(front)
+        return front
+
+    yield begin
+    gevent.joinall([gevent.spawn(front.close) for front in fronts], raise_error=True)
+
+
+# Connections that never come up.
+
+
+def ask_for_each_class(front: FrontProcess, names: tuple[str, ...], thing: int, patience: int) -> list[Said]:
+    """A request of each of these classes at once, and what is answered."""
+    client = front.client()
+    asked = [gevent.spawn(front.ask, client, name, thing, patience, key=KEY) for name in names]
+    return [one.get(timeout=2 * WITHIN) for one in asked]
+
+
+def test_an_attempt_whose_connection_never_comes_up_never_ran_and_leaves_nothing(start, unreachable):
+    cache = ScriptedCache("s1")
+    settings = front_settings({"ConnectTimeout": CONNECT_MS}, payment={"Group": "cell"})
+    front = start(settings, cache, unreachable={"s2": unreachable.address})
+    ask_for_each_class(front, (PAGE,), object_ranked("s1", "s2"), PATIENCE_MS)
+    descriptors = front.descriptors()
+
+    answers = ask_for_each_class(front, ALL, object_ranked("s2", "s1"), PATIENCE_MS)
+    assert [(said.word, said.body) for said in answers if said] == [("ok", b"s1")] * len(ALL)
+    assert len(cache.attempts) == 1 + len(ALL) and front.count("launch.unreached") == len(ALL)
+    # The client of these requests holds one descriptor more.
+    until(lambda: front.in_flight() == 0 and front.descriptors() == descriptors + 1, WITHIN, every=0.05)
+
+
+def refused_at_its_end(
+    start: Callable[..., FrontProcess], address: tuple[str, int], connect_ms: float, patience: int
+) -> None:
+    """Asks a front that has no other cache than one that can't be reached, and looks at what is left."""
+    settings = front_settings({"ConnectTimeout": connect_ms}, payment={"Group": "cell"})
+    front = start(settings, unreachable={"s1": address})
+    descriptors = front.descriptors()
+    answers = ask_for_each_class(front, ALL, 1, patience)
+    assert [said and said.word for said in answers] == ["full"] * len(ALL)  # none ran: a repeat is harmless
+    until(lambda: front.in_flight() == 0 and front.survey()["cache_connections"] == 0, WITHIN, every=0.05)
+    assert front.descriptors() == descriptors + 1
+
+
+def test_where_no_connection_comes_up_a_request_is_refused_at_its_end(start, unreachable):
+    short_connects = gevent.spawn(refused_at_its_end, start, unreachable.address, 200.0, PATIENCE_MS)
+    short_requests = gevent.spawn(refused_at_its_end, start, unreachable.address, 1500.0, 500)
+    gevent.joinall([short_connects, short_requests], raise_error=True)
+
+
+def test_one_in_fifty_connections_that_never_comes_up_costs_no_request(start):
+    first, second = ScriptedCache("s1"), ScriptedCache("s2")
+    front = start(front_settings({"ConnectTimeout": CONNECT_MS}), first, second)
+    clients = [front.client(), front.client()]
+    for client in clients:
+        front.ask(client, ORDER, object_ranked("s2", "s1"))
+    descriptors, before = front.descriptors(), len(second.attempts)
+
+    # Each attempt that is out has a connection to itself, so the fiftieth needs one more.
+    first.script = [first.keep] * (FIFTY - 1)
+    requests = [
+        gevent.spawn(front.ask, clients[number % 2], ALL[number % 3], object_ranked("s1", "s2", skip=number))
+        for number in range(FIFTY - 1)
+    ]
+    until(lambda: len(first.attempts) == FIFTY - 1, WITHIN)
+    first.hold_connections()
+    held = gevent.spawn(front.ask, clients[0], ORDER, object_ranked("s1", "s2", skip=FIFTY))
+    said = held.get(timeout=WITHIN)
+    assert said and (said.word, said.body) == ("ok", b"s2") and len(second.attempts) == before + 1
+    for attempt in first.attempts:
+        first.answer(attempt)
+    answers = [request.get(timeout=WITHIN) for request in requests]
+    assert [(one.word, one.body) for one in answers if one] == [("ok", b"s1")] * (FIFTY - 1)
+
+    assert front.count("launch.unreached") == 1 and front.count("launch.ok") == FIFTY + before
+    until(lambda: front.in_flight() == 0 and front.descriptors() == descriptors, WITHIN, every=0.05)
+
+
+# Short windows for repeats.
+
+
+class Payments:
+    """A class whose repeats a cell drops within the window, and the caches that note its effects."""
+
+    def __init__(self, start: Callable[..., FrontProcess], window_ms: int, cells: dict[str, int]) -> None:
+        self.log = EffectLog(window_ms / 1000)
+        self.caches = [ScriptedCache(name, cell, self.log) for name, cell in cells.items()]
+        settings = front_settings(
+            {"ConnectTimeout": LONG_CONNECT_MS}, payment={"KeyTtl": float(window_ms), "Group": "cell"}
+        )
+        self.front = start(settings, *self.caches)
+        self.thing = object_ranked(*cells)
+
+    def ask(self) -> Said | None:
+        """One request, for which the policy prefers the caches in the order in which they were named."""
+        return self.front.ask(self.front.client(), PAYMENT, self.thing, key=KEY)
+
+    def marks(self) -> list[list[str]]:
+        """The keys of the attempts at each cache."""
+        return [[attempt.errand.mark for attempt in cache.attempts] for cache in self.caches]
+
+
+def test_within_its_window_a_repeat_goes_to_a_cache_of_its_group_under_the_same_key(start):
+    payments = Payments(start, LONG_WINDOW_MS, {"s1": 1, "s2": 2, "s3": 1})
+    first = payments.caches[0]
+    first.script = [first.reset]
+    said = payments.ask()
+    assert said and (said.word, said.body) == ("ok", b"s3")
+    assert payments.marks() == [[KEY], [], [KEY]] and payments.log.effects == {KEY: 1}
+
+
+def test_after_its_window_what_may_have_run_is_not_tried_again(start):
+    payments = Payments(start, SHORT_WINDOW_MS, {"s1": 1, "s2": 1, "s3": 2})
+    first = payments.caches[0]
+    first.script = [first.keep]
+    answer = gevent.spawn(payments.ask)
+    until(lambda: first.attempts, WITHIN)
+    until(lambda: time.monotonic() - first.attempts[0].arrived > SHORT_WINDOW_MS / 1000, WITHIN)
+    first.reset(first.attempts[0])
+    said = answer.get(timeout=2 * WITHIN)
+    assert said and said.word == "fault"  # a repeat might do harm
+    assert payments.marks() == [[KEY], [], []] and payments.log.effects == {KEY: 1}
+
+
+def test_what_may_have_run_is_not_tried_outside_its_group(start):
+    payments = Payments(start, LONG_WINDOW_MS, {"s1": 1, "s2": 2, "s3": 2})
+    first = payments.caches[0]
+
+    def die(attempt: Attempt) -> None:
+        first.refuse_connections()
+        first.reset(attempt)
+
+    first.script = [die]
+    said = payments.ask()
+    assert said and said.word == "fault"
+    assert payments.marks() == [[KEY], [], []] and payments.log.effects == {KEY: 1}
+
+
+# A discovery service that falls silent after a reload.
+
+
+def test_what_is_told_in_a_late_silence_after_a_reload_is_kept(start):
+    first, second = ScriptedCache("s1"), ScriptedCache("s2")
+    settings = front_settings()
+    front = start(settings, first, second)
+    client, drained, purged = front.client(), object_ranked("s1", "s2"), object_ranked("s2", "s1")
+    moved = SilentCoordinator(like=front.coordinator)
+    front.move_to(settings, moved)
+    until(lambda: moved.socks, WITHIN)
+    moved.purge(0, 99, 1)  # it speaks
+    until(lambda: front.count("purge.told") == 1, WITHIN, every=0.05)
+
+    # The front holds a copy of its own, and gives it out.
+    while not front.count("retrieval.own"):
+        assert front.ask(client, PAGE, purged).word == "ok"
+    asked = len(second.attempts)
+    assert front.ask(client, PAGE, purged).word == "ok" and len(second.attempts) == asked
+
+    # Both are told while nothing is said on the connection, which stays open.
+    moved.fall_silent()
+    silent_since = time.monotonic()
+    purged_at = time.time_ns() // 1_000_000
+    moved.tell_leaving(first)
+    moved.purge(purged, 0, purged_at)
+    assert moved.followed == ["follow 1"]
+    until(lambda: front.count("purge.told") == 2, WITHIN, every=0.05)
+    assert time.monotonic() - silent_since < TOLD_WITHIN and moved.followed == ["follow 1", "follow 2"]
+
+    before = len(first.attempts)
+    for _ in range(REQUESTS):
+        assert front.ask(client, ORDER, drained).word == "ok"
+    assert len(first.attempts) == before
+    assert front.ask(client, PAGE, purged).word == "ok" and len(second.attempts) == asked + REQUESTS + 1
+    age = second.attempts[-1].errand.age  # the oldest copy that will do, in milliseconds
+    assert 0 < age <= second.attempts[-1].unix_ms - purged_at
+
+
+# A front that serves nobody.
+
+
+class UnusedFront:
+    """A front without any client, whose idle connections to its cache end after a short time."""
+
+    def __init__(self, start: Callable[..., FrontProcess]) -> None:
+        self.cache = ScriptedCache("s1")
+        limits = {"IdleClose": IDLE_CLOSE_MS, "Probing": True}
+        settings = front_settings(limits, page={"Aim": PROBED_AIM_MS}, report=REPORT)
+        self.front = start(settings, self.cache)
+
+    def wait(self) -> None:
+        """Until it has probed for several times as long as an idle connection lasts."""
+        beats = self.front.coordinator
+        until(lambda: self.cache.probes >= PROBES and beats.beats >= BEATS, 3 * WITHIN, every=0.05)
+        told = self.front.survey()
+        assert told["cache_connections"] <= 1 and told["clients"] == told["open"] == 0
+        assert told["counts"]["cache.closed"] >= PROBES - 2 and not self.cache.attempts
+
+
+def test_a_front_that_served_nobody_for_a_while_serves_again_and_ends(start):
+    unused, used = UnusedFront(start), UnusedFront(start)
+    unused.wait()
+    used.wait()
+
+    assert unused.front.stop() == 0
+    assert unused.front.count_at_end("retrieval.taken") == 0
+
+    client = used.front.client()
+    said = client.status()
+    assert said and said.word == "yes"
+    said = used.front.ask(client, ORDER, 1)
+    assert said and (said.word, said.body) == ("ok", b"s1")
+    assert used.front.stop() == 0
+    assert used.front.count_at_end("retrieval.settled") == 1
