--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -48,6 +48,7 @@
 }
 # Tests of processes whose order is held by stand-ins and whose waits are long: they bear a busy machine.
 HELD_BY_STANDINS = {
+    "test_acceptance_terms",
     "test_client_departure",
     "test_cold_fleet",
     "test_control_client",
