A repeat by key is not sent once its window is over, however late its connection comes

Checked: the policy looks at the window when it decides; before an attempt is written drains, purges and departures are looked at again. At fault: Choice.may_go is the only place that knows the window, and Caches._start looked at all but that. Change: Retrieval.may_repeat(now, attempt), used by both.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -651,7 +651,7 @@
         first = next((one for one in retrieval.launches if one.ran), None)
         if first is None or profile.repeat is Repeat.PURE:
             return True
-        if profile.repeat is Repeat.EFFECTFUL or self.actions.now() >= first.sent + profile.window:
+        if not retrieval.may_repeat(self.actions.now()):
             return False
         same_zone, same_cell = cache.zone == first.cache.zone, cache.cell == first.cache.cell
         return {Group.ALL: True, Group.ZONE: same_zone, Group.CELL: same_cell}[profile.group]
--- a/marbleglade/interface.py
+++ b/marbleglade/interface.py
@@ -167,6 +167,16 @@
     held: Held | None = None
     plan: Any = None
 
+    def may_repeat(self, now: int, attempt: Launch | None = None) -> bool:
+        """Whether `attempt`, or one yet to be made, may still be sent at that time.
+
+        False once another may have run and repeats of it do harm, or are dropped no more.
+        """
+        first = next((one for one in self.launches if one.ran and one is not attempt), None)
+        if first is None or self.profile.repeat is Repeat.PURE:
+            return True
+        return self.profile.repeat is Repeat.RECEIPTED and now < first.sent + self.profile.window
+
 
 @dataclass(slots=True, eq=False)
 class Launch:
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -224,6 +224,8 @@
             or self.purged(retrieval, launch.sent)
             or cache.state is not State.ACTIVE
             or source.state is not State.ACTIVE
+            # Guards against a second effect where the window for repeats ended while the connection came up.
+            or not retrieval.may_repeat(self.clock(), launch)
         ):
             self._rest(line)
             self.counters.add("launch.stale")
--- a/tests/test_acceptance_terms.py
+++ b/tests/test_acceptance_terms.py
@@ -36,7 +36,7 @@
 FIFTY = 50
 ALL = (PAGE, ORDER, PAYMENT)
 LONG_CONNECT_MS = 8000.0
-LONG_WINDOW_MS, SHORT_WINDOW_MS = 20_000, 300
+LONG_WINDOW_MS, MEDIUM_WINDOW_MS, SHORT_WINDOW_MS = 20_000, 1500, 300
 TOLD_WITHIN = 7.0  # seconds after which what a discovery service has to tell counts as told
 REQUESTS = 10
 IDLE_CLOSE_MS = 300.0
@@ -201,6 +201,23 @@
     assert payments.marks() == [[KEY], [], []] and payments.log.effects == {KEY: 1}
 
 
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(start):
+    payments = Payments(start, MEDIUM_WINDOW_MS, {"s1": 1, "s2": 1, "s3": 2})
+    first, second, _ = payments.caches
+    first.script = [first.reset]
+    second.hold_connections()
+    answer = gevent.spawn(payments.ask)
+    until(lambda: first.attempts, WITHIN)
+    # The repeat was decided on in time, and its connection is coming up.
+    until(lambda: payments.front.count("launch.reset") == 1, WITHIN, every=0.05)
+    assert payments.front.survey()["cache_connections"] == 1
+    until(lambda: time.monotonic() - first.attempts[0].arrived > MEDIUM_WINDOW_MS / 1000, WITHIN)
+    second.release_connections()
+    said = answer.get(timeout=2 * WITHIN)
+    assert payments.marks() == [[KEY], [], []] and payments.log.effects == {KEY: 1}
+    assert said and said.word == "fault"
+
+
 # A discovery service that falls silent after a reload.
 
 
