One strict reading of host:port serves all files in text format

Change: textproto.address, and settings.address_faults for the control plane; 20 lines fewer. No behaviour changed.

--- a/marbleglade/control/configuration.py
+++ b/marbleglade/control/configuration.py
@@ -14,11 +14,11 @@
 from ..fleet.order import Order
 from ..fleet.workfile import faults as work_faults
 from ..fleet.workfile import order_of, packed
-from ..wire import coordlines
+from ..textproto import address
 from .configuration_pb2 import ConfigurationDocument
 from .configuration_pb2 import RegionConfiguration as RegionMessage
 from .messages import LONGEST_CONFIGURATION
-from .settings import ControlSettings
+from .settings import ControlSettings, address_faults
 
 MOST_PEERS = 1 << 14
 LATEST_VERSION = 1 << 53
@@ -135,7 +135,7 @@
 def _region_faults(region: RegionMessage) -> Iterator[str]:
     for field in ("discovery", "peers_all"):
         if text := getattr(region, field):
-            yield from _address_faults(field, text)
+            yield from address_faults(field, text)
     if len(region.peer) > MOST_PEERS:
         yield f"peer: there are {len(region.peer)}, {MOST_PEERS} at most"
         return
@@ -152,33 +152,19 @@
 def _peer_faults(peers: Sequence[str]) -> Iterator[str]:
     seen: set[tuple[str, int]] = set()
     for number, text in enumerate(peers):
-        if faults := list(_address_faults(f"peer {number}", text)):
+        if faults := list(address_faults(f"peer {number}", text)):
             yield from faults
             continue
-        if (peer := _address(text)) in seen:
+        if (peer := address(text)) in seen:
             yield f"peer {number}: {text} is listed twice"
         seen.add(peer)
 
 
-def _address_faults(field: str, text: str) -> Iterator[str]:
-    try:
-        _address(text)
-    except ValueError:
-        yield f"{field}: {text!r} is not host:port with an IPv4 address"
-
-
-def _address(text: str) -> tuple[str, int]:
-    port = text.rpartition(":")[2]
-    if not (port.isascii() and port.isdigit()):
-        raise ValueError(f"{text!r} has no port")
-    return coordlines.address(text)
-
-
 def _region(region: RegionMessage) -> RegionConfiguration:
     return RegionConfiguration(
         region.name,
-        _address(region.discovery) if region.discovery else None,
-        tuple(_address(text) for text in region.peer),
-        _address(region.peers_all) if region.peers_all else None,
+        address(region.discovery) if region.discovery else None,
+        tuple(address(text) for text in region.peer),
+        address(region.peers_all) if region.peers_all else None,
         WorkConfiguration(order_of(region.work), packed(region.work)) if region.HasField("work") else None,
     )
--- a/marbleglade/control/settings.py
+++ b/marbleglade/control/settings.py
@@ -6,8 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..textproto import parsed
-from ..wire import coordlines
+from ..textproto import address, parsed
 from .control_pb2 import ControlPlane
 
 LONGEST_FILE = 1 << 20  # bytes
@@ -85,12 +84,12 @@
     return ControlSettings(
         message.deployment,
         tuple(
-            RegionSettings(region.name, _address(region.discovery), tuple(_front_names(region.front)))
+            RegionSettings(region.name, address(region.discovery), tuple(_front_names(region.front)))
             for region in message.region
         ),
         tuple(
             NodeSettings(
-                node.name, node.region, node.zone, _address(node.address), _address(node.quorum_address)
+                node.name, node.region, node.zone, address(node.address), address(node.quorum_address)
             )
             for node in message.node
         ),
@@ -118,7 +117,7 @@
     yield from _name_faults("region", [region.name for region in message.region])
     fronts: list[str] = []
     for region in message.region:
-        yield from _address_faults(f"region {region.name}: discovery", region.discovery)
+        yield from address_faults(f"region {region.name}: discovery", region.discovery)
         try:
             fronts += _front_names(region.front)
         except ValueError as error:
@@ -142,7 +141,7 @@
             yield f"node {node.name}: zone {node.zone!r} is not a name"
         for field in ("address", "quorum_address"):
             text = getattr(node, field)
-            yield from _address_faults(f"node {node.name}: {field}", text)
+            yield from address_faults(f"node {node.name}: {field}", text)
             if text in addresses:
                 yield f"node {node.name}: {field} {text} is listed twice"
             addresses.append(text)
@@ -158,20 +157,14 @@
         seen.add(name)
 
 
-def _address_faults(path: str, text: str) -> Iterator[str]:
+def address_faults(path: str, text: str) -> Iterator[str]:
+    """What is wrong with an address, as a line that names its field; nothing where it can be used."""
     try:
-        _address(text)
+        address(text)
     except ValueError:
         yield f"{path}: {text!r} is not host:port with an IPv4 address"
 
 
-def _address(text: str) -> tuple[str, int]:
-    port = text.rpartition(":")[2]
-    if not (port.isascii() and port.isdigit()):
-        raise ValueError(f"{text!r} has no port")
-    return coordlines.address(text)
-
-
 def _front_names(patterns: list[str]) -> list[str]:
     names: list[str] = []
     for pattern in patterns:
--- a/marbleglade/deployment/reading.py
+++ b/marbleglade/deployment/reading.py
@@ -10,8 +10,7 @@
 from google.protobuf.message import Message
 
 from ..gateway.routes import NAME
-from ..textproto import parsed
-from ..wire import coordlines
+from ..textproto import address, parsed
 from .deployment_pb2 import Deployment
 
 PREFIX = re.compile(r"[0-9a-f]{0,16}")
@@ -107,14 +106,6 @@
         return [one for one in self.told.regions if one.name != self.region.name]
 
 
-def address(text: str) -> tuple[str, int]:
-    """ "host:port" as a pair; ValueError where it is none."""
-    port = text.rpartition(":")[2]
-    if not port.isascii() or not port.isdigit():
-        raise ValueError(f"{text!r} has no port")
-    return coordlines.address(text)
-
-
 def load(path: str) -> Message:
     """The file at `path`, decoded and with its defaults. Raises `InvalidDeploymentError`."""
     try:
--- a/marbleglade/textproto.py
+++ b/marbleglade/textproto.py
@@ -7,6 +7,8 @@
 from google.protobuf import text_format
 from google.protobuf.message import Message
 
+from .wire import coordlines
+
 
 def parsed(path: str, into: Message, longest: int) -> Message:
     """The file at `path`, `longest` bytes at most. Raises ValueError that tells the path and the fault."""
@@ -17,3 +19,11 @@
         return text_format.Parse(data.decode("utf-8"), into)
     except (OSError, ValueError, text_format.ParseError) as trouble:
         raise ValueError(f"{path}: {trouble}") from trouble
+
+
+def address(text: str) -> tuple[str, int]:
+    """ "host:port" as a pair; ValueError where it is none."""
+    port = text.rpartition(":")[2]
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{text!r} has no port")
+    return coordlines.address(text)
