A cache that errs on new objects is moved on from, blamed and tried one at a time

Ruled out: success recorded for it as a source (none in the log), peers' error rates (no blame was noted at all).

Cause, Send.back: an error on an object of unknown size blames nobody, since there may be no such object. The next launches kept to the same cache and only took the next source, so the third error gave the retrieval up; no answer ever told whose fault it was, sizes stayed unknown, the budget of further launches was used up. A half-open probe that ended so was over at once, and the next request was the next probe.

Now a second such error moves on from the cache as well, so the next answer tells; blame is split between two suspects by their records in both cases (blame_either); a half-open probe that proved nothing is followed by the usual wait.

Two tests of the module, both fail without the change.

--- a/marbleglade/choice.py
+++ b/marbleglade/choice.py
@@ -368,6 +368,8 @@
             place.feeds.pop(launch, None)
             if place.half_open_probe is launch:
                 place.half_open_probe = None
+                if outcome is Outcome.ERROR and not erred:  # it proved nothing: the next one waits as long
+                    place.shut = now + place.min_backoff
         if outcome in (Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.ERROR):
             health.heard = now
         if outcome is Outcome.OK:
@@ -376,9 +378,7 @@
             # that is never blamed since what it is asked to fill is mostly new.
             while plan.unsure:
                 one = plan.unsure.pop()
-                others = [place for place in (one.cache, one.source) if place not in (cache, source)]
-                for place in others:
-                    choice.blame(place, 1 / len(others), now)
+                choice.blame_either([at for at in (one.cache, one.source) if at not in (cache, source)], now)
             if filled and launch.told is not Told.HIT:
                 source.memory.record(0, now)
             if launch.told in FILLS or (filled and plan.new and launch.told is Told.NOTHING):
@@ -388,15 +388,13 @@
         elif outcome is Outcome.FULL and filled:
             choice.blame(source, 1 / 2, now)  # the cache is full, or its source cannot be reached
         elif erred:
-            # Either of two: each takes what its own record lately makes likely.
-            prior = OPEN_AT / 8
-            part = (health.error_rate + prior) / (health.error_rate + source.memory.error_rate + 2 * prior)
-            choice.blame(cache, part, now)
-            choice.blame(source, 1 - part, now)
-        # A further launch keeps to the cache and takes the next source; a second failure moves it on.
+            choice.blame_either([cache, source], now)
+        # A further launch keeps to the cache and takes the next source; a second failure moves it on. So does
+        # a second error that may mean that there is no such object: the next answer tells whose it was.
         if outcome is not Outcome.CALLED_OFF:
             silent = outcome in (Outcome.RESET, Outcome.UNREACHED, Outcome.TIMEOUT)
-            plan.lost.append(cache if silent or source in plan.lost else source)
+            suspect = cache if silent or source in plan.lost else source
+            plan.lost += [cache, source] if len(plan.unsure) > 1 else [suspect]
         self.learn(launch)
         return True
 
@@ -692,6 +690,12 @@
             if late and launch.outcome is None and launch.sent > health.heard:
                 self.move_on(launch, cache)
 
+    def blame_either(self, suspects: list[Cache], now: int) -> None:
+        """One of them failed: each takes the part that its own record lately makes likely."""
+        likely = [one.memory.error_rate + OPEN_AT / 8 for one in suspects]
+        for suspect, weight in zip(suspects, likely, strict=True):
+            self.blame(suspect, weight / sum(likely), now)
+
     def remind(self, due: int, launch: Launch) -> None:
         self.count += 1
         heapq.heappush(self.due, (due, self.count, launch))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -522,6 +522,43 @@
     assert paper.notes and {note.split()[-1] for note in paper.notes} == {culprit.mark.decode()}
 
 
+def served_though(paper, culprit, thing):
+    """Asks for a new object of unknown size until it is answered; `culprit` errs on whatever it is asked."""
+    request = paper.ask(thing, size=0)
+    while not request.over:
+        attempt = request.launches[-1]
+        paper.end(attempt, Outcome.ERROR if attempt.cache is culprit else Outcome.OK, 10)
+    return request
+
+
+def test_a_cache_that_errs_on_new_objects_is_moved_on_from_and_found_out(front):
+    """Found among processes: three attempts at the same cache, then no answer, and nobody was blamed."""
+    paper = front(siblings=False)
+    culprit = paper.caches[1]
+    for thing in range(1, 60):
+        assert len(served_though(paper, culprit, thing).launches) <= 3
+    assert paper.said == []  # none was given up
+    assert {note.split()[-1] for note in paper.notes} == {culprit.mark.decode()}
+
+
+def test_a_half_open_probe_that_proves_nothing_is_followed_by_a_wait(front):
+    """Found among processes: six to nine attempts came at once to a cache of which one was to be tried."""
+    paper = front(siblings=False)
+    culprit = paper.caches[1]
+    first_there = [n for n in range(1, 400) if paper.choice.ranked(paper.caches, n, 0)[0] is culprit]
+    health = culprit.memory
+    health.error_rate, health.shut = 1.0, paper.clock
+    probe = paper.ask(first_there[0], size=0).launches[0]
+    assert probe.cache is culprit and health.half_open_probe is probe
+    paper.choice.budget = 0  # no other attempt tells whose fault it was
+    paper.end(probe, Outcome.ERROR, 5)
+    ended_at = paper.clock
+    while paper.clock < ended_at + health.min_backoff:
+        assert paper.ask(first_there[1], size=0).launches[0].cache is not culprit
+        paper.clock += 50 * MS
+    assert paper.ask(first_there[1], size=0).launches[0].cache is culprit
+
+
 @pytest.mark.parametrize("never_kept", [False, True])
 def test_an_error_on_what_is_written_tells_of_its_places(front, never_kept):
     """It is never repeated, so no later answer tells; and there need be no such object beforehand."""
