Load views by control nodes: fronts report to their node, nodes exchange partial views

Need: the view aggregator breaks its budget first of all, 398 kB/s against 6 at 730 fronts (docs/CAPACITY.md): all fronts report to one of them, and it sends the sum to each.

Change, off unless the control plane's settings name `view_period_ms`: a front sends its report on the connection to its primary control node and is answered with the view. Each node sums the reports of its own fronts, the other nodes dial it for that partial view, and each merges them (fleet/load_views, free of I/O). Nobody is elected, so nothing can be held by two; a node that dies is missing for three periods. A view for one front holds its own zone alone, so the bound of six zones in a view is gone. Bad input: a report or partial view that can't be read ends that connection alone and is counted; a period that is not half a beat ends the front with one line and exit code 2.

--- a/benchmarks/capacity/budget_tables.py
+++ b/benchmarks/capacity/budget_tables.py
@@ -82,10 +82,8 @@
     """The figure of a later tree, where one was recorded."""
     if budget.after is None:
         return ""
-    verdict = VERDICTS[budget.after <= budget.limit]
-    return (
-        f"; with purges by index {shown(budget.after, budget.unit)} at {operators.FRONTS} fronts, {verdict}"
-    )
+    figure, verdict = shown(budget.after, budget.unit), VERDICTS[budget.after <= budget.limit]
+    return f"; with {budget.after_with} {figure} at {operators.FRONTS} fronts, {verdict}"
 
 
 def _figure(budget: Budget) -> str:
--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -24,7 +24,8 @@
         value: The figure, in `unit`; None where there is no mechanism that could keep it, or no measurement.
         origin: "measured", "simulated" or "worked out", or why there is no figure.
         mended_by: The field of the scale run's summary that answers it with the control plane; "": none does.
-        after: The figure on a later tree that was recorded beside it; None: there is none.
+        after: The figure with a later mechanism that was recorded beside it; None: there is none.
+        after_with: That mechanism.
     """
 
     name: str
@@ -34,6 +35,7 @@
     origin: str
     mended_by: str = ""
     after: float | None = None
+    after_with: str = ""
 
     @property
     def kept(self) -> bool:
@@ -58,6 +60,10 @@
 CHANGES = (Term("list change one cache changed", operators.CHANGES_PER_DAY / 86_400),)
 AGENT_CPU = (Term("fleet loaded front processor time"),)
 AGGREGATOR_CPU = (Term("fleet loaded view aggregator processor time"),)
+VIEWED_BYTES = tuple(Term(f"fleet viewed by nodes front bytes {way}") for way in ("sent", "received"))
+VIEWED_CPU = (Term("fleet viewed by nodes front processor time"),)
+"""Of any front where control nodes make the load view: no front is the aggregator then."""
+BY_INDEX, BY_NODES = "purges by index", "the load view made by control nodes and purges by index"
 AGENT_MEMORY = (Term("fleet front member table"),)
 
 
@@ -78,22 +84,40 @@
         ("bytes of the view aggregator", (*WATCH, *AGGREGATOR_BYTES), "simulated"),
         ("bytes of the maintenance leader", (*agent, *LEADER_BYTES), "simulated, while there is work"),
     )
+    viewed = _after(recorded, (*WATCH, *VIEWED_BYTES), fronts)
     return [
-        Budget(name, limit, "B/s", total(recorded, terms, fronts), origin) for name, terms, origin in found
+        Budget(
+            name,
+            limit,
+            "B/s",
+            total(recorded, terms, fronts),
+            origin,
+            after=viewed if "aggregator" in name else None,
+            after_with="the load view made by control nodes",
+        )
+        for name, terms, origin in found
     ]
 
 
 def _processor_time(recorded: Measurement, fronts: int) -> list[Budget]:
-    indexed = any(slope.name == INDEXED_PURGES[0].name for slope in recorded.slopes)
     found = []
-    for who, agent in (("a usual front", AGENT_CPU), ("the view aggregator", AGGREGATOR_CPU)):
+    for who, agent, later, how in (
+        ("a usual front", AGENT_CPU, AGENT_CPU, BY_INDEX),
+        ("the view aggregator", AGGREGATOR_CPU, VIEWED_CPU, BY_NODES),
+    ):
         value = total(recorded, (*agent, *PURGES, *CHANGES), fronts)
-        after = total(recorded, (*agent, *INDEXED_PURGES, *CHANGES), fronts) if indexed else None
+        after = _after(recorded, (*later, *INDEXED_PURGES, *CHANGES), fronts)
         name, origin = f"processor time of {who}", "measured, without sockets"
-        found.append(Budget(name, operators.CORE_SHARE, "core", value, origin, after=after))
+        found.append(Budget(name, operators.CORE_SHARE, "core", value, origin, after=after, after_with=how))
     return found
 
 
+def _after(recorded: Measurement, terms: tuple[Term, ...], fronts: int) -> float | None:
+    """The sum of lines of a later mechanism; None where one of them was not recorded."""
+    names = {slope.name for slope in recorded.slopes}
+    return total(recorded, terms, fronts) if all(term.name in names for term in terms) else None
+
+
 def _memory(recorded: Measurement, fronts: int) -> Budget:
     value = total(recorded, AGENT_MEMORY, fronts)
     return Budget("memory of a front's control", operators.MEMORY_BYTES, "B", value, "measured")
--- a/benchmarks/capacity/cost_tables.py
+++ b/benchmarks/capacity/cost_tables.py
@@ -32,6 +32,13 @@
         "core",
         (*budgets.AGENT_CPU, *budgets.INDEXED_PURGES, *budgets.CHANGES),
     ),
+    (
+        "front",
+        "bytes of its fleet agent, load view by control nodes",
+        "B/s",
+        budgets.VIEWED_BYTES,
+    ),
+    ("front", "processor time of its fleet agent, load view by control nodes", "core", budgets.VIEWED_CPU),
     ("front", "member table", "B", budgets.AGENT_MEMORY),
     ("front", "memory with a full directory", "B", (Term("memory by directory"),)),
     ("front", "memory with 170 MB of own copies", "B", (Term("memory by copies"),)),
@@ -50,6 +57,15 @@
     ("control machine", "bytes sent", "B/s", (Term("control bytes to a front", each_front=True),)),
     ("control machine", "bytes received", "B/s", (Term("control bytes from a front", each_front=True),)),
     ("control machine", "memory of its state", "B", CONTROL_MEMORY),
+    *(
+        (
+            "control machine",
+            f"{quantity} for the load view",
+            unit,
+            (Term(f"load view control machine {quantity}"),),
+        )
+        for quantity, unit in (("bytes sent", "B/s"), ("bytes received", "B/s"), ("processor time", "core"))
+    ),
     ("maintenance leader", "bytes sent", "B/s", budgets.LEADER_BYTES[:1]),
     ("maintenance leader", "bytes received", "B/s", budgets.LEADER_BYTES[1:]),
     ("maintenance leader", "datagrams sent", "1/s", (Term("maintenance leader quorum datagrams sent"),)),
--- a/benchmarks/capacity/fleet_agent.py
+++ b/benchmarks/capacity/fleet_agent.py
@@ -115,8 +115,12 @@
         use.busy += time.process_time_ns() - began if began else 0
 
     def run(self, seconds: int) -> None:
-        """Passes so much simulated time."""
-        traffic, end = Traffic(self.loaded, 100 * SECOND - PERIOD), self.now + seconds * SECOND
+        """Passes so many simulated seconds."""
+        self.pass_time(seconds * SECOND)
+
+    def pass_time(self, duration: int) -> None:
+        """Passes so much simulated time, in ns."""
+        traffic, end = Traffic(self.loaded, 100 * SECOND - PERIOD), self.now + duration
         while self.now < end:
             self.now += STEP
             while self.queue and self.queue[0][0] <= self.now:
--- a/benchmarks/capacity/operators.py
+++ b/benchmarks/capacity/operators.py
@@ -8,6 +8,7 @@
 BITS_PER_S = 4.8e12
 PURGES_PER_S = 12
 CHANGES_PER_DAY = 1300
+CONTROL_MACHINES = 8
 
 # What control may cost a front, and how soon it must act.
 CORE_SHARE = 0.016
--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -25,6 +26,7 @@
     Greeting,
     InvalidLineError,
     Leave,
+    LoadReport,
     Refused,
     StreamLine,
 )
@@ -88,6 +90,7 @@
         self.discovery_running = True
         self.leaving = False
         self._closed = False
+        self.on_load_view: Callable[[bytes], None] = lambda data: None
 
     # The loop.
 
@@ -247,6 +250,19 @@
                 self._lists.complete(connection.progress.stream)
                 self._wake.set()
 
+    def load_view(self, connection: NodeConnection, data: bytes) -> None:
+        """A node told the load view; only that of the node that is reported to counts."""
+        if connection.node.name == self.primary:
+            self.on_load_view(data)
+
+    def report(self, data: bytes) -> bool:
+        """Sends a coded load report to the primary node, which answers with a view; false if none is."""
+        connection = self._connections.get(self.primary) if self.primary else None
+        if connection is None or not connection.greeted or self.leaving:
+            return False
+        connection.send(LoadReport(data))
+        return True
+
     # What the discovery service tells.
 
     def known(self, change: ListChange) -> None:
--- a/marbleglade/control/connection.py
+++ b/marbleglade/control/connection.py
@@ -18,6 +18,7 @@
     FrontHello,
     Greeting,
     InvalidLineError,
+    LoadView,
     Request,
     StreamLine,
     decode_stream_line,
@@ -39,6 +40,17 @@
     """No whole line came for too long."""
 
 
+def check_greeting(message: StreamLine, deployment: str, node: str) -> Greeting:
+    """The first line of a node. Raises `NotAControlNodeError` where it is not of that node and deployment."""
+    if not isinstance(message, Greeting):
+        raise NotAControlNodeError("its first line is no greeting")
+    if message.deployment != deployment:
+        raise NotAControlNodeError(f"it serves the deployment {message.deployment}")
+    if message.node != node:
+        raise NotAControlNodeError(f"it is the node {message.node}")
+    return message
+
+
 class LineBuffer:
     """Cuts bytes into lines of a bounded length."""
 
@@ -67,6 +79,9 @@
     def heartbeat(self, connection: NodeConnection, index: int) -> None:
         """The node told its last number."""
 
+    def load_view(self, connection: NodeConnection, data: bytes) -> None:
+        """The node told the load view for this front, coded as among fronts."""
+
 
 class NodeConnection:
     """Follows one node until the connection ends.
@@ -186,21 +201,18 @@
             self._greeting(message)
         elif isinstance(message, Beat):
             self.listener.heartbeat(self, message.index)
+        elif isinstance(message, LoadView):
+            self.listener.load_view(self, message.data)
         elif isinstance(message, Greeting):
             raise InvalidLineError("a second greeting")
         else:
             self.listener.event(self, message)
 
     def _greeting(self, message: StreamLine) -> None:
-        if not isinstance(message, Greeting):
-            raise NotAControlNodeError("its first line is no greeting")
-        if message.deployment != self._deployment:
-            raise NotAControlNodeError(f"it serves the deployment {message.deployment}")
-        if message.node != self.node.name:
-            raise NotAControlNodeError(f"it is the node {message.node}")
-        self.progress.begin(message)
+        greeting = check_greeting(message, self._deployment, self.node.name)
+        self.progress.begin(greeting)
         self.greeted = True
-        self.listener.greeted(self, message)
+        self.listener.greeted(self, greeting)
 
     def _confirm(self) -> None:
         if not (self.greeted and self.confirming):
--- a/marbleglade/control/messages.py
+++ b/marbleglade/control/messages.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from base64 import b64decode, b64encode
 from dataclasses import dataclass
 
 import orjson
@@ -69,12 +70,34 @@
     """The front ends as planned."""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What the front saw of its links lately, coded as among fronts (`wire/gossip.py`)."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PartialViewsQuery:
+    """Another control node asks for this node's partial load views, from now on."""
+
+
 @dataclass(frozen=True, slots=True)
 class StatusQuery:
     """An operator asks what the node knows; the answer is one JSON line."""
 
 
-Request = FrontHello | Follow | Applied | Configured | Refused | Leave | StatusQuery
+Request = (
+    FrontHello
+    | Follow
+    | Applied
+    | Configured
+    | Refused
+    | Leave
+    | LoadReport
+    | PartialViewsQuery
+    | StatusQuery
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +130,14 @@
     text: str
 
 
-StreamLine = Greeting | ConfigurationEvent | coordlines.Event
+@dataclass(frozen=True, slots=True)
+class LoadView:
+    """The aggregated load view for one front, coded as among fronts. It has no number and is not repeated."""
+
+    data: bytes
+
+
+StreamLine = Greeting | ConfigurationEvent | LoadView | coordlines.Event
 
 
 def encode_request(request: Request) -> bytes:
@@ -125,6 +155,10 @@
             text = f"refused {version} {_one_line(reason)}"
         case Leave():
             text = "leave"
+        case LoadReport(data):
+            text = f"report {b64encode(data).decode()}"
+        case PartialViewsQuery():
+            text = "partial-views"
         case StatusQuery():
             text = "status"
     return text.encode() + b"\n"
@@ -149,6 +183,10 @@
                 return Refused(_number(version), _one_line(reason))
             case "leave" if not rest:
                 return Leave()
+            case "report":
+                return LoadReport(b64decode(rest, validate=True))
+            case "partial-views" if not rest:
+                return PartialViewsQuery()
             case "status" if not rest:
                 return StatusQuery()
     except ValueError as error:
@@ -179,6 +217,11 @@
     return orjson.dumps({"index": event.index, "configuration": content}) + b"\n"
 
 
+def encode_load_view(view: LoadView) -> bytes:
+    """A load view as a line between events."""
+    return orjson.dumps({"view": b64encode(view.data).decode()}) + b"\n"
+
+
 def decode_stream_line(line: bytes | bytearray) -> StreamLine:
     """Reads one line from a control node. Raises `InvalidLineError`."""
     try:
@@ -187,6 +230,8 @@
             return coordlines.Beat(value)
         if "control" in value:
             return _greeting(value["control"])
+        if "view" in value:
+            return LoadView(b64decode(value["view"], validate=True))
         if "configuration" in value:
             return _configuration(value["index"], value["configuration"])
         return coordlines.event(value)
--- a/marbleglade/control/node.py
+++ b/marbleglade/control/node.py
@@ -21,6 +21,7 @@
 from .confirmation import Confirmation
 from .discovery import DiscoveryFollower
 from .event_log import EventLog
+from .load_view_service import LoadViewService
 from .server import Server
 from .settings import ControlSettings
 from .status import NodeStatus, encode_status
@@ -96,6 +97,7 @@
         self.follower = DiscoveryFollower(
             region.discovery, self._purged, self._listed, self._heartbeat, self.guard
         )
+        self.load_views = LoadViewService(settings, name, self.guard)
         self.server = Server(
             settings.deployment,
             name,
@@ -104,14 +106,16 @@
             settings.catch_up_bytes_per_s,
             lambda: bool(self.heard_at),
             lambda: encode_status(self.status()),
+            self.load_views,
             self.guard,
         )
+        self.load_views.tell_nodes = self.server.tell_nodes
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Opens the listener and starts all that runs. Raises OSError."""
         self.server.listen(self.node.address)
-        self.greenlets = [gevent.spawn(self.follower.run)]
+        self.greenlets = [gevent.spawn(work) for work in (self.follower.run, *self.load_views.work())]
         if self.configuration:
             self.configuration.on_change = self._configured
             if current := self.configuration.current():
--- a/marbleglade/control/server.py
+++ b/marbleglade/control/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 import gevent
 from gevent import socket
@@ -22,11 +23,15 @@
     Greeting,
     InvalidLineError,
     Leave,
+    LoadReport,
+    LoadView,
+    PartialViewsQuery,
     Refused,
     Request,
     StatusQuery,
     decode_request,
     encode_greeting,
+    encode_load_view,
 )
 from .session import FellBehindError, ProtocolError, Session, held_by_front
 
@@ -43,6 +48,17 @@
 BATCHES_A_PUSH = 4
 
 
+class LoadViewTarget(Protocol):
+    """Where load reports go."""
+
+    def take_report(self, front: str, data: bytes) -> bytes:
+        """Takes a coded load report; gives the coded view for that front, nothing where none is made.
+
+        Raises:
+            ProtocolError: It is no load report.
+        """
+
+
 class Connection:
     """One connection: its reader, and a writer while it is behind."""
 
@@ -52,6 +68,7 @@
         self.session: Session | None = None
         self.open = True
         self.writing = False
+        self.wants_partial_views = False  # it is another control node
         self.wake = Event()  # the writer has something new to look at
 
     # What comes in.
@@ -98,7 +115,7 @@
         """Some bytes, none at the end. Raises `ProtocolError` where a line does not come whole in time."""
         while True:
             timeout = WATCH_TIMEOUT
-            if partial or not self.session:
+            if partial or not (self.session or self.wants_partial_views):
                 timeout = REQUEST_LIMIT - (clock.now() - begun) / 1e9
                 if timeout <= 0:
                     raise ProtocolError("idle", f"no whole line for {REQUEST_LIMIT:g} s")
@@ -128,6 +145,11 @@
                 self.server.confirmation.refused(self.hello.name, self.number, version, reason)
             case Leave() if self._is_front:
                 self.server.confirmation.left(self.hello.name, self.number)
+            case LoadReport(data) if self._is_front:
+                self._report(data)
+            case PartialViewsQuery() if not self.session and not self.hello:
+                self.wants_partial_views = True
+                self.tell(encode_greeting(self.server.greeting(0)))
             case _:
                 raise ProtocolError("out_of_turn", f"{type(request).__name__} is out of turn")
 
@@ -135,6 +157,20 @@
     def _is_front(self) -> bool:
         return self.session is not None and self.hello is not None
 
+    def _report(self, data: bytes) -> None:
+        """Answers a load report with the present view of all fronts."""
+        if view := self.server.load_views.take_report(self.hello.name, data):
+            self.session.offer_view(encode_load_view(LoadView(view)))
+            self.push(clock.now())
+
+    def tell(self, line: bytes) -> None:
+        """Writes a line to another node, which has to take it at once."""
+        try:
+            if send_now(self.sock, line) < len(line):
+                self.close("slow", "another node does not take its partial views")
+        except OSError as error:
+            self.close("lost", str(error))
+
     def _send_status(self) -> None:
         self.sock.settimeout(ANSWER_TIMEOUT)
         self.sock.sendall(self.server.status())
@@ -156,8 +192,7 @@
         held = held_by_front(hello, last, log, record)
         confirmation.connected(hello.name, hello.start_ms, self.number, clock.now())
         snapshot_to = self.session.follow_as_front(held)
-        greeting = Greeting(self.server.deployment, self.server.node, log.stream, snapshot_to)
-        self.session.greet(encode_greeting(greeting))
+        self.session.greet(encode_greeting(self.server.greeting(snapshot_to)))
 
     # What goes out.
 
@@ -239,6 +274,7 @@
         catch_up_bytes_per_s: Pace of a snapshot to one front.
         ready: True once the log holds what the discovery service knew.
         status: The status line.
+        load_views: Where load reports go.
         guard: Counts and logs what fails.
     """
 
@@ -251,6 +287,7 @@
         catch_up_bytes_per_s: int,
         ready: Callable[[], bool],
         status: Callable[[], bytes],
+        load_views: LoadViewTarget,
         guard: Guard,
     ) -> None:
         self.deployment, self.node, self.log, self.confirmation = deployment, node, log, confirmation
@@ -260,6 +297,7 @@
             status,
             guard,
         )
+        self.load_views = load_views
         self.connections: dict[int, Connection] = {}
         self.most = 2 * len(confirmation.fronts) + SPARE_CONNECTIONS
         self._count = 0
@@ -316,6 +354,16 @@
             if not count % PUSHES_A_TURN:
                 gevent.sleep(0)
 
+    def greeting(self, snapshot_to: int) -> Greeting:
+        """The node's first line to a front or to another node."""
+        return Greeting(self.deployment, self.node, self.log.stream, snapshot_to)
+
+    def tell_nodes(self, line: bytes) -> None:
+        """Writes a partial load view to each node that asked for them."""
+        for connection in list(self.connections.values()):
+            if connection.wants_partial_views and connection.open:
+                connection.tell(line)
+
     def replace(self, number: int) -> None:
         """Closes the connection of a front that has a new one."""
         if connection := self.connections.get(number):
--- a/marbleglade/control/session.py
+++ b/marbleglade/control/session.py
@@ -122,6 +122,7 @@
         self.sent = 0  # all events up to this number were sent, or were held by the watcher before
         self.configured = 0
         self.pending = b""  # what the last write left over
+        self._view = b""  # a load view that waits to be written; the next one takes its place
         self._least_applied = 0
         self._rate = catch_up_bytes_per_s
         self._cursor: SnapshotCursor | None = None
@@ -156,6 +157,10 @@
         """Sends a line before all else."""
         self.pending = line
 
+    def offer_view(self, line: bytes) -> None:
+        """Sends a load view between events, ahead of those that wait."""
+        self._view = line
+
     def _far_behind(self, last: int) -> bool:
         return sum(len(entry.line) for entry in self.log.after(last, self._rate)) >= self._rate
 
@@ -170,6 +175,9 @@
         """What is to be written now, perhaps nothing. Raises `FellBehindError`."""
         if self.pending:
             return self.pending
+        if self._view:
+            line, self._view = self._view, b""
+            return line
         if self._cursor:
             return b"".join(self._snapshot_lines(self._cursor, now))
         if self.sent == self.log.last:
@@ -226,7 +234,7 @@
 
     def wait(self, now: int) -> int | None:
         """Nanoseconds until there may be something to write; None: only once an event comes."""
-        if self.pending:
+        if self.pending or self._view:
             return 0
         if self._cursor:
             return max(0, self._resume_at - now)
--- a/marbleglade/control/settings.py
+++ b/marbleglade/control/settings.py
@@ -22,6 +22,7 @@
     "configuration_deadline_ms": (200, 600_000),
     "catch_up_bytes_per_s": (1024, 1 << 24),
 }
+VIEW_PERIOD_BOUNDS = (50, 5_000)  # ms
 
 
 class InvalidSettingsError(Exception):
@@ -54,7 +55,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlSettings:
-    """A control plane as its file tells, defaults filled in. Deadlines are nanoseconds."""
+    """A control plane as its file tells, defaults filled in. Deadlines are nanoseconds.
+
+    Attributes:
+        view_period: Nanoseconds between two aggregated load views; 0: control nodes make none.
+    """
 
     deployment: str
     regions: tuple[RegionSettings, ...]
@@ -62,6 +67,7 @@
     purge_deadline: int
     configuration_deadline: int
     catch_up_bytes_per_s: int
+    view_period: int = 0
 
     def node(self, name: str) -> NodeSettings | None:
         """The node of that name."""
@@ -71,6 +77,11 @@
         """The region that lists a front."""
         return next((region for region in self.regions if front in region.fronts), None)
 
+    def front_numbers(self) -> dict[str, int]:
+        """The place of each front in the file, by name: the same at all who read the same file."""
+        names = [front for region in self.regions for front in region.fronts]
+        return {name: number for number, name in enumerate(names)}
+
 
 def read(path: str) -> ControlSettings:
     """Reads the file at `path`. Raises `InvalidSettingsError`, which names every fault."""
@@ -96,6 +107,7 @@
         _figure(message, "purge_deadline_ms") * MILLISECOND,
         _figure(message, "configuration_deadline_ms") * MILLISECOND,
         _figure(message, "catch_up_bytes_per_s"),
+        message.view_period_ms * MILLISECOND,
     )
 
 
@@ -109,6 +121,9 @@
     for name, (least, most) in BOUNDS.items():
         if not least <= _figure(message, name) <= most:
             yield f"{name}: {_figure(message, name)} is not within {least} and {most}"
+    least, most = VIEW_PERIOD_BOUNDS
+    if message.HasField("view_period_ms") and not least <= message.view_period_ms <= most:
+        yield f"view_period_ms: {message.view_period_ms} is not within {least} and {most}"
 
 
 def _region_faults(message: ControlPlane) -> Iterator[str]:
--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/shell.py
@@ -11,8 +11,8 @@
 from ..wire import gossip
 from ..wire.peers import Peers
 from .members import Out
-from .together import EVERYONE, Together
-from .views import Crowd
+from .together import CONTROL_NODE, EVERYONE, Together
+from .views import Crowd, View
 
 
 class Shell:
@@ -35,6 +35,7 @@
         )
         self.filed: object = None
         self.version = self.term = -1
+        self.report: Callable[[bytes], object] | None = None
         self.work = None
         if work:
             from .workshell import Work
@@ -43,6 +44,22 @@
         peers.other = self.take
         peers.renewed = lambda: self.together.members.renew(len(peers.order))
 
+    def use_control_nodes(self, number: int, report: Callable[[bytes], object]) -> None:
+        """Control nodes make the load view; `report` sends them a coded load report.
+
+        Args:
+            number: This front's place in the control plane's settings.
+        """
+        self.report = report
+        self.together.use_control_nodes(number)
+
+    def take_view(self, data: bytes) -> None:
+        """A coded load view from a control node; anything else is left out."""
+        view = gossip.decode(data)
+        if isinstance(view, View):
+            self.together.hold(view, clock.now())
+            self.file()
+
     def reread(self) -> None:
         """Takes up a new order of work at once."""
         self.work.reread()
@@ -97,7 +114,9 @@
         for one in out:
             of_work = not isinstance(one.message, gossip.Fleetgram)
             data = self.work.encode(one.message) if of_work else gossip.encode(one.message)
-            if one.to != EVERYONE:
+            if one.to == CONTROL_NODE:
+                self.report(data)
+            elif one.to != EVERYONE:
                 if one.to < len(self.peers.order):
                     self.peers.send_data(data, self.peers.order[one.to])
             elif self.peers.everyone:
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/together.py
@@ -29,6 +29,7 @@
 
 VIEWS = b"views"
 EVERYONE = -1  # a receiver: all fronts
+CONTROL_NODE = -2  # a receiver: the control node that makes the view for this front
 
 
 class Together:
@@ -45,6 +46,8 @@
         self.view_at = 0
         self.own_load = 0
         self.resting = False  # out for work: what it does for all passes to others
+        self.number_in_views = own
+        self.viewed_by_control = False  # control nodes make the view, fronts none among themselves
         self.fleet: Fleet | None = None
 
     def turn(self, now: int, seen: Callable[[], Seen], crowd: Callable[[], Crowd | None]) -> list[Out]:
@@ -55,6 +58,8 @@
         self.due = max(self.due + self.period, now + self.period // 2)
         self.age(now)
         mine = self.report(seen(), crowd())
+        if self.viewed_by_control:
+            return [*out, Out(CONTROL_NODE, mine)]
         # A duty need not wait until a suspicion has run out: who holds it goes on as long as it is heard.
         first = holder(VIEWS, self.members.sound()) == self.own
         if self.duty.turn(first and not self.members.leaving and not self.resting, now):
@@ -100,6 +105,8 @@
         """A datagram from a listed front. A new view stands in `fleet` from then on."""
         if isinstance(message, Ping | Ack | PingFor):
             return self.members.take(sender, message, now)
+        if self.viewed_by_control:
+            return []
         if isinstance(message, Report):
             self.gatherer.take(sender, message, now)
         elif self.duty.said(message.term, sender, now):
@@ -108,10 +115,14 @@
                 self.hold(message, now)
         return []
 
+    def use_control_nodes(self, number: int) -> None:
+        """Control nodes make the view from now on; this front is named in it by that number."""
+        self.viewed_by_control, self.number_in_views = True, number
+
     def hold(self, view: View, now: int) -> None:
         self.view, self.view_at = view, now
         paces = {key: (spent / done, done * 1_000_000) for key, (done, spent) in view.links.items() if done}
-        crowd = view.crowds.get(self.ground.zone)
+        crowd, own_number = view.crowds.get(self.ground.zone), self.number_in_views
         own, lending = part(self.own_load, view), lent(view, FURTHER_SHARE)
         self.fleet = Fleet(
             now + YOUNG * self.period,
@@ -122,10 +133,10 @@
             frozenset(
                 place
                 for place, one in view.shut.items()
-                if one.trier == self.own or tries(place, one.by, self.own, view.seq)
+                if one.trier == own_number or tries(place, one.by, own_number, view.seq)
             ),
             frozenset(view.answered),
-            bool(crowd and crowd.prober == self.own),
+            bool(crowd and crowd.prober == own_number),
             saves(own, view.fronts, lending),
             waits(view),
         )
@@ -167,6 +178,7 @@
             "health": self.members.health,
             "not_alive": sorted(set(self.members.all) - set(alive))[:32],
             "duty": {"term": self.duty.term, "by": self.duty.by, "mine": self.duty.mine},
+            "viewed": self.view.fronts if self.view else None,
             "view_ms": (now - self.view_at) // 1_000_000 if self.view else None,
             "part": round(self.fleet.part, 4) if self.fleet else None,
             "lent": round(self.fleet.lent, 2) if self.fleet else None,
--- a/marbleglade/fleet/views.py
+++ b/marbleglade/fleet/views.py
@@ -104,10 +104,17 @@
 
 
 class Gatherer:
-    """The holder's part: the latest report of each front, and their sum."""
+    """The holder's part: the latest report of each front, and their sum.
 
-    def __init__(self, period: int, probed: bool = False) -> None:
-        self.period, self.probed = period, probed  # `probed`: loads are had by probes alone
+    Args:
+        period: Nanoseconds between two reports of a front.
+        probed: Load reports are had by probes alone.
+        most_zones: Zones of which the sum has load and links; 0: as many as fit a datagram.
+    """
+
+    def __init__(self, period: int, probed: bool = False, most_zones: int = 0) -> None:
+        self.period, self.probed = period, probed
+        self.most_links, self.most_crowds = (most_zones + 2, most_zones) if most_zones else (LINKS, CROWDS)
         self.reports: dict[int, tuple[int, Report]] = {}  # by front: when it came
         self.seq = 0
 
@@ -129,7 +136,7 @@
         view = View(term, self.seq, len(reports))
         for name in ("load", "firsts", "furthers", "pushed"):
             setattr(view, name, bounded_sum([getattr(one, name) for one in reports]))
-        for key in sorted({key for one in reports for key in one.links})[:LINKS]:
+        for key in sorted({key for one in reports for key in one.links})[: self.most_links]:
             view.links[key] = pace([one.links[key] for one in reports if key in one.links])
         if self.probed:
             self.crowds(view, now)
@@ -146,7 +153,7 @@
         crew: dict[int, list[int]] = {}
         for sender, (_, report) in sorted(self.reports.items()):
             crew.setdefault(report.zone, []).append(sender)
-        for zone in sorted(crew)[:CROWDS]:
+        for zone in sorted(crew)[: self.most_crowds]:
             view.crowds[zone] = Crowd(0.0, OLD_MS, holder(b"probe %d" % zone, crew[zone]))
         for came, report in self.reports.values():
             for zone, crowd in report.crowds.items():
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -19,7 +19,7 @@
 from ..wire.coordinator import BEAT, Follower
 from ..wire.peers import Peers
 from . import clock
-from .assignment import Assignment
+from .assignment import Assignment, InvalidConfigurationError
 from .counters import Counters
 from .guard import Guard
 from .log import Log
@@ -69,6 +69,8 @@
         self.orders: Work | None = self.fleet.work if self.fleet else None
         if self._control_settings:
             self.control = self._make_control()
+        if self.control and self.fleet and self._control_settings.view_period:
+            self._view_by_control_nodes(self._control_settings)
 
     def _make_facade(self) -> Facade:
         around = self.told.around
@@ -133,6 +135,20 @@
         self.work.append(client.run)
         return client
 
+    def _view_by_control_nodes(self, settings: ControlSettings) -> None:
+        """Has the control nodes make the load view of the fleet.
+
+        Raises:
+            InvalidConfigurationError: Their period is not that of the fleet.
+        """
+        if settings.view_period != self.fleet.together.period:
+            told, wanted = settings.view_period // 1_000_000, self.fleet.together.period // 1_000_000
+            raise InvalidConfigurationError(
+                f"MARBLEGLADE_CONTROL: view_period_ms is {told}, half of the fleet's beat_ms is {wanted}"
+            )
+        self.fleet.use_control_nodes(settings.front_numbers()[self.told.name], self.control.report)
+        self.control.on_load_view = self.fleet.take_view
+
     def _make_peers(self) -> Peers | None:
         told, ground = self.told, self.told.around.ground
         if not (told.around.peer_messages and told.peer_listen and told.peers):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,6 +40,7 @@
     "test_disk",
     "test_fleet",
     "test_hearsay",
+    "test_load_views",
     "test_protocols",
     "test_purge_index",
     "test_scale_checkers",
@@ -56,6 +57,7 @@
     "test_control_front",
     "test_control_node",
     "test_descriptor_pressure",
+    "test_load_view_processes",
     "test_restart_readiness",
 }
 
--- /dev/null
+++ b/tests/test_load_view_processes.py
@@ -0,0 +1,143 @@
+"""Fronts and control nodes as processes: the load view that control nodes make, and service without it."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from benchmarks.rig import Load
+from marbleglade.standins.frontfleet import FrontFleet
+from marbleglade.standins.regions import free_port
+
+from . import conftest
+
+WAIT = 30  # seconds: far above what anything here takes
+FRONTS = 6
+NODES = ("c1", "c2", "c3")
+BEAT_MS = 300
+VIEW_PERIOD_MS = BEAT_MS // 2
+
+
+class NodeProcesses:
+    """Control nodes of a fleet of fronts, which follow the discovery service of its first front."""
+
+    def __init__(self, folder, monkeypatch, period_ms=VIEW_PERIOD_MS):
+        self.folder, self.path, self.running = folder, folder / "control.textproto", {}
+        monkeypatch.setenv("MARBLEGLADE_CONTROL", str(self.path))
+        self.period_ms = period_ms
+
+    def write(self, discovery):
+        nodes = "".join(
+            f'node {{ name: "{name}" region: "r" zone: "{name}" address: "127.0.0.1:{free_port()}" '
+            f'quorum_address: "127.0.0.1:{free_port()}" }}\n'
+            for name in NODES
+        )
+        self.path.write_text(
+            f'deployment: "d" view_period_ms: {self.period_ms} '
+            f'region {{ name: "r" discovery: "{discovery[0]}:{discovery[1]}" front: "f[0-{FRONTS - 1}]" }}\n'
+            f"{nodes}"
+        )
+
+    def start(self, *names):
+        for name in names:
+            with (self.folder / f"{name}.log").open("ab") as log:
+                words = ["control", "run", str(self.path), "--name", name]
+                environ = {key: text for key, text in os.environ.items() if key != "MARBLEGLADE_CONTROL"}
+                self.running[name] = subprocess.Popen(
+                    [sys.executable, "-O", "-m", "marbleglade", *words], stderr=log, env=environ
+                )
+
+    def kill(self, *names):
+        for name in names:
+            self.running[name].send_signal(signal.SIGCONT)
+            self.running[name].kill()
+            self.running.pop(name).wait()
+
+
+@pytest.fixture
+def viewed(tmp_path, monkeypatch):
+    """A fleet under load whose view is made by three control nodes, all of them heard."""
+    nodes = NodeProcesses(tmp_path, monkeypatch)
+    fleet = load = None
+    try:
+        fleet = FleetOfNodes(tmp_path, nodes)
+        nodes.start(*NODES)
+        fleet.ready()
+        load = Load(fleet, 3, [8.0] * FRONTS)
+        until_all_see(fleet, FRONTS)
+        yield fleet, load, nodes
+    finally:
+        broken = load.finish() if load else 0
+        wrong = fleet.close() if fleet else []
+        nodes.kill(*list(nodes.running))
+    assert not wrong and not broken, (wrong, broken)
+    tally = load.tally
+    assert (tally.lost, tally.doubled, tally.stale, tally.spoilt) == (0, 0, 0, 0), tally.notes
+
+
+class FleetOfNodes(FrontFleet):
+    """A fleet whose settings of the control plane are written before its first front starts."""
+
+    def __init__(self, folder, nodes):
+        self.nodes, self.written = nodes, False
+        super().__init__(FRONTS, folder, 5, beat_ms=BEAT_MS)
+
+    def start(self, number):
+        if not self.written:
+            self.nodes.write(self.coordinators[0].address)
+            self.written = True
+        super().start(number)
+
+
+def until(holds):
+    conftest.until(holds, WAIT, 0.2)
+
+
+def surveys(fleet):
+    return [fleet.survey(number)["fleet"] for number in fleet.processes]
+
+
+def until_all_see(fleet, count):
+    until(lambda: all(one["viewed"] == count and one["view_ms"] < 1000 for one in surveys(fleet)))
+
+
+def test_every_front_has_the_view_of_all_and_none_sends_to_all(viewed):
+    fleet, load, _ = viewed
+    assert load.share(2.0) > 0.95
+    told = surveys(fleet)
+    assert {(one["duty"]["by"], one["duty"]["mine"]) for one in told} == {(-1, False)}
+    assert sum(one["part"] for one in told) == pytest.approx(1.0, abs=0.5)  # each its part of all their load
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_a_node_that_dies_or_hangs_costs_no_front_the_view_for_long(viewed, number):
+    fleet, load, nodes = viewed
+    nodes.running["c1"].send_signal(number)
+    until_all_see(fleet, FRONTS)
+    assert load.share(1.0) > 0.95
+    nodes.kill("c1")
+    nodes.start("c1")
+    until_all_see(fleet, FRONTS)
+
+
+def test_without_nodes_each_front_decides_alone_and_takes_the_view_up_again(viewed):
+    fleet, load, nodes = viewed
+    nodes.kill(*NODES)
+    until(lambda: all(one["view_ms"] > 4 * VIEW_PERIOD_MS for one in surveys(fleet)))
+    assert load.share(2.0) > 0.95
+    assert not any(one["duty"]["mine"] for one in surveys(fleet))
+    nodes.start(*NODES)
+    until_all_see(fleet, FRONTS)
+
+
+def test_a_period_that_is_not_half_a_beat_is_named_and_refused(tmp_path, monkeypatch):
+    nodes = NodeProcesses(tmp_path, monkeypatch, period_ms=400)
+    fleet = FleetOfNodes(tmp_path, nodes)
+    try:
+        assert {process.wait(WAIT) for process in fleet.processes.values()} == {2}
+        said = fleet.log(0).read_text().splitlines()
+        assert "view_period_ms is 400, half of the fleet's beat_ms is 150" in said[-1]
+    finally:
+        fleet.close()
