Fleet agent and its adapters have the field's names

Together is FleetAgent (fleet/agent.py), Shell FleetAdapter (fleet/agent_adapter.py), Work of workshell MaintenanceAdapter (fleet/maintenance_adapter.py); their public methods have docstrings. No behaviour changed, nothing outside the code is named otherwise.

--- a/benchmarks/capacity/fleet_agent.py
+++ b/benchmarks/capacity/fleet_agent.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from marbleglade.fleet.members import Members
-from marbleglade.fleet.together import EVERYONE, Together
+from marbleglade.fleet.agent import EVERYONE, FleetAgent
 from marbleglade.fleet.views import Crowd
 from marbleglade.interface import Seen
 from marbleglade.wire import gossip
@@ -70,7 +70,7 @@
     count: int
     loaded: bool
     now: int = 100 * SECOND
-    agents: list[Together] = field(default_factory=list)
+    agents: list[FleetAgent] = field(default_factory=list)
     uses: list[Use] = field(default_factory=list)
     queue: list[tuple[int, int, int, int, bytes]] = field(default_factory=list)
     number: int = 0
@@ -82,7 +82,7 @@
         for own in range(self.count):
             settings = ground(own, self.count)
             settings.zone = own % 11
-            agent = Together(own, self.count, BEGAN_MS, settings, PERIOD, self.now, own)
+            agent = FleetAgent(own, self.count, BEGAN_MS, settings, PERIOD, self.now, own)
             settle(agent.members)
             self.agents.append(agent)
 
--- a/benchmarks/capacity/load_views.py
+++ b/benchmarks/capacity/load_views.py
@@ -22,7 +22,7 @@
 from marbleglade.control.partial_view import decode_partial_view, encode_partial_view
 from marbleglade.fleet.load_views import LoadViews
 from marbleglade.fleet.members import Out
-from marbleglade.fleet.together import CONTROL_NODE
+from marbleglade.fleet.agent import CONTROL_NODE
 from marbleglade.wire import gossip
 
 from . import operators
--- a/benchmarks/simfleet.py
+++ b/benchmarks/simfleet.py
@@ -7,7 +7,7 @@
 from collections import Counter, defaultdict
 
 from marbleglade.choice import Choice
-from marbleglade.fleet.together import EVERYONE, Together
+from marbleglade.fleet.agent import EVERYONE, FleetAgent
 from marbleglade.fleet.views import Crowd
 from marbleglade.interface import Cache, Ground, Launch, Outcome, Profile, Retrieval, Role
 from marbleglade.standins.airwaves import Airwaves
@@ -64,8 +64,8 @@
         parents = [Cache(b"p%d" % n, Role.PARENT) for n in range(world.parents)]
         self.choice = Choice(ground(world.seed * 7919 + number, world.count), self)
         self.choice.listed([*self.places, *parents, Cache(b"o", Role.ORIGIN)], True)
-        self.together = (
-            Together(
+        self.agent = (
+            FleetAgent(
                 number,
                 world.count,
                 1_000_000 + number,
@@ -134,17 +134,17 @@
         return Crowd(self.came.crowd, (self.world.now - self.came.reported) // MS) if self.came else None
 
     def turn(self) -> None:
-        self.world.send(self, self.together.turn(self.world.now, self.choice.saw, self.crowd))
+        self.world.send(self, self.agent.turn(self.world.now, self.choice.saw, self.crowd))
         self.file()
 
     def take(self, sender: int, data: bytes) -> None:
         if message := gossip.decode(data):
-            self.world.send(self, self.together.take(sender, message, self.world.now))
+            self.world.send(self, self.agent.take(sender, message, self.world.now))
             self.file()
 
     def file(self) -> None:
-        if self.together.fleet is not self.filed:
-            self.filed = self.together.fleet
+        if self.agent.fleet is not self.filed:
+            self.filed = self.agent.fleet
             self.choice.settled(self.filed)
 
 
--- a/marbleglade/fleet/together.py
+++ b/marbleglade/fleet/agent.py
@@ -32,7 +32,7 @@
 CONTROL_NODE = -2  # a receiver: the control node that makes the view for this front
 
 
-class Together:
+class FleetAgent:
     def __init__(
         self, own: int, count: int, start_ms: int, ground: Ground, beat: int, now: int, seed: int
     ) -> None:
--- a/marbleglade/fleet/shell.py
+++ b/marbleglade/fleet/agent_adapter.py
@@ -1,4 +1,4 @@
-"""Puts a front's part in the fleet between its decisions and the socket. Nothing is decided here."""
+"""The transport of a fleet agent: datagrams, reports to control nodes, views to the decisions and the log."""
 
 from __future__ import annotations
 
@@ -11,11 +11,23 @@
 from ..wire import gossip
 from ..wire.peers import Peers
 from .members import Out
-from .together import CONTROL_NODE, EVERYONE, Together
+from .agent import CONTROL_NODE, EVERYONE, FleetAgent
 from .views import Crowd, View
 
 
-class Shell:
+class FleetAdapter:
+    """Ties one front's fleet agent to its sockets. Nothing is decided here.
+
+    Args:
+        name: The front's name, from which the agent's draws begin.
+        beat: Nanoseconds between two probes.
+        facade: The front's decisions.
+        front: Where load reports of this location are seen and filed.
+        peers: The datagram socket; its list of peers numbers the members.
+        say: Writes a line to the log.
+        work: The file of maintenance orders; "": there is none.
+    """
+
     def __init__(
         self,
         name: str,
@@ -30,7 +42,7 @@
         own = peers.order.index(peers.listen)
         start_ms = clock.unix_ns() // 1_000_000
         seed = facade.decisions.ground.seed ^ zlib.crc32(name.encode())
-        self.together = Together(
+        self.agent = FleetAgent(
             own, len(peers.order), start_ms, facade.decisions.ground, beat, clock.now(), seed
         )
         self.filed: object = None
@@ -38,11 +50,11 @@
         self.report: Callable[[bytes], object] | None = None
         self.work = None
         if work:
-            from .workshell import Work
+            from .maintenance_adapter import MaintenanceAdapter
 
-            self.work = Work(work, self.together, start_ms, beat, facade, front, say)
+            self.work = MaintenanceAdapter(work, self.agent, start_ms, beat, facade, front, say)
         peers.other = self.take
-        peers.renewed = lambda: self.together.members.renew(len(peers.order))
+        peers.renewed = lambda: self.agent.members.renew(len(peers.order))
 
     def use_control_nodes(self, number: int, report: Callable[[bytes], object]) -> None:
         """Control nodes make the load view; `report` sends them a coded load report.
@@ -51,13 +63,13 @@
             number: This front's place in the control plane's settings.
         """
         self.report = report
-        self.together.use_control_nodes(number)
+        self.agent.use_control_nodes(number)
 
     def take_view(self, data: bytes) -> None:
         """A coded load view from a control node; anything else is left out."""
         view = gossip.decode(data)
         if isinstance(view, View):
-            self.together.hold(view, clock.now())
+            self.agent.hold(view, clock.now())
             self.file()
 
     def reread(self) -> None:
@@ -66,7 +78,8 @@
         self.send(self.work.turn(clock.now()))
 
     def turn(self) -> None:
-        self.send(self.together.turn(clock.now(), self.facade.seen, self.crowd))
+        """Sends what is due; called several times a second."""
+        self.send(self.agent.turn(clock.now(), self.facade.seen, self.crowd))
         self.file()
         if self.work:
             self.send(self.work.turn(clock.now()))
@@ -81,26 +94,27 @@
             out = self.work.heard(number, data, clock.now()) if self.work else None
             self.send(out or [])
             return out is not None
-        self.send(self.together.take(number, message, clock.now()))
+        self.send(self.agent.take(number, message, clock.now()))
         self.file()
         return True
 
     def file(self) -> None:
         """Hands a new view to the decisions, and tells the log what changed."""
-        together = self.together
-        if together.fleet is not self.filed:
-            self.filed = together.fleet
-            self.facade.settled(together.fleet)
-            if load := together.crowd():
+        agent = self.agent
+        if agent.fleet is not self.filed:
+            self.filed = agent.fleet
+            self.facade.settled(agent.fleet)
+            if load := agent.crowd():
                 self.front.crowd_told(*load)
-        if together.members.version != self.version:
-            self.version = together.members.version
-            self.say("members", **together.survey(clock.now()))
-        if together.duty.term != self.term:
-            self.term = together.duty.term
-            self.say("duty", term=self.term, by=together.duty.by, mine=together.duty.mine)
+        if agent.members.version != self.version:
+            self.version = agent.members.version
+            self.say("members", **agent.survey(clock.now()))
+        if agent.duty.term != self.term:
+            self.term = agent.duty.term
+            self.say("duty", term=self.term, by=agent.duty.by, mine=agent.duty.mine)
 
     def crowd(self) -> Crowd | None:
+        """This location's last load report and its age; None if none came."""
         if not (last := self.front.crowd_seen()):
             return None
         value, at = last
@@ -108,9 +122,10 @@
 
     def leave(self) -> None:
         """The front goes on purpose."""
-        self.send(self.together.members.leave(clock.now()))
+        self.send(self.agent.members.leave(clock.now()))
 
     def send(self, out: list[Out]) -> None:
+        """Codes and sends messages, to one member, to all, or to the control node."""
         for one in out:
             of_work = not isinstance(one.message, gossip.Fleetgram)
             data = self.work.encode(one.message) if of_work else gossip.encode(one.message)
@@ -122,5 +137,5 @@
             elif self.peers.everyone:
                 self.peers.send_data(data, self.peers.everyone)
             else:
-                for number in self.together.members.others():
+                for number in self.agent.members.others():
                     self.peers.send_data(data, self.peers.order[number])
--- a/marbleglade/fleet/workshell.py
+++ b/marbleglade/fleet/maintenance_adapter.py
@@ -1,4 +1,4 @@
-"""Puts a front's part in an order of work between what it sees, its doors and the fleet."""
+"""Ties a front's part in maintenance orders to its file, its doors, what it sees of places, and the fleet."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from .drain import Drain, Stage
 from .members import Out
 from .order import Kind, Sight, neighbours
-from .together import Together
+from .agent import FleetAgent
 from .workfile import DEADLINE_MS, read
 from .works import Look, Works
 
@@ -25,11 +25,23 @@
 KINDS = {Role.CACHE: Kind.CACHE, Role.PARENT: Kind.PARENT}
 
 
-class Work:
+class MaintenanceAdapter:
+    """One front's transport of maintenance: reads orders, shows what the front sees, empties the front.
+
+    Args:
+        path: The file of orders; it need not be there.
+        agent: The fleet agent, whose members take part.
+        start_ms: When the front began, in Unix milliseconds.
+        beat: Nanoseconds between two probes of the fleet agent.
+        facade: The front's decisions.
+        front: Whose places rest, and which refuses requests while it is out.
+        say: Writes a line to the log.
+    """
+
     def __init__(
         self,
         path: str,
-        together: Together,
+        agent: FleetAgent,
         start_ms: int,
         beat: int,
         facade: Facade,
@@ -37,9 +49,9 @@
         say: Callable[..., None],
     ) -> None:
         self.path, self.facade, self.front, self.say = path, facade, front, say
-        self.together, self.drain = together, Drain()
+        self.agent, self.drain = agent, Drain()
         warms_ms = facade.decisions.ground.cold_time // 1_000_000
-        self.works = Works(together.own, together.members, start_ms, LEASE * beat, warms_ms, clock.now())
+        self.works = Works(agent.own, agent.members, start_ms, LEASE * beat, warms_ms, clock.now())
         self.rested: dict[int, int] = {}
         self.said: dict[str, object] = {}
         front.refuses_all = lambda: self.drain.stage is Stage.EMPTY or not self.informed
@@ -56,6 +68,7 @@
             self.say("work", unfit=str(trouble))
 
     def turn(self, now: int) -> list[Out]:
+        """The datagrams that are due; logs what changed."""
         out = self.works.turn(now, self.look)
         self.apply(now)
         told = self.works.survey()
@@ -67,6 +80,7 @@
 
     @staticmethod
     def encode(message: Workgram) -> bytes:
+        """One datagram."""
         return workgrams.encode(message)
 
     def heard(self, sender: int, data: bytes, now: int) -> list[Out] | None:
@@ -75,6 +89,7 @@
         return None if message is None else self.take(sender, message, now)
 
     def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+        """A message of another member; the answers to it."""
         before = self.works.order
         out = self.works.take(sender, message, now)
         self.apply(now)
@@ -89,6 +104,7 @@
         self.empty(now)
 
     def survey(self) -> dict[str, object]:
+        """The state for the log line of counters."""
         return self.works.survey() | {"stage": self.drain.stage.value, "informed": self.informed}
 
     @property
@@ -98,6 +114,7 @@
 
     @property
     def going(self) -> bool:
+        """The front is being emptied, or is empty."""
         return self.drain.stage is not Stage.SERVING
 
     def empty(self, now: int) -> None:
@@ -111,7 +128,7 @@
         if self.drain.turn(goes, deadline, taken, len(self.facade.open), now):
             self.facade.last_call()
         if self.drain.stage is not stage:
-            self.together.resting = self.going  # its duties pass to others
+            self.agent.resting = self.going  # its duties pass to others
             self.say("out", stage=self.drain.stage.value, open=len(self.facade.open))
 
     def look(self) -> Look:
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -28,8 +28,8 @@
 if TYPE_CHECKING:
     from ..control.client import ControlClient
     from ..control.settings import ControlSettings
-    from ..fleet.shell import Shell
-    from ..fleet.workshell import Work
+    from ..fleet.agent_adapter import FleetAdapter
+    from ..fleet.maintenance_adapter import MaintenanceAdapter
 
 SECOND = 1_000_000_000
 
@@ -66,7 +66,7 @@
         self.control: ControlClient | None = None
         self.peers = self._make_peers()
         self.fleet = self._make_fleet()
-        self.orders: Work | None = self.fleet.work if self.fleet else None
+        self.orders: MaintenanceAdapter | None = self.fleet.work if self.fleet else None
         if self._control_settings:
             self.control = self._make_control()
         if self.control and self.fleet and self._control_settings.view_period:
@@ -142,8 +142,8 @@
         Raises:
             InvalidConfigurationError: Their period is not that of the fleet.
         """
-        if settings.view_period != self.fleet.together.period:
-            told, wanted = settings.view_period // 1_000_000, self.fleet.together.period // 1_000_000
+        if settings.view_period != self.fleet.agent.period:
+            told, wanted = settings.view_period // 1_000_000, self.fleet.agent.period // 1_000_000
             raise InvalidConfigurationError(
                 f"MARBLEGLADE_CONTROL: view_period_ms is {told}, half of the fleet's beat_ms is {wanted}"
             )
@@ -173,14 +173,14 @@
         """When the discovery service or a control node was last heard; 0: never."""
         return max(self.follower.heard_at, self.control.heard_at if self.control else 0)
 
-    def _make_fleet(self) -> Shell | None:
+    def _make_fleet(self) -> FleetAdapter | None:
         text = os.environ.get("MARBLEGLADE_FLEET")
         if not (self.peers and text and self.told.peer_listen in self.told.peers):
             return None
         from ..fleet.reading import read as read_part
-        from ..fleet.shell import Shell
+        from ..fleet.agent_adapter import FleetAdapter
 
-        return Shell(
+        return FleetAdapter(
             self.told.name,
             read_part(text).beat_ms * 1_000_000,
             self.facade,
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -49,7 +49,7 @@
             clients=len(parts.clients.clients),
             cache_connections=parts.caches.count,
             places=parts.front.survey(),
-            **({"fleet": parts.fleet.together.survey(clock.now())} if parts.fleet else {}),
+            **({"fleet": parts.fleet.agent.survey(clock.now())} if parts.fleet else {}),
             **({"work": parts.orders.survey()} if parts.orders else {}),
             **({"control": parts.control.survey()} if parts.control else {}),
         )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 from marbleglade.fleet.duties import LEASE, TURN, Duty, draw, holder, tries
 from marbleglade.fleet.members import Ack, Members, Ping, PingFor, Status, Update
 from marbleglade.fleet.shares import aged, lent, part
-from marbleglade.fleet.together import EVERYONE, Together
+from marbleglade.fleet.agent import EVERYONE, FleetAgent
 from marbleglade.fleet.views import (
     Crowd,
     Gatherer,
@@ -26,7 +26,7 @@
 
 
 class Fleet:
-    """Fronts of `Together` alone, with what each saw set by the test."""
+    """Fronts of `FleetAgent` alone, with what each saw set by the test."""
 
     def __init__(self, count, seed=1, **ground):
         self.ground = Paper(probing=True, **ground).ground
@@ -40,7 +40,7 @@
     def start(self, number):
         self.starts[number] = self.starts.get(number, 0) + 1
         start_ms = (self.now - ERA) // MS + 1_000_000 + self.starts[number]
-        self.fronts[number] = Together(
+        self.fronts[number] = FleetAgent(
             number, self.count, start_ms, self.ground, BEAT, self.now, self.seed * 1000 + number
         )
         self.seen.setdefault(number, Seen(0, 0, 0, 0, {}, [], []))
--- a/tests/test_load_views.py
+++ b/tests/test_load_views.py
@@ -24,7 +24,7 @@
 from marbleglade.control.event_log import EventLog
 from marbleglade.control.settings import InvalidSettingsError, read
 from marbleglade.fleet.load_views import MOST_ZONES, LoadViews, for_zone, merge
-from marbleglade.fleet.together import CONTROL_NODE, Together
+from marbleglade.fleet.agent import CONTROL_NODE, FleetAgent
 from marbleglade.fleet.views import NOBODY, PLACES, YOUNG, Crowd, Gatherer, Report, Shut, View
 from marbleglade.interface import Seen
 from marbleglade.life.counters import Counters
@@ -277,7 +277,7 @@
 
 
 def test_a_front_reports_to_its_node_alone_and_uses_the_view():
-    agent = Together(3, 50, 1, ground(7, 50), 2 * PERIOD, NOW, 7)
+    agent = FleetAgent(3, 50, 1, ground(7, 50), 2 * PERIOD, NOW, 7)
     agent.use_control_nodes(700)
     out = agent.turn(NOW + PERIOD, lambda: Seen(9, 9, 0, 0, {0: (9, 9)}, [], []), lambda: None)
     reports = [one for one in out if isinstance(one.message, Report)]
