--- a/benchmarks/capacity/hosted_front.py
+++ b/benchmarks/capacity/hosted_front.py
@@ -10,14 +10,14 @@
 from marbleglade.front import Front
 from marbleglade.ground import Surroundings, read_ground
 from marbleglade.interface import Outcome, Retrieval
-from marbleglade.life import clock
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
 from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges, lasting
 from marbleglade.memory.room import Room
+from marbleglade.runtime import clock
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.standins.frontfleet import ZONE, settings
 from marbleglade.wire.caches import Caches
 from marbleglade.wire.coordlines import ListChange, Member
--- a/benchmarks/capacity/purges.py
+++ b/benchmarks/capacity/purges.py
@@ -8,7 +8,7 @@
 
 from importlib.util import find_spec
 
-from marbleglade.life import clock
+from marbleglade.runtime import clock
 from marbleglade.wire.coordlines import Purge
 
 from .fit import fitted
--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -28,9 +28,9 @@
 from marbleglade.control.quorum_codec import encode
 from marbleglade.control.quorum_link import HEARTBEAT
 from marbleglade.control.quorum_messages import DurableState, ProposalAccepted, Resolve, Send
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.standins.coordinator import Coordinator
 from marbleglade.standins.regions import free_port
 
--- a/benchmarks/logs.py
+++ b/benchmarks/logs.py
@@ -8,9 +8,9 @@
 import sys
 import time
 
-from marbleglade.life.counters import Counters
-from marbleglade.life.log import Log
-from marbleglade.life.structured import StructuredLog
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.log import Log
+from marbleglade.runtime.structured import StructuredLog
 
 
 def cost(log: Log, count: int) -> float:
--- a/benchmarks/purge_cost.py
+++ b/benchmarks/purge_cost.py
@@ -17,10 +17,10 @@
 from marbleglade.facade import Facade
 from marbleglade.front import Front
 from marbleglade.interface import Cache, Held, Retrieval
-from marbleglade.life import clock
-from marbleglade.life.counters import Counters
 from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.purges import UNKNOWN, Purges
+from marbleglade.runtime import clock
+from marbleglade.runtime.counters import Counters
 from marbleglade.wire.coordlines import Purge
 
 from .simfleet import ground
--- a/benchmarks/scale/hollow_front.py
+++ b/benchmarks/scale/hollow_front.py
@@ -16,16 +16,17 @@
 from marbleglade.front import Front
 from marbleglade.ground import Surroundings, read_ground
 from marbleglade.interface import Cache
-from marbleglade.life import clock
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
 from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges, lasting
+from marbleglade.runtime import clock
+from marbleglade.runtime.addresses import address
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.standins.frontfleet import settings
 from marbleglade.wire.coordinator import Follower
-from marbleglade.wire.coordlines import ListChange, Purge, address
+from marbleglade.wire.coordlines import ListChange, Purge
 
 from .messages import AppliedPurge, HeldCopy
 from .topology import peer_address
--- a/benchmarks/skewed.py
+++ b/benchmarks/skewed.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from marbleglade.life import clock
+from marbleglade.runtime import clock
 from marbleglade.standins.world import RegionClock
 
 if __name__ == "__main__":
--- a/marbleglade/__main__.py
+++ b/marbleglade/__main__.py
@@ -12,10 +12,11 @@
 
     early.note()  # first of all: the rest takes a while to load
     from .life import assignment, service
+    from .runtime.errors import InvalidConfigurationError
 
     try:
         service.run(assignment.read(os.environ))
-    except assignment.InvalidConfigurationError as trouble:
+    except InvalidConfigurationError as trouble:
         print(f"marbleglade: {trouble}", file=sys.stderr)
         return 2
     return 0
--- a/marbleglade/command/fleet.py
+++ b/marbleglade/command/fleet.py
@@ -18,7 +18,8 @@
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
     """Check FILE, the part of a fleet that MARBLEGLADE_FLEET names, and print what is in force."""
-    from ..fleet.reading import InvalidConfigurationError, read
+    from ..fleet.reading import read
+    from ..runtime.errors import InvalidConfigurationError
 
     try:
         told = read(file)
--- a/marbleglade/command/work.py
+++ b/marbleglade/command/work.py
@@ -17,7 +17,8 @@
 
 
 def _read(file: str):
-    from ..fleet.workfile import InvalidConfigurationError, read
+    from ..fleet.workfile import read
+    from ..runtime.errors import InvalidConfigurationError
 
     try:
         return read(file)
--- a/marbleglade/control/client.py
+++ b/marbleglade/control/client.py
@@ -11,8 +11,8 @@
 import gevent
 from gevent.event import Event as Signal
 
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire.coordlines import ListChange, Purge
 from .age_limit import AgeLimiter
 from .applied import PurgeCoverage, SequenceError, StreamProgress
--- a/marbleglade/control/connection.py
+++ b/marbleglade/control/connection.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent import socket
 
-from ..life import clock
+from ..runtime import clock
 from ..wire.coordlines import LONGEST_LINE, Beat
 from ..wire.sockets import SCRATCH, send_now
 from .applied import StreamProgress
--- a/marbleglade/control/discovery.py
+++ b/marbleglade/control/discovery.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ..life.guard import Guard
+from ..runtime.guard import Guard
 from ..wire.coordinator import Follower
 from ..wire.coordlines import Beat, Event, InvalidLineError, ListChange, Purge
 from .member_table import MemberTable
--- a/marbleglade/control/intake.py
+++ b/marbleglade/control/intake.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..life.guard import Guard
+from ..runtime.guard import Guard
 from ..wire.coordlines import ListChange, Other, Purge
 from .applied import StreamProgress
 from .lists import DISCOVERY, ListSources
--- a/marbleglade/control/load_view_service.py
+++ b/marbleglade/control/load_view_service.py
@@ -13,8 +13,8 @@
 
 from ..fleet.load_views import LoadViews
 from ..fleet.views import Report
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire import gossip
 from .partial_view import encode_partial_view
 from .partial_view_reader import PartialViewReader
--- a/marbleglade/control/node.py
+++ b/marbleglade/control/node.py
@@ -13,10 +13,10 @@
 import orjson
 from gevent.event import Event
 
-from ..life import clock
-from ..life.counters import Counters
-from ..life.guard import Guard
-from ..life.log import Log
+from ..runtime import clock
+from ..runtime.counters import Counters
+from ..runtime.guard import Guard
+from ..runtime.log import Log
 from ..wire.coordlines import ListChange, Purge
 from .confirmation import Confirmation
 from .discovery import DiscoveryFollower
--- a/marbleglade/control/partial_view_reader.py
+++ b/marbleglade/control/partial_view_reader.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from ..fleet.views import View
-from ..life.guard import Guard
+from ..runtime.guard import Guard
 from ..wire.sockets import SCRATCH
 from .connection import CONNECT_TIMEOUT, LineBuffer, NotAControlNodeError, check_greeting
 from .messages import InvalidLineError, PartialViewsQuery, decode_stream_line, encode_request
--- a/marbleglade/control/quorum_link.py
+++ b/marbleglade/control/quorum_link.py
@@ -19,9 +19,9 @@
 from gevent.event import AsyncResult, Event
 from gevent.queue import Empty, Full, Queue
 
-from ..life import clock
-from ..life.counters import Counters
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.counters import Counters
+from ..runtime.guard import Guard
 from ..wire.sockets import accepted, chunks, ended
 from . import configuration
 from .node import NodeLog
--- a/marbleglade/control/server.py
+++ b/marbleglade/control/server.py
@@ -9,8 +9,8 @@
 from gevent import socket
 from gevent.event import Event
 
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire.sockets import SCRATCH, TURN, accepted, send_now
 from .confirmation import Confirmation, EarlierStartError, UnknownFrontError
 from .event_log import EventLog
--- a/marbleglade/control/status_report.py
+++ b/marbleglade/control/status_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..life.counters import Counters
+from ..runtime.counters import Counters
 from .confirmation import Confirmation, FirstWords, FrontRecord, PurgeRecord
 from .event_log import EventLog
 from .status import ConfigurationStatus, FirstWordsStatus, FrontStatus, NodeStatus, PurgeStatus
--- a/marbleglade/facade.py
+++ b/marbleglade/facade.py
@@ -17,8 +17,8 @@
 
 from .ground import file_report
 from .interface import Cache, Decisions, Fleet, Ground, Launch, Outcome, Retrieval, Seen
-from .life.counters import Counters
 from .memory.open import Case, Open
+from .runtime.counters import Counters
 
 
 class End(Enum):
--- a/marbleglade/fleet/agent.py
+++ b/marbleglade/fleet/agent.py
@@ -10,9 +10,9 @@
 
 from ..choice import FURTHER_SHARE
 from ..interface import Fleet, Ground, Seen
-from ..wire.gossip import Fleetgram
 from .duties import Duty, holder, tries
 from .members import Ack, Members, Out, Ping, PingFor
+from .messages import FleetMessage
 from .shares import AGES, ALONE, aged, lent, part, saves, waits
 from .views import (
     ANSWERED,
@@ -101,7 +101,7 @@
             seen.answered[:ANSWERED],
         )
 
-    def take(self, sender: int, message: Fleetgram, now: int) -> list[Out]:
+    def take(self, sender: int, message: FleetMessage, now: int) -> list[Out]:
         """A datagram from a listed front. A new view stands in `fleet` from then on."""
         if isinstance(message, Ping | Ack | PingFor):
             return self.members.take(sender, message, now)
--- a/marbleglade/fleet/agent_adapter.py
+++ b/marbleglade/fleet/agent_adapter.py
@@ -7,11 +7,12 @@
 
 from ..facade import Facade
 from ..front import Front
-from ..life import clock
+from ..runtime import clock
 from ..wire import gossip
 from ..wire.peers import Peers
-from .members import Out
 from .agent import CONTROL_NODE, EVERYONE, FleetAgent
+from .members import Out
+from .messages import FleetMessage
 from .views import Crowd, View
 
 
@@ -127,7 +128,7 @@
     def send(self, out: list[Out]) -> None:
         """Codes and sends messages, to one member, to all, or to the control node."""
         for one in out:
-            of_work = not isinstance(one.message, gossip.Fleetgram)
+            of_work = not isinstance(one.message, FleetMessage)
             data = self.work.encode(one.message) if of_work else gossip.encode(one.message)
             if one.to == CONTROL_NODE:
                 self.report(data)
--- a/marbleglade/fleet/maintenance_adapter.py
+++ b/marbleglade/fleet/maintenance_adapter.py
@@ -8,14 +8,14 @@
 from ..facade import Facade
 from ..front import Front
 from ..interface import Role, State
-from ..life import clock
-from ..life.assignment import InvalidConfigurationError
+from ..runtime import clock
+from ..runtime.errors import InvalidConfigurationError
 from ..wire import workgrams
-from ..wire.workgrams import Workgram
+from .agent import FleetAgent
 from .drain import Drain, Stage
+from .maintenance_messages import MaintenanceMessage
 from .members import Out
 from .order import Kind, Sight, neighbours
-from .agent import FleetAgent
 from .workfile import DEADLINE_MS, read
 from .works import Look, Works
 
@@ -79,7 +79,7 @@
         return out
 
     @staticmethod
-    def encode(message: Workgram) -> bytes:
+    def encode(message: MaintenanceMessage) -> bytes:
         """One datagram."""
         return workgrams.encode(message)
 
@@ -88,7 +88,7 @@
         message = workgrams.decode(data)
         return None if message is None else self.take(sender, message, now)
 
-    def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+    def take(self, sender: int, message: MaintenanceMessage, now: int) -> list[Out]:
         """A message of another member; the answers to it."""
         before = self.works.order
         out = self.works.take(sender, message, now)
--- a/marbleglade/fleet/reading.py
+++ b/marbleglade/fleet/reading.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import Message
 
-from ..life.assignment import InvalidConfigurationError
+from ..runtime.errors import InvalidConfigurationError
 from ..textproto import parsed
 from .fleet_pb2 import FleetPart
 
--- a/marbleglade/fleet/workfile.py
+++ b/marbleglade/fleet/workfile.py
@@ -10,7 +10,7 @@
 
 from google.protobuf.message import DecodeError
 
-from ..life.assignment import InvalidConfigurationError
+from ..runtime.errors import InvalidConfigurationError
 from .order import Cap, Kind, Machine, Order, front_name
 from .reading import LONGEST, outside, whole
 from .work_pb2 import Job, WorkOrder
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -12,10 +12,10 @@
 from functools import lru_cache
 
 from ..interface import name_of
-from ..life.assignment import InvalidConfigurationError
-from ..wire.workgrams import MOST_PARTS, PART_BYTES, Have, Part, Want, Workgram
+from ..runtime.errors import InvalidConfigurationError
 from .duties import holder
 from .grants import RENEW, Claim, Entry, Grants, Held, Hold, Vote
+from .maintenance_messages import MOST_PARTS, PART_BYTES, Have, MaintenanceMessage, Part, Want
 from .members import Members, Out, Status
 from .order import Kind, Order, Scene, Settled, Sight, front_name, settle
 from .order import Out as Gone
@@ -176,7 +176,7 @@
 
     # What comes.
 
-    def take(self, sender: int, message: Workgram, now: int) -> list[Out]:
+    def take(self, sender: int, message: MaintenanceMessage, now: int) -> list[Out]:
         if isinstance(message, Claim | Vote | Hold | Held):
             out = self.grants.take(sender, message, now)
             if isinstance(message, Hold) and self.grants.held[0] and self.grants.committed:
--- a/marbleglade/front.py
+++ b/marbleglade/front.py
@@ -13,11 +13,11 @@
 from .facade import End, Facade, Final, Go
 from .ground import STATES, file_report
 from .interface import Cache, Held, Outcome, Profile, Retrieval, Role, State
-from .life import clock
-from .life.guard import Guard
 from .memory.copies import Copies, Copy
 from .memory.places import Places
 from .memory.purges import Purges
+from .runtime import clock
+from .runtime.guard import Guard
 from .wire.caches import Caches, Ending
 from .wire.coordlines import ListChange, Purge
 from .wire.datagrams import Hint, PlaceLeaves
--- a/marbleglade/gateway/answer_receiver.py
+++ b/marbleglade/gateway/answer_receiver.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import Message
 
 from ..interface import NEVER_RAN, Outcome
-from ..life import clock
+from ..runtime import clock
 from ..wire.cachelines import Answer
 from ..wire.caches import Ending
 from . import link_recovery
--- a/marbleglade/gateway/connection.py
+++ b/marbleglade/gateway/connection.py
@@ -8,8 +8,8 @@
 from gevent import socket
 from google.protobuf.message import Message
 
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire.sockets import chunks, send_now
 from .flow_control import CHUNK, FlowControlError, SendQueue
 from .frames import Frames, InvalidFrameError, encode, encode_chunk
--- a/marbleglade/gateway/link_dialer.py
+++ b/marbleglade/gateway/link_dialer.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent import socket
 
-from ..life import clock
+from ..runtime import clock
 from ..wire.caches import Ending
 from . import link_recovery
 from .connection import OPENING, WINDOW, Connection
--- a/marbleglade/gateway/link_receiver.py
+++ b/marbleglade/gateway/link_receiver.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import Message
 
-from ..life import clock
+from ..runtime import clock
 from ..wire.caches import Ending
 from ..wire.coordlines import ListChange, Member, Purge
 from . import link_recovery
--- a/marbleglade/gateway/region_router.py
+++ b/marbleglade/gateway/region_router.py
@@ -8,7 +8,7 @@
 from ..facade import End
 from ..front import Front, Reply
 from ..interface import Retrieval
-from ..life import clock
+from ..runtime import clock
 from ..wire.resp import Ask
 from .requester import Requester
 from .routes import UNKNOWN, Routes
--- a/marbleglade/gateway/requester.py
+++ b/marbleglade/gateway/requester.py
@@ -13,9 +13,9 @@
 
 from ..facade import Go
 from ..interface import Cache, Outcome
-from ..life import clock
-from ..life.guard import Guard
 from ..memory.room import Room
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire.caches import Ending, oldest
 from ..wire.coordlines import Purge
 from ..wire.resp import Ask
--- a/marbleglade/gateway/responder.py
+++ b/marbleglade/gateway/responder.py
@@ -12,8 +12,8 @@
 
 from ..facade import End
 from ..front import Reply
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from ..wire.resp import Ask
 from ..wire.sockets import accepted
 from . import frames, link_recovery
--- a/marbleglade/life/assembly.py
+++ b/marbleglade/life/assembly.py
@@ -14,16 +14,17 @@
 from ..memory.places import Places
 from ..memory.purges import Purges, lasting
 from ..memory.room import Room
+from ..runtime import clock
+from ..runtime.counters import Counters
+from ..runtime.errors import InvalidConfigurationError
+from ..runtime.guard import Guard
+from ..runtime.log import Log
+from ..runtime.stop import Stop
 from ..wire.caches import Caches
 from ..wire.clients import Clients
 from ..wire.coordinator import BEAT, Follower
 from ..wire.peers import Peers
-from . import clock
-from .assignment import Assignment, InvalidConfigurationError
-from .counters import Counters
-from .guard import Guard
-from .log import Log
-from .stop import Stop
+from .assignment import Assignment
 
 if TYPE_CHECKING:
     from ..control.client import ControlClient
@@ -177,8 +178,8 @@
         text = os.environ.get("MARBLEGLADE_FLEET")
         if not (self.peers and text and self.told.peer_listen in self.told.peers):
             return None
-        from ..fleet.reading import read as read_part
         from ..fleet.agent_adapter import FleetAdapter
+        from ..fleet.reading import read as read_part
 
         return FleetAdapter(
             self.told.name,
--- a/marbleglade/life/assignment.py
+++ b/marbleglade/life/assignment.py
@@ -8,7 +8,9 @@
 import orjson
 
 from ..ground import MissingSettingError, Reader, Surroundings, read_ground
-from ..wire.coordlines import ListChange, Other, Purge, address, event
+from ..runtime.addresses import address
+from ..runtime.errors import InvalidConfigurationError
+from ..wire.coordlines import ListChange, Other, Purge, event
 
 # What a running front can't change.
 FIXED = (
@@ -26,10 +28,6 @@
 LEAST_SOCKETS = 16  # with fewer some part of a front would have none
 
 
-class InvalidConfigurationError(Exception):
-    """The configuration is absent, unreadable or lacks something; says what."""
-
-
 @dataclass(slots=True)
 class Assignment:
     name: str
--- a/marbleglade/life/control.py
+++ b/marbleglade/life/control.py
@@ -10,10 +10,10 @@
 from ..control.settings import ControlSettings, InvalidSettingsError, read
 from ..facade import Facade
 from ..front import Front
+from ..runtime import clock
+from ..runtime.errors import InvalidConfigurationError
 from ..wire.coordlines import ListChange, Purge
 from ..wire.datagrams import PlaceLeaves
-from . import clock
-from .assignment import InvalidConfigurationError
 
 if TYPE_CHECKING:
     from .assembly import Assembly
--- a/marbleglade/life/renewal.py
+++ b/marbleglade/life/renewal.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Mapping
 
+from ..runtime.errors import InvalidConfigurationError
+from ..runtime.log import Log
 from ..wire.coordinator import Follower
 from ..wire.peers import Peers
 from . import assignment
-from .log import Log
 
 
 class Renewals:
@@ -28,7 +29,7 @@
     def renew(self) -> None:
         try:
             told = assignment.reread(self.environ)
-        except assignment.InvalidConfigurationError as trouble:
+        except InvalidConfigurationError as trouble:
             self.log.counters.add("renewal.unfit")
             self.log.say("renewal", unfit=str(trouble))
             return
--- a/marbleglade/life/service.py
+++ b/marbleglade/life/service.py
@@ -9,8 +9,9 @@
 import gevent
 from gevent import socket
 
+from ..runtime import clock
 from ..wire.clients import LINGER
-from . import clock, early
+from . import early
 from .assembly import SECOND, Assembly
 from .assignment import Assignment
 from .renewal import Renewals
--- /dev/null
+++ b/marbleglade/runtime/addresses.py
@@ -0,0 +1,13 @@
+"""Addresses as the platform writes them."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Address
+
+
+def address(text: str) -> tuple[str, int]:
+    """Reads `host:port` with an IPv4 address. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not 0 < int(port) < 1 << 16:
+        raise ValueError(f"no port: {text}")
+    return str(IPv4Address(host)), int(port)
--- /dev/null
+++ b/marbleglade/runtime/errors.py
@@ -0,0 +1,7 @@
+"""Errors that every part of the program may raise and that end at the command line."""
+
+from __future__ import annotations
+
+
+class InvalidConfigurationError(Exception):
+    """The configuration is absent, unreadable or lacks something; says what."""
--- a/marbleglade/textproto.py
+++ b/marbleglade/textproto.py
@@ -7,7 +7,7 @@
 from google.protobuf import text_format
 from google.protobuf.message import Message
 
-from .wire import coordlines
+from .runtime import addresses
 
 
 def parsed(path: str, into: Message, longest: int) -> Message:
@@ -26,4 +26,4 @@
     port = text.rpartition(":")[2]
     if not (port.isascii() and port.isdigit()):
         raise ValueError(f"{text!r} has no port")
-    return coordlines.address(text)
+    return addresses.address(text)
--- a/marbleglade/wire/caches.py
+++ b/marbleglade/wire/caches.py
@@ -17,9 +17,9 @@
 
 from ..facade import Go
 from ..interface import Cache, Outcome, Retrieval, State
-from ..life.guard import Guard
 from ..memory.places import Place
 from ..memory.room import Room
+from ..runtime.guard import Guard
 from .cachelines import PROBED, Answer, Answers, Errand, InvalidLineError, encode_look, encode_undo
 from .resp import Ask
 from .sockets import chunks, ended, send_now
--- a/marbleglade/wire/clients.py
+++ b/marbleglade/wire/clients.py
@@ -14,8 +14,8 @@
 from ..facade import End
 from ..front import Front, Reply
 from ..interface import Retrieval
-from ..life.guard import Guard
 from ..memory.traces import Traces
+from ..runtime.guard import Guard
 from .hangup import hung_up
 from .resp import Ask, Frames, InvalidFrameError, Nevermind, Status, decode, encode
 from .sockets import SCRATCH, TURN, chunks, send_now, unread
--- a/marbleglade/wire/coordinator.py
+++ b/marbleglade/wire/coordinator.py
@@ -8,8 +8,8 @@
 from gevent import socket
 from gevent.event import Event as Signal
 
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from .coordlines import (
     Beat,
     Event,
--- a/marbleglade/wire/coordlines.py
+++ b/marbleglade/wire/coordlines.py
@@ -5,11 +5,11 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from ipaddress import IPv4Address
 
 import orjson
 
 from ..ground import STATES
+from ..runtime.addresses import address
 
 LONGEST_LINE = 1 << 20  # a whole list stands on one line
 NEVER = 1 << 53  # no Unix millisecond is as late
@@ -71,13 +71,6 @@
 Event = ListChange | Purge | Other | Beat
 
 
-def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not 0 < int(port) < 1 << 16:
-        raise ValueError(f"no port: {text}")
-    return str(IPv4Address(host)), int(port)
-
-
 def event(value: dict) -> ListChange | Purge | Other:
     """One event as a typed value."""
     index = value["index"]
--- a/marbleglade/wire/gossip.py
+++ b/marbleglade/wire/gossip.py
@@ -8,7 +8,8 @@
 
 import struct
 
-from ..fleet.members import UPDATES, Ack, Gossip, Ping, PingFor, Status, Update
+from ..fleet.members import UPDATES, Ack, Ping, PingFor, Status, Update
+from ..fleet.messages import FleetMessage
 from ..fleet.views import (
     ANSWERED,
     CROWDS,
@@ -33,10 +34,8 @@
 MARK = struct.Struct("!I")
 CROWD_UNIT = 1000  # a crowd travels in thousandths
 
-Fleetgram = Gossip | Report | View
 
-
-def encode(message: Fleetgram) -> bytes:
+def encode(message: FleetMessage) -> bytes:
     if isinstance(message, Report):
         counts = (min(one, 65535) for one in (message.firsts, message.furthers, message.pushed))
         data = HEAD.pack(VERSION, REPORT, message.seq) + SUMS.pack(
@@ -99,12 +98,12 @@
     )
 
 
-def decode(data: bytes) -> Fleetgram | None:
+def decode(data: bytes) -> FleetMessage | None:
     """None for anything that is not one of these, whole."""
     return read(data, _message)
 
 
-def _message(kind: int, number: int, cut: Cut) -> Fleetgram:
+def _message(kind: int, number: int, cut: Cut) -> FleetMessage:
     if kind == REPORT:
         return Report(
             number,
--- a/marbleglade/wire/peers.py
+++ b/marbleglade/wire/peers.py
@@ -10,8 +10,8 @@
 from gevent import socket
 
 from ..fleet.hearsay import Hearsay
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from .datagrams import LONGEST, Answer, Ask, Hint, Message, decode, encode
 from .sockets import TURN
 
--- a/marbleglade/wire/placedoor.py
+++ b/marbleglade/wire/placedoor.py
@@ -13,8 +13,8 @@
 from ..facade import End
 from ..front import Reply
 from ..interface import Repeat
-from ..life import clock
-from ..life.guard import Guard
+from ..runtime import clock
+from ..runtime.guard import Guard
 from .cachelines import Errand, InvalidLineError
 from .errands import Asked, Errands, Look, Odd, Undo, encode
 from .resp import Ask
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -7,17 +7,15 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
 
-from ..fleet.grants import Claim, Entry, Grantgram, Held, Hold, Vote
+from ..fleet.grants import Claim, Entry, Held, Hold, Vote
+from ..fleet.maintenance_messages import PART_BYTES, Have, MaintenanceMessage, Part, Want
 from ..fleet.order import MOST_OUT
 from ..fleet.table_inquiry import TableQuery, TableReply
 from .cut import Cut, InvalidMessageError, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
 CLAIM, VOTE, HOLD, HELD, HAVE, WANT, PART, TABLE_QUERY, TABLE_REPLY = range(16, 25)
-MOST_PARTS = 64
-PART_BYTES = 200
 TABLE = struct.Struct("!IHI")  # term, keeper, version
 HOLDS = struct.Struct("!IIII")  # term, version, committed, echo
 HELDS = struct.Struct("!III")
@@ -27,34 +25,7 @@
 NOBODY = 0xFFFF
 
 
-@dataclass(slots=True, frozen=True)
-class Have:
-    """This order is in force here."""
-
-    asked_ms: int
-    digest: int
-    size: int
-
-
-@dataclass(slots=True, frozen=True)
-class Want:
-    """Tell me that part of it."""
-
-    digest: int
-    part: int
-
-
-@dataclass(slots=True, frozen=True)
-class Part:
-    digest: int
-    part: int
-    data: bytes
-
-
-Workgram = Grantgram | Have | Want | Part | TableQuery | TableReply
-
-
-def encode(message: Workgram) -> bytes:
+def encode(message: MaintenanceMessage) -> bytes:
     match message:
         case Claim(term):
             data = HEAD.pack(VERSION, CLAIM, term)
@@ -91,12 +62,12 @@
     )
 
 
-def decode(data: bytes) -> Workgram | None:
+def decode(data: bytes) -> MaintenanceMessage | None:
     """None for anything that is not one of these, whole."""
     return read(data, _message)
 
 
-def _message(kind: int, number: int, cut: Cut) -> Workgram:
+def _message(kind: int, number: int, cut: Cut) -> MaintenanceMessage:
     if kind in (CLAIM, VOTE, HOLD, HELD) and number >= 2**32:
         raise InvalidMessageError
     if kind == CLAIM:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,6 +40,7 @@
     "test_disk",
     "test_fleet",
     "test_hearsay",
+    "test_layers",
     "test_load_views",
     "test_protocols",
     "test_purge_index",
--- a/tests/test_age_limit.py
+++ b/tests/test_age_limit.py
@@ -5,7 +5,7 @@
 
 from marbleglade.facade import Facade
 from marbleglade.interface import Held, Outcome
-from marbleglade.life.counters import Counters
+from marbleglade.runtime.counters import Counters
 
 from .conftest import MS, Paper
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,15 +12,15 @@
 from marbleglade.front import Front
 from marbleglade.ground import read_ground
 from marbleglade.interface import Cache, Launch, Outcome, Retrieval, Role, State
-from marbleglade.life import clock
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
 from marbleglade.memory.copies import Copies
 from marbleglade.memory.places import Places
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
 from marbleglade.memory.traces import Traces
+from marbleglade.runtime import clock
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.wire.caches import Caches
 from marbleglade.wire.clients import Clients
 from marbleglade.wire.coordinator import Follower
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -8,9 +8,9 @@
 
 from marbleglade.control.client import ConfigurationRefusedError, ControlClient
 from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.standins.controlnode import StandInNode
 from marbleglade.wire.coordlines import ListChange, Member, Purge
 
--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -24,10 +24,10 @@
 from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
 from marbleglade.control.status import InvalidStatusError, decode_status, encode_status
 from marbleglade.control.status_merge import NodeAnswer, merge
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
-from marbleglade.wire.coordlines import NEVER, InvalidLineError, Beat, ListChange, Member, Purge
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
+from marbleglade.wire.coordlines import NEVER, Beat, InvalidLineError, ListChange, Member, Purge
 
 from .test_control_log import Reader
 
--- a/tests/test_control_front.py
+++ b/tests/test_control_front.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from marbleglade.life import clock
+from marbleglade.runtime import clock
 from marbleglade.standins.controlnode import StandInNode
 from marbleglade.standins.coordinator import Coordinator
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,11 +23,12 @@
 from marbleglade.gateway.connection import Connection
 from marbleglade.ground import MissingSettingError, read_ground
 from marbleglade.interface import NEVER_RAN, Held, Outcome, Repeat, Retrieval, State
-from marbleglade.life import assignment, clock
-from marbleglade.life.counters import Counters
-from marbleglade.life.stop import Stop
+from marbleglade.life import assignment
 from marbleglade.memory.copies import Copy
 from marbleglade.memory.places import Places
+from marbleglade.runtime import clock
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.stop import Stop
 from marbleglade.standins.regions import free_port
 from marbleglade.wire import caches as caches_wire
 from marbleglade.wire import coordinator as coordinator_wire
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -5,7 +5,7 @@
 
 from marbleglade.facade import End, Facade, Go
 from marbleglade.interface import Cache, Outcome, Profile, Retrieval
-from marbleglade.life.counters import Counters
+from marbleglade.runtime.counters import Counters
 
 from .conftest import MS
 
--- a/tests/test_fleet_command.py
+++ b/tests/test_fleet_command.py
@@ -6,7 +6,8 @@
 from click.testing import CliRunner
 
 from marbleglade.command.line import line
-from marbleglade.fleet.reading import InvalidConfigurationError, read
+from marbleglade.fleet.reading import read
+from marbleglade.runtime.errors import InvalidConfigurationError
 
 from .test_deploy import ROOT
 
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,79 @@
+"""The packages of the program stand on one another in one order; imports run down alone."""
+
+import grimp
+import pytest
+
+# From the ground up. A module belongs to the longest name here that it begins with; those of one row may import
+# each other.
+LAYERS = (
+    ("marbleglade.runtime", "marbleglade.textproto"),
+    ("marbleglade.interface",),
+    ("marbleglade.ground",),
+    ("marbleglade.memory",),
+    ("marbleglade.choice", "marbleglade.facade"),
+    ("marbleglade.fleet",),
+    ("marbleglade.wire",),
+    ("marbleglade.front",),
+    ("marbleglade.disk", "marbleglade.deployment", "marbleglade.gateway", "marbleglade.control"),
+    ("marbleglade.fleet.agent_adapter", "marbleglade.fleet.maintenance_adapter"),
+    ("marbleglade.life",),
+    ("marbleglade.standins", "marbleglade.drill"),
+    ("marbleglade.command", "marbleglade.__main__"),
+)
+# Imports that still run up, to be taken away one after the other. None may be added.
+KNOWN_UPWARD = frozenset(
+    {
+        ("marbleglade.fleet.hearsay", "marbleglade.wire.coordlines"),
+        ("marbleglade.fleet.hearsay", "marbleglade.wire.datagrams"),
+        ("marbleglade.memory.places", "marbleglade.wire.coordlines"),
+        ("marbleglade.wire.clients", "marbleglade.front"),
+        ("marbleglade.wire.placedoor", "marbleglade.front"),
+    }
+)
+
+
+def layer_of(module):
+    """The place of a module in the order."""
+    found = [
+        (len(name), level)
+        for level, names in enumerate(LAYERS)
+        for name in names
+        if module == name or module.startswith(f"{name}.")
+    ]
+    return max(found)[1] if found else None
+
+
+@pytest.fixture(scope="module")
+def graph():
+    return grimp.build_graph("marbleglade", exclude_type_checking_imports=True, cache_dir=None)
+
+
+def upward(graph):
+    """All imports of a module that stands above the one that imports it."""
+    return {
+        (module, imported)
+        for module in graph.modules
+        for imported in graph.find_modules_directly_imported_by(module)
+        if layer_of(module) is not None and layer_of(imported) is not None
+        if layer_of(imported) > layer_of(module)
+    }
+
+
+def test_every_module_has_its_place(graph):
+    assert {module for module in graph.modules if layer_of(module) is None} <= {"marbleglade"}
+
+
+def test_no_import_runs_up_that_was_not_known(graph):
+    assert upward(graph) - KNOWN_UPWARD == set()
+
+
+def test_what_runs_down_by_now_is_no_longer_listed(graph):
+    assert KNOWN_UPWARD - upward(graph) == set()
+
+
+def test_an_import_that_runs_up_is_found(graph):
+    graph.add_import(importer="marbleglade.runtime.clock", imported="marbleglade.life.service")
+    try:
+        assert ("marbleglade.runtime.clock", "marbleglade.life.service") in upward(graph)
+    finally:
+        graph.remove_import(importer="marbleglade.runtime.clock", imported="marbleglade.life.service")
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -13,14 +13,15 @@
 import pytest
 from gevent import socket
 
-from marbleglade.life import assignment, clock
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
-from marbleglade.life.stop import Stop
+from marbleglade.life import assignment
 from marbleglade.memory.copies import Copies, Copy
 from marbleglade.memory.purges import Purges
 from marbleglade.memory.room import Room
+from marbleglade.runtime import clock
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
+from marbleglade.runtime.stop import Stop
 
 from .conftest import LINE, MS, OPTIONS, STARTED_WITHIN, Server, full, listening, until, words
 
--- a/tests/test_load_views.py
+++ b/tests/test_load_views.py
@@ -8,6 +8,7 @@
 
 from benchmarks.capacity import load_views
 from benchmarks.simfleet import ground
+from marbleglade.control.event_log import EventLog
 from marbleglade.control.load_view_service import LoadViewService
 from marbleglade.control.messages import (
     InvalidLineError,
@@ -21,18 +22,16 @@
 )
 from marbleglade.control.partial_view import LONGEST_LINE, decode_partial_view, encode_partial_view
 from marbleglade.control.session import ProtocolError, Session
-from marbleglade.control.event_log import EventLog
 from marbleglade.control.settings import InvalidSettingsError, read
-from marbleglade.fleet.load_views import MOST_ZONES, LoadViews, for_zone, merge
 from marbleglade.fleet.agent import CONTROL_NODE, FleetAgent
+from marbleglade.fleet.load_views import MOST_ZONES, LoadViews, for_zone, merge
 from marbleglade.fleet.views import NOBODY, PLACES, YOUNG, Crowd, Gatherer, Report, Shut, View
 from marbleglade.interface import Seen
-from marbleglade.life.counters import Counters
-from marbleglade.life.guard import Guard
-from marbleglade.life.log import Log
+from marbleglade.runtime.counters import Counters
+from marbleglade.runtime.guard import Guard
+from marbleglade.runtime.log import Log
 from marbleglade.wire import gossip
 
-
 MS = 1_000_000
 PERIOD = 500 * MS
 NOW = 1000 * PERIOD
--- a/tests/test_purge_index.py
+++ b/tests/test_purge_index.py
@@ -10,12 +10,12 @@
 
 from marbleglade.facade import Facade
 from marbleglade.interface import Cache, Held, Retrieval
-from marbleglade.life.counters import Counters
 from marbleglade.memory.copies import NEAR, Copies, Copy
 from marbleglade.memory.directory import Directory
 from marbleglade.memory.open import Open
 from marbleglade.memory.purge_index import PurgeIndex
 from marbleglade.memory.purges import UNKNOWN, Purges
+from marbleglade.runtime.counters import Counters
 
 from .conftest import ERA, MS, Paper
 
--- a/tests/test_script.py
+++ b/tests/test_script.py
@@ -365,7 +365,7 @@
 Places.apply = deaf
 """,
     "no answer": """
-from marbleglade.life.stop import Stop
+from marbleglade.runtime.stop import Stop
 Stop.over = lambda self, now, owed: bool(self.asked_at)
 """,
     "from before a purge": """
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -9,6 +9,7 @@
 from marbleglade.fleet import grants
 from marbleglade.fleet.drain import Drain, Stage
 from marbleglade.fleet.grants import Claim, Entry, Grants, Held, Hold, Vote
+from marbleglade.fleet.maintenance_messages import Have, Part, Want
 from marbleglade.fleet.members import Out as Sent
 from marbleglade.fleet.order import (
     Cap,
@@ -26,9 +27,8 @@
 from marbleglade.fleet.work_pb2 import WorkOrder
 from marbleglade.fleet.workfile import faults, order_of, received
 from marbleglade.fleet.works import key_of
-from marbleglade.life.assignment import InvalidConfigurationError
+from marbleglade.runtime.errors import InvalidConfigurationError
 from marbleglade.wire import workgrams
-from marbleglade.wire.workgrams import Have, Part, Want
 
 from .conftest import ERA
 
