--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,8 +3,8 @@
 import grimp
 import pytest
 
-# From the ground up. A module belongs to the longest name here that it begins with; those of one row may import
-# each other.
+# From the ground up. A module belongs to the longest name here that it begins with; those of one row may
+# import each other.
 LAYERS = (
     ("marbleglade.runtime", "marbleglade.textproto"),
     ("marbleglade.interface",),
