--- a/benchmarks/scale/control_plane.py
+++ b/benchmarks/scale/control_plane.py
@@ -101,10 +101,10 @@
 
     def logs(self) -> str:
         """The ends of the nodes' logs."""
-        ends = []
-        for path in sorted(self.folder.glob("c*.log")):
-            ends.append(f"{path.name}: {path.read_bytes()[-300:].decode('utf-8', 'replace')}")
-        return "\n".join(ends)
+        return "\n".join(
+            f"{path.name}: {path.read_bytes()[-300:].decode('utf-8', 'replace')}"
+            for path in sorted(self.folder.glob("c*.log"))
+        )
 
     def close(self) -> list[str]:
         """Ends all nodes; gives what went wrong at their end."""
--- a/benchmarks/scale/topology.py
+++ b/benchmarks/scale/topology.py
@@ -67,11 +67,11 @@
         lines.append(
             f'region {{ name: "{region}" discovery: "{_text(discovery[region])}" {" ".join(fronts)} }}'
         )
-    for node in nodes:
-        lines.append(
-            f'node {{ name: "{node.name}" region: "{node.region}" zone: "{node.zone}" '
-            f'address: "{_text(node.address)}" quorum_address: "{_text(node.quorum_address)}" }}'
-        )
+    lines += [
+        f'node {{ name: "{node.name}" region: "{node.region}" zone: "{node.zone}" '
+        f'address: "{_text(node.address)}" quorum_address: "{_text(node.quorum_address)}" }}'
+        for node in nodes
+    ]
     return "\n".join(lines) + "\n"
 
 
--- a/marbleglade/fleet/members.py
+++ b/marbleglade/fleet/members.py
@@ -225,8 +225,8 @@
             waited = now - probe.sent
             if not probe.asked and not probe.back and waited >= patience * ANSWER:
                 probe.asked = True
-                for number in self.pick([one for one in self.others() if one != probe.target], INDIRECT):
-                    out.append(Out(number, PingFor(seq, probe.target, self.updates(number))))
+                helpers = self.pick([one for one in self.others() if one != probe.target], INDIRECT)
+                out += [Out(number, PingFor(seq, probe.target, self.updates(number))) for number in helpers]
             if waited >= patience:
                 del self.probes[seq]
                 if not probe.back:
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -35,9 +35,8 @@
 
 
 def test_what_goes_unanswered_is_asked_of_more_and_then_in_peace():
-    one, sent = front(), []
-    for tick in range(80):
-        sent.append(len(one.asks(ERA + tick * 250 * MS)))
+    one = front()
+    sent = [len(one.asks(ERA + tick * 250 * MS)) for tick in range(80)]
     assert sent[:9] == [0] * 6 + [1, 1, 3] and set(sent[10:20]) == {3}
     assert sorted(sent[-6:]) == [0] * 3 + [3] * 3
 
@@ -113,8 +112,8 @@
         for n, one in enumerate(fronts):
             if n not in deaf and tick % 20 == 0:
                 one.line(now)
-            for ask in one.asks(now) if tick % 5 == 0 else ():
-                under_way.append((now, n, int(chance("to", tick, n, ask.number) * 20), ask))
+            asks = one.asks(now) if tick % 5 == 0 else ()
+            under_way += [(now, n, int(chance("to", tick, n, ask.number) * 20), ask) for ask in asks]
         arriving, under_way = (
             [one for one in under_way if one[0] <= now],
             [one for one in under_way if one[0] > now],
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -39,9 +39,7 @@
     """Six caches in two zones and four fronts, all serving, that began at 1."""
     groups = {f"box{n}": (Kind.CACHE, "ab"[n % 2]) for n in range(6)}
     groups |= {f"front {n}": (Kind.FRONT, "") for n in range(4)}
-    seen = {name: Sight(1) for name in groups}
-    for name, sight in changes.pop("seen", {}).items():
-        seen[name] = sight
+    seen = {name: Sight(1) for name in groups} | changes.pop("seen", {})
     return Scene(NOW, seen, groups, **changes)
 
 
