Scale bench: documents keep every front's place, and a start holds up no other front

Likely cause of the second, by the hosts' own clocks: a host fills directories of 8,192 entries for up to 64 fronts in one go each, collects garbage over all, and parses one document 91 times, 20 ms each. No front does that: each has a process of its own.

Change: hollow fronts begin with the peers up to their own; a document puts another address in the place of who is to refuse it; directories are filled 256 entries a turn, and no whole collection is made. A test of each front's place.

--- a/benchmarks/scale/configuring.py
+++ b/benchmarks/scale/configuring.py
@@ -12,7 +12,7 @@
 
 from .messages import Collect, StatusReport
 from .population import Population
-from .topology import DEPLOYMENT, peer_address
+from .topology import document_text
 from .worker import Worker
 
 PROPOSE_TIMEOUT = 20.0  # seconds for the command to end
@@ -59,18 +59,15 @@
         names = [name for name in self.population.current if self.population.region_of[name] == region]
         refusing = sorted(names)[: max(1, round(len(names) * REFUSED_SHARE))]
         self.propose(region, names, [])
-        self.propose(region, [name for name in names if name not in refusing], refusing)
+        self.propose(region, names, refusing)
         self._name_refusing(refusing)
         self.propose(region, names, [])
         return f"version {self.version}, {len(refusing)} fronts refused the one before"
 
     def propose(self, region: str, peers: list[str], refusing: list[str]) -> None:
-        """Proposes a document that lists these peers, and waits until it is in force."""
-        lines = " ".join(f'peer: "{peer_address(name)}"' for name in peers)
+        """Proposes a document that lists these peers but the refusing, and waits until it is in force."""
         path = self.settings_path.parent / "document.textproto"
-        path.write_text(
-            f'deployment: "{DEPLOYMENT}" base_version: {self.version} region {{ name: "{region}" {lines} }}\n'
-        )
+        path.write_text(document_text(self.version, region, peers, refusing))
         began = time.monotonic()
         self._command(path)
         self.outcome.command_seconds.append(time.monotonic() - began)
--- a/benchmarks/scale/hollow_front.py
+++ b/benchmarks/scale/hollow_front.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import gevent
+
 from marbleglade.choice import Choice
 from marbleglade.facade import Facade
 from marbleglade.front import Front
@@ -29,11 +31,12 @@
 from marbleglade.wire.coordlines import ListChange, Purge
 
 from .messages import AppliedPurge, HeldCopy
-from .topology import peer_address
+from .topology import peers_before
 from .workload import COPY_AGE_MS, HOT_OBJECTS, directory_key, group_of
 
 MILLISECOND = 1_000_000  # nanoseconds
 OWN_COPIES_BYTES = 1 << 20
+ENTRIES_A_TURN = 256  # that are filled into a directory before others get their turn
 COPY_BODY = b"x" * 64  # one body for all: what a copy holds is of no interest here
 DIRECTORY_CACHES = [Cache(b"entry%d" % number) for number in range(78)]
 PACE = 1_000_000  # bytes a second; above 0, so that copies are kept
@@ -78,10 +81,14 @@
 
 
 class HollowPeers:
-    """The list of peers of a hollow front, to whom it sends nothing; a configuration can change it."""
+    """The list of peers of a hollow front, to whom it sends nothing; a configuration can change it.
+
+    Args:
+        order: The addresses of its peers, its own the last.
+    """
 
-    def __init__(self, own: tuple[str, int]) -> None:
-        self.listen, self.order, self.everyone = own, [own], None
+    def __init__(self, order: list[tuple[str, int]]) -> None:
+        self.listen, self.order, self.everyone = order[-1], order, None
 
     def renew(self, peers: list[tuple[str, int]], everyone: tuple[str, int] | None) -> None:
         """Takes another list of peers."""
@@ -120,7 +127,7 @@
             around.ground, Choice, clock.now, around.most_open, self.counters, lambda text: None
         )
         self.told, self.orders = Told(name), None
-        self.peers = HollowPeers(address(peer_address(name))) if "-" in name else None
+        self.peers = HollowPeers([address(peer) for peer in peers_before(name)]) if "-" in name else None
         self.follower: Follower | None = None
         self.front = RecordingFront(
             name,
@@ -135,9 +142,14 @@
         )
 
     def fill_directory(self, entries: int) -> None:
-        """Enters objects into the directory as answers of caches would, before the front is connected."""
+        """Enters objects into the directory as answers of caches would, before the front is connected.
+
+        Others in the process get their turn meanwhile: it is no work that a front has.
+        """
         directory, now = self.facade.decisions.directory, clock.now()
         for number in range(entries):
+            if not number % ENTRIES_A_TURN:
+                gevent.sleep(0)
             object_id = directory_key(number)
             cache = DIRECTORY_CACHES[number % len(DIRECTORY_CACHES)]
             directory.enter(object_id, 0, group_of(object_id), cache, now)
--- a/benchmarks/scale/hollow_host.py
+++ b/benchmarks/scale/hollow_host.py
@@ -123,9 +123,8 @@
             hollow = HollowFront(name, self.around, self.sink)
             hollow.fill_directory(command.directory)
             self.fronts[name] = RunningFront(hollow, command, control)
+            gc.freeze()  # what stays need not be looked at again; a whole collection would hold up all others
             gevent.sleep(0)
-        gc.collect()
-        gc.freeze()
 
     def stop(self, name: str, leave: bool) -> None:
         """Ends a front; what it applied is reported with the next report."""
--- a/benchmarks/scale/topology.py
+++ b/benchmarks/scale/topology.py
@@ -51,6 +51,30 @@
     return f"127.{REGIONS.index(region) + 1}.{int(number) // 250}.{int(number) % 250 + 1}:4000"
 
 
+def peers_before(name: str) -> list[str]:
+    """The addresses of a hollow front's peers up to its own, in the order that all of its region use."""
+    region, _, number = name.rpartition("-")
+    return [peer_address(f"{region}-{other}") for other in range(int(number) + 1)]
+
+
+def absent_address(name: str) -> str:
+    """An address that stands in the place of that front in a list of peers, and is no front's."""
+    return peer_address(name).replace(":4000", ":4001")
+
+
+def by_number(names: list[str]) -> list[str]:
+    """The hollow fronts of one region in the order of their numbers."""
+    return sorted(names, key=lambda name: int(name.rpartition("-")[2]))
+
+
+def document_text(base_version: int, region: str, names: list[str], left_out: list[str]) -> str:
+    """A configuration that lists the peers of a region, each in its place; who is left out lacks its own."""
+    ordered = by_number(names)
+    peers = (absent_address(name) if name in left_out else peer_address(name) for name in ordered)
+    lines = " ".join(f'peer: "{peer}"' for peer in peers)
+    return f'deployment: "{DEPLOYMENT}" base_version: {base_version} region {{ name: "{region}" {lines} }}\n'
+
+
 def settings_text(
     discovery: Mapping[str, list], nodes: list[NodePlace], hollow: int, real_names: list[str]
 ) -> str:
--- a/tests/test_scale_checkers.py
+++ b/tests/test_scale_checkers.py
@@ -1,5 +1,8 @@
 """The checkers of the scale run find what they are there to find, and nothing in a faultless run."""
 
+import pytest
+
+from benchmarks.scale import topology
 from benchmarks.scale.checkers import (
     AppliedIndex,
     Confirmation,
@@ -17,7 +20,8 @@
 from benchmarks.scale.summary import AIMS, Summary, kept
 from benchmarks.scale.topology import REGIONS, hollow_names, node_places, peer_address, settings_text
 from benchmarks.scale.workload import HOT_OBJECTS, group_of, purge_target
-from marbleglade.control import settings
+from marbleglade.control import configuration, settings
+from marbleglade.runtime.addresses import address
 
 SECOND = 1_000_000  # microseconds
 DEADLINE = 2_600_000  # microseconds
@@ -206,3 +210,22 @@
     assert summary.broken() == ["stale is 2", "a version is in force where it can't be used"]
     verdicts = {aim.field: kept(aim, summary) for aim in AIMS}
     assert verdicts["purge_everywhere_s_worst"] is False and verdicts["config_everywhere_s_worst"] is None
+
+
+@pytest.mark.parametrize("left_out", [[], ["east-1", "east-10"]])
+def test_a_document_keeps_every_front_in_its_place(tmp_path, left_out):
+    """Else all fronts behind one that is left out would refuse it: a running front keeps its place."""
+    names = [f"east-{number}" for number in (0, 10, 2, 3, 4, 5, 6, 7, 8, 9, 1, 11)]
+    path = tmp_path / "control.textproto"
+    ports = list(range(9000, 9006))
+    discovery = {region: ["127.0.0.1", 9100] for region in topology.REGIONS}
+    path.write_text(topology.settings_text(discovery, topology.node_places(3, ports), 36, []))
+    document = configuration.read(
+        topology.document_text(0, "east", names, left_out), settings.read(str(path))
+    )
+    peers = document.region("east").peers
+    for name in names:
+        before = [address(peer) for peer in topology.peers_before(name)]
+        place = int(name.rpartition("-")[2])
+        assert before[place] == before[-1]
+        assert (peers[place] == before[-1]) is (name not in left_out)
