--- a/benchmarks/capacity/maintenance.py
+++ b/benchmarks/capacity/maintenance.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from marbleglade.fleet.grants import Claim, Held, Hold, Vote
+from marbleglade.fleet.lease_quorum import Append, AppendReply, Claim, Vote
 from marbleglade.fleet.order import Cap, Kind, front_name
 from marbleglade.standins.airwaves import Airwaves
 from marbleglade.wire import workgrams
@@ -31,7 +31,7 @@
 
     def send(self, sender: int, to: int, data: bytes, now: int) -> None:
         """Passes a datagram on."""
-        if isinstance(workgrams.decode(data), Claim | Vote | Hold | Held):
+        if isinstance(workgrams.decode(data), Claim | Vote | Append | AppendReply):
             self.sent.setdefault(sender, []).append(len(data))
             self.received.setdefault(to, []).append(len(data))
         super().send(sender, to, data, now)
@@ -48,7 +48,7 @@
     air.sent.clear()
     air.received.clear()
     world.run(MEASURE)
-    leader = next(number for number, front in world.fronts.items() if front.works.grants.leading)
+    leader = next(number for number, front in world.fronts.items() if front.works.quorum.leading)
     other = next(number for number in world.fronts if number != leader)
     found = []
     for role, number in (("maintenance leader", leader), ("front", other)):
--- a/marbleglade/command/work.py
+++ b/marbleglade/command/work.py
@@ -114,12 +114,12 @@
     last = last_words(logs, told_by)
     for front, told in sorted(last.items()):
         click.echo(
-            f"{front:12} at {told['at']} {told.get('stage', 'serving'):9} keeper {told.get('by', '?')}"
-            f"{' (this one)' if told.get('keeper') else ''} term {told.get('term', '?')} "
+            f"{front:12} at {told['at']} {told.get('stage', 'serving'):9} leader {told.get('by', '?')}"
+            f"{' (this one)' if told.get('leader') else ''} term {told.get('term', '?')} "
             f"out {told.get('out', [])} done {told.get('done', 0)}"
             f"{' finished' if told.get('finished') else ''}"
         )
-        if told.get("keeper"):
+        if told.get("leader"):
             for name, why in told.get("waiting", {}).items():
                 click.echo(f"{'':12} {name}: {why}")
             for kind, why in told.get("halted", {}).items():
--- a/marbleglade/fleet/grants.py
+++ b/marbleglade/fleet/lease_quorum.py
@@ -1,13 +1,13 @@
-"""Who may be out: a table of machines that all agree on, kept by a keeper with a majority of the voters.
+"""Who may be out: a table of machines that all agree on, kept by a leader with a majority of the voters.
 
-The voters are a few of the members, the same at all who have the same list of members. A keeper is one of
+The voters are a few of the members, the same at all who have the same list of members. A leader is one of
 them, chosen by votes of a majority, each of which tells what the voter holds to be out; so whoever is chosen
-knows all that any keeper before it let go. What a keeper lets go counts once a majority of the voters has
-taken it in, and a voter that voted for a later keeper takes nothing in from an earlier one: two keepers can't
-both let go. A keeper that hears no majority for a lease rests. Other members are told the table when they are
+knows all that any leader before it let go. What a leader lets go counts once a majority of the voters has
+taken it in, and a voter that voted for a later leader takes nothing in from an earlier one: two leaders can't
+both let go. A leader that hears no majority for a lease rests. Other members are told the table when they are
 out themselves, and once for each place that is let go, which they have to leave alone.
 
-A front that is out stays so while its keeper shows it, in answer to its own words, that a majority stood
+A front that is out stays so while its leader shows it, in answer to its own words, that a majority stood
 behind the table lately; else it comes back. One that is called back counts as out until it has heard so. A
 front that began again has forgotten its votes: it is mute for a lease, in which whatever leaned on them runs
 out or was renewed with others. `docs/notes/work.md` says why this holds; `tests/test_protocols.py` searches
@@ -25,10 +25,10 @@
 from .order import MOST_OUT
 
 # Parts of a lease.
-RENEW = 1 / 6  # between two words of a keeper; what changed is told at once
-FRESH = 1 / 3  # as old the majority's word may be for what a keeper says to count
+RENEW = 1 / 6  # between two words of a leader; what changed is told at once
+FRESH = 1 / 3  # as old the majority's word may be for what a leader says to count
 STAYS = 1 / 2  # so long a front stays out after it last asked whether it may
-CALM = 1 / 3  # so long after a keeper spoke no other is voted for
+CALM = 1 / 3  # so long after a leader spoke no other is voted for
 STAMPS = 64  # words remembered until they are answered
 FURTHEST = 1 << 20  # a term that jumps further ahead than this is not believed
 MOST_VOTERS = 9  # four may be away
@@ -53,37 +53,43 @@
 
 @dataclass(slots=True, frozen=True)
 class Claim:
+    """A voter asks for votes in a term."""
+
     term: int
 
 
 @dataclass(slots=True, frozen=True)
 class Vote:
+    """A vote, with what the voter holds to be out."""
+
     term: int
-    held: tuple[int, int, int]  # term, keeper and version that the table is of
+    held: tuple[int, int, int]  # term, leader and version that the table is of
     entries: tuple[Entry, ...]  # of a term other than the one claimed: no vote, but the latest term known
 
 
 @dataclass(slots=True, frozen=True)
-class Hold:
+class Append:
     """The table, and up to which version a majority has it; 0: no majority stood behind it lately."""
 
     term: int
     version: int
     committed: int
-    stamp: int  # the keeper's number of this word
+    stamp: int  # the leader's number of this word
     echo: int  # the last stamp that came from whom this goes to
     entries: tuple[Entry, ...] | None  # None: as that member has it
 
 
 @dataclass(slots=True, frozen=True)
-class Held:
+class AppendReply:
+    """A member's answer to an append."""
+
     term: int
     version: int  # that it has; 0: not this table
     stamp: int  # of the word that this answers
     word: int  # this front's own stamp
 
 
-Grantgram = Claim | Vote | Hold | Held
+QuorumMessage = Claim | Vote | Append | AppendReply
 
 
 @dataclass(slots=True)
@@ -99,6 +105,8 @@
 
 @dataclass(slots=True)
 class Ack:
+    """What the leader knows of one member."""
+
     unanswered: int = 0  # words sent to this member since it answered one
     version: int = 0
     at: int = -1  # when the word was sent that this member answered last
@@ -107,30 +115,36 @@
 
 
 @dataclass(slots=True)
-class Grants:
+class LeaseQuorum:
+    """One member's part in the quorum: the table, its term and leader, and what others acknowledged.
+
+    Attributes:
+        lease: Nanoseconds; all waits are parts of it.
+    """
+
     own: int
     count: int  # members that are listed, whether alive or not
     lease: int
     now: InitVar[int]
     term: int = 0  # the latest that this front voted for or heard, and whose it is
     by: int = -1
-    heard: int = 0  # when that keeper spoke last
+    heard: int = 0  # when that leader spoke last
     leading: bool = False
     table: dict[int, Gone] = field(default_factory=dict)
     sure: dict[int, int] = field(default_factory=dict)  # as of when each counted as let go, to this front
     version: int = 0
     committed: int = 0
-    held: tuple[int, int, int] = (0, -1, 0)  # term, keeper and version that the table is of
+    held: tuple[int, int, int] = (0, -1, 0)  # term, leader and version that the table is of
     votes: dict[int, Vote] = field(default_factory=dict)
     acks: dict[int, Ack] = field(default_factory=dict)
     stamps: dict[int, int] = field(default_factory=dict)  # when each word was sent
     stamp: int = 0
     due: int = 0
-    backed: int = -1  # the keeper's: as of when a majority stood behind its table
+    backed: int = -1  # the leader's: as of when a majority stood behind its table
     mute: int = 0  # until then it votes for nobody and takes nothing in
     numbers: dict[int, int] = field(default_factory=dict)  # of the machines that are members, by key
     voters: frozenset[int] = field(init=False)
-    told_to_all: int = 0  # the keeper's: the version that let a place go last, which every member has to know
+    told_to_all: int = 0  # the leader's: the version that let a place go last, which every member has to know
 
     def __post_init__(self, now: int) -> None:
         self.mute, self.heard, self.due = now + self.lease, now, now
@@ -154,12 +168,12 @@
         return {machine: gone for machine, gone in self.table.items() if gone.number <= self.committed}
 
     def rules(self, now: int) -> bool:
-        """True for the keeper while what it lets go can count."""
+        """True for the leader while what it lets go can count."""
         return self.leading and self.backed >= 0 and now - self.backed < self.lease * FRESH
 
-    # The keeper's part.
+    # The leader's part.
 
-    def let_go(self, machine: int, start_ms: int, now: int) -> bool:
+    def grant(self, machine: int, start_ms: int, now: int) -> bool:
         if not self.rules(now) or machine in self.table or len(self.table) >= MOST_OUT:
             return False
         self.version += 1
@@ -169,7 +183,7 @@
         self._changed(now)
         return True
 
-    def call_back(self, machine: int, now: int) -> None:
+    def revoke(self, machine: int, now: int) -> None:
         """It counts as out until it has heard so, or can't believe itself out any more."""
         gone = self.table.get(machine)
         if self.leading and gone and not gone.back:
@@ -183,7 +197,7 @@
             self.version += 1
             self._changed(now)
 
-    def heard_back(self, machine: int, number: int, now: int) -> bool:
+    def heard_revocation(self, machine: int, number: int, now: int) -> bool:
         """True once the front of that number, called back, knows it, or must have come back by itself."""
         gone = self.table.get(machine)
         if gone is None or not gone.back:
@@ -201,7 +215,7 @@
             return []
         if self.leading:
             self.due = now + int(self.lease * RENEW)
-            return [Out(one, self._hold(one, now)) for one in sorted(self._audience())]
+            return [Out(one, self._append(one, now)) for one in sorted(self._audience())]
         if (
             self.own not in self.voters
             or not wanted
@@ -215,7 +229,7 @@
         return [Out(number, Claim(self.term)) for number in sorted(self.voters) if number != self.own]
 
     def _audience(self) -> set[int]:
-        """Whom the keeper tells its table: those concerned, and who lacks a place that is out."""
+        """Whom the leader tells its table: those concerned, and who lacks a place that is out."""
         audience = self.concerned()
         if 0 < self.told_to_all <= self.committed:
             acks = self.acks
@@ -254,12 +268,12 @@
             del self.stamps[next(iter(self.stamps))]
         return self.stamp
 
-    def _hold(self, to: int, now: int) -> Hold:
+    def _append(self, to: int, now: int) -> Append:
         ack = self.acks.setdefault(to, Ack())
         # Who answers nothing may have begun anew and lack the table; a front that did is mute for a lease.
         holds_table = ack.version == self.version and not ack.unanswered
         ack.unanswered += 1
-        return Hold(
+        return Append(
             self.term,
             self.version,
             self.committed if self.rules(now) else 0,
@@ -300,10 +314,10 @@
 
     # What comes.
 
-    def take(self, sender: int, message: Grantgram, now: int) -> list[Out]:
+    def take(self, sender: int, message: QuorumMessage, now: int) -> list[Out]:
         if isinstance(message, Claim):
             return self._claimed(sender, message, now)
-        if isinstance(message, Hold):
+        if isinstance(message, Append):
             return self._told(sender, message, now)
         if isinstance(message, Vote):
             self._voted(sender, message, now)
@@ -341,12 +355,12 @@
         return [Out(sender, Vote(claim.term, self.held, self.entries(now)))]
 
     def _follow(self, term: int, by: int) -> None:
-        """What this front is sure of stays so until it has aged: a later keeper knows of it."""
+        """What this front is sure of stays so until it has aged: a later leader knows of it."""
         if (term, by) != (self.term, self.by):
             self.committed, self.version, self.backed = 0, 0, -1
         self.term, self.by, self.leading = term, by, False
 
-    def _told(self, sender: int, told: Hold, now: int) -> list[Out]:
+    def _told(self, sender: int, told: Append, now: int) -> list[Out]:
         if (told.term, sender) < (self.term, self.by) or told.term >= self.term + FURTHEST:
             return []
         if sender not in self.voters:
@@ -375,4 +389,4 @@
                         self.sure[machine] = max(at, self.sure.get(machine, at))
         if now < self.mute:
             return []
-        return [Out(sender, Held(told.term, told.version if has else 0, told.stamp, self._said(now)))]
+        return [Out(sender, AppendReply(told.term, told.version if has else 0, told.stamp, self._said(now)))]
--- a/marbleglade/fleet/maintenance_adapter.py
+++ b/marbleglade/fleet/maintenance_adapter.py
@@ -20,7 +20,7 @@
 from .works import Look, Works
 
 LEASE = 6  # beats of the fleet
-NEWS = ("asked_ms", "finished", "term", "by", "keeper", "out", "done", "halted")  # what is logged anew
+NEWS = ("asked_ms", "finished", "term", "by", "leader", "out", "done", "halted")  # what is logged anew
 HOT = 16  # objects whose homes are looked at
 KINDS = {Role.CACHE: Kind.CACHE, Role.PARENT: Kind.PARENT}
 
--- a/marbleglade/fleet/maintenance_messages.py
+++ b/marbleglade/fleet/maintenance_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from .grants import Grantgram
+from .lease_quorum import QuorumMessage
 from .table_inquiry import TableQuery, TableReply
 
 MOST_PARTS = 64  # of one order
@@ -35,4 +35,4 @@
     data: bytes
 
 
-MaintenanceMessage = Grantgram | Have | Want | Part | TableQuery | TableReply
+MaintenanceMessage = QuorumMessage | Have | Want | Part | TableQuery | TableReply
--- a/marbleglade/fleet/table_inquiry.py
+++ b/marbleglade/fleet/table_inquiry.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass, field
 
-from .grants import Entry
+from .lease_quorum import Entry
 from .members import Out
 
 ASKED_AT_ONCE = 5  # members
--- a/marbleglade/fleet/works.py
+++ b/marbleglade/fleet/works.py
@@ -14,7 +14,7 @@
 from ..interface import name_of
 from ..runtime.errors import InvalidConfigurationError
 from .duties import holder
-from .grants import RENEW, Claim, Entry, Grants, Held, Hold, Vote
+from .lease_quorum import RENEW, Append, AppendReply, Claim, Entry, LeaseQuorum, Vote
 from .maintenance_messages import MOST_PARTS, PART_BYTES, Have, MaintenanceMessage, Part, Want
 from .members import Members, Out, Status
 from .order import Kind, Order, Scene, Settled, Sight, front_name, settle
@@ -47,7 +47,7 @@
     ) -> None:
         self.own, self.members, self.start_ms, self.born = own, members, start_ms, now
         self.lease, self.warms_ms = lease, warms_ms
-        self.grants = Grants(own, len(members.all), lease, now)
+        self.quorum = LeaseQuorum(own, len(members.all), lease, now)
         self._number_members()
         self.inquiry = TableInquiry(own, lease, now)
         self.key = key_of(front_name(own))
@@ -57,7 +57,7 @@
         self.asked = self.told = self.spread = now - lease
         self.agrees = -1  # who said last that it has the same order
         self.offered: set[int] = set()  # to whom this front, leading, offered the order in this lease
-        self.looked, self.keeps = now - lease, None  # when, and who is to keep the table
+        self.looked, self.leads = now - lease, None  # when, and who is to keep the table
         self.finished = 0  # of the order that is done with
         self.settled = Settled()
         self.resting: dict[int, int] = {}  # places out for work, by key: their start when they went
@@ -66,7 +66,7 @@
     # The order in force.
 
     def _number_members(self) -> None:
-        self.grants.numbers = {key_of(front_name(number)): number for number in self.members.all}
+        self.quorum.numbers = {key_of(front_name(number)): number for number in self.members.all}
 
     def take_up(self, order: Order, raw: bytes, now: int) -> bool:
         """False for one that is no later than what is in force."""
@@ -94,31 +94,31 @@
         """Who is to keep the table: by rendezvous over voters that are alive and were not let go."""
         if now - self.looked >= self.lease * ASK:
             self.looked = now
-            sound = [number for number in self.members.sound() if number in self.grants.voters]
-            staying = [number for number in sound if key_of(front_name(number)) not in self.grants.table]
-            self.keeps = holder(WORK, staying or sound)
-        return self.keeps
+            sound = [number for number in self.members.sound() if number in self.quorum.voters]
+            staying = [number for number in sound if key_of(front_name(number)) not in self.quorum.table]
+            self.leads = holder(WORK, staying or sound)
+        return self.leads
 
     def turn(self, now: int, look: Callable[[], Look]) -> list[Out]:
-        if len(self.members.all) != self.grants.count:
-            self.grants.resize(len(self.members.all), now)
+        if len(self.members.all) != self.quorum.count:
+            self.quorum.resize(len(self.members.all), now)
             self._number_members()
-        questions = self.inquiry.turn(now, self.grants.count)
-        wanted = bool(self.grants.table) or (self.order is not None and self.finished < self.order.asked_ms)
-        if not (wanted or self.grants.leading or self.coming):
+        questions = self.inquiry.turn(now, self.quorum.count)
+        wanted = bool(self.quorum.table) or (self.order is not None and self.finished < self.order.asked_ms)
+        if not (wanted or self.quorum.leading or self.coming):
             return questions
-        spoken = self.grants.by in self.members.all and now - self.grants.heard < self.lease
+        spoken = self.quorum.by in self.members.all and now - self.quorum.heard < self.lease
         first = self.first(now)
-        out = questions + self.grants.turn(wanted and first == self.own and not self.members.leaving, now)
-        if self.grants.rules(now):
-            before = self.grants.version
+        out = questions + self.quorum.turn(wanted and first == self.own and not self.members.leaving, now)
+        if self.quorum.rules(now):
+            before = self.quorum.version
             self._settle(now, look())
-            if self.grants.version != before:
-                out += self.grants.turn(True, now)
-        if self.order and self.grants.leading:
-            out += self._offers({one.to for one in out if isinstance(one.message, Hold)}, now)
-        elif self.order and wanted and not self.grants.leading and now - self.told >= self.lease * RENEW:
-            to = self.grants.by if spoken else first
+            if self.quorum.version != before:
+                out += self.quorum.turn(True, now)
+        if self.order and self.quorum.leading:
+            out += self._offers({one.to for one in out if isinstance(one.message, Append)}, now)
+        elif self.order and wanted and not self.quorum.leading and now - self.told >= self.lease * RENEW:
+            to = self.quorum.by if spoken else first
             if to is not None and to not in (self.own, self.agrees):
                 self.told = now
                 out.append(Out(to, self.have()))
@@ -130,7 +130,7 @@
         """The order, to voters and members that are out, which need it: at first and once a lease."""
         if now - self.spread >= self.lease:
             self.spread, self.offered = now, set()  # whoever began lately lacks it
-        lacking = told & self.grants.concerned() - self.offered
+        lacking = told & self.quorum.concerned() - self.offered
         self.offered |= lacking
         return [Out(to, self.have()) for to in sorted(lacking)]
 
@@ -148,51 +148,51 @@
         names = {key_of(name): name for name in seen}
         out = {
             names[key]: Gone(unix_ms - (now - gone.since) // 1_000_000, gone.start_ms)
-            for key, gone in self.grants.table.items()
+            for key, gone in self.quorum.table.items()
             if key in names
         }
         return Scene(unix_ms, seen, groups, out, look.load, look.near)
 
     def _settle(self, now: int, look: Look) -> None:
-        """The keeper's part: who is seen back, who is called back, who goes."""
-        grants, scene = self.grants, self.scene(now, look)
+        """The leader's part: who is seen back, who is called back, who goes."""
+        quorum, scene = self.quorum, self.scene(now, look)
         numbers = {front_name(number): number for number in self.members.all} if scene.out else {}
-        for key in set(grants.table) - {key_of(name) for name in scene.out}:
-            grants.forget(key, now)  # the coordinator lists it no more, so nobody uses it
+        for key in set(quorum.table) - {key_of(name) for name in scene.out}:
+            quorum.forget(key, now)  # the coordinator lists it no more, so nobody uses it
         for name, gone in list(scene.out.items()):
-            heard = name in numbers and grants.heard_back(key_of(name), numbers[name], now)
+            heard = name in numbers and quorum.heard_revocation(key_of(name), numbers[name], now)
             if heard or scene.seen[name].start_ms > gone.start_ms:
-                grants.forget(key_of(name), now)
+                quorum.forget(key_of(name), now)
                 del scene.out[name]
         if self.order is None:
             return
         self.settled = settled = settle(self.order, scene)
         for name in settled.back:
-            grants.call_back(key_of(name), now)
+            quorum.revoke(key_of(name), now)
         for name in settled.next:
-            grants.let_go(key_of(name), scene.seen[name].start_ms, now)
-        if settled.over and not grants.table and grants.committed == grants.version:
+            quorum.grant(key_of(name), scene.seen[name].start_ms, now)
+        if settled.over and not quorum.table and quorum.committed == quorum.version:
             self.finished = self.order.asked_ms
-            grants.rest()
+            quorum.rest()
 
     def _rest(self) -> None:
-        for key, gone in self.grants.out().items():
+        for key, gone in self.quorum.out().items():
             self.resting[key] = max(gone.start_ms, self.resting.get(key, 0))
 
     def informed(self, now: int) -> bool:
         """This front knows which places are out, or has waited long enough to be told."""
-        return self.inquiry.over(now, self.grants.count)
+        return self.inquiry.over(now, self.quorum.count)
 
     def goes(self, now: int) -> bool:
         """This front is let go, as far as it may believe."""
-        return self.grants.may_stay_out(self.key, self.start_ms, now)
+        return self.quorum.may_stay_out(self.key, self.start_ms, now)
 
     # What comes.
 
     def take(self, sender: int, message: MaintenanceMessage, now: int) -> list[Out]:
-        if isinstance(message, Claim | Vote | Hold | Held):
-            out = self.grants.take(sender, message, now)
-            if isinstance(message, Hold) and self.grants.held[0] and self.grants.committed:
+        if isinstance(message, Claim | Vote | Append | AppendReply):
+            out = self.quorum.take(sender, message, now)
+            if isinstance(message, Append) and self.quorum.held[0] and self.quorum.committed:
                 self.inquiry.told_by_leader = True
             self._rest()
             return out
@@ -213,7 +213,7 @@
     def _committed(self, now: int) -> tuple[Entry, ...]:
         """The machines that a majority let go, as far as this front knows. A table outlives its leader, and
         what counted once does so while the next leader gathers its majority."""
-        return tuple(one for one in self.grants.entries(now) if one.machine in self.resting)
+        return tuple(one for one in self.quorum.entries(now) if one.machine in self.resting)
 
     def _told_table(self, sender: int, reply: TableReply) -> None:
         """What another front knows to be out. A start that has passed since makes an entry void by itself."""
@@ -225,11 +225,11 @@
         if self.order and (have.asked_ms, have.digest) == (self.order.asked_ms, self.digest):
             self.agrees = sender
             # A voter is offered the order unasked; another member offers its own until it hears the same.
-            other = self.grants.leading and sender not in self.grants.voters
+            other = self.quorum.leading and sender not in self.quorum.voters
             return [Out(sender, self.have())] if other else []
         if not self.later(have.asked_ms, have.digest):
             # Who offers an earlier one lacks this one.
-            return [Out(sender, self.have())] if self.grants.leading else []
+            return [Out(sender, self.have())] if self.quorum.leading else []
         possible = (
             0 < have.size <= MOST_PARTS * PART_BYTES
             and have.asked_ms <= self.unix_ms(now) + AHEAD_MS
@@ -280,14 +280,14 @@
         return {
             "asked_ms": self.order.asked_ms if self.order else 0,
             "finished": bool(self.order and self.finished >= self.order.asked_ms),
-            "term": self.grants.term,
-            "by": self.grants.by,
-            "keeper": self.grants.leading,
-            "voter": self.own in self.grants.voters,
-            "out": sorted(names.get(key, f"{key:08x}") for key in self.grants.out()),
+            "term": self.quorum.term,
+            "by": self.quorum.by,
+            "leader": self.quorum.leading,
+            "voter": self.own in self.quorum.voters,
+            "out": sorted(names.get(key, f"{key:08x}") for key in self.quorum.out()),
             "done": len(self.settled.done),
-            "waiting": dict(list(self.settled.why.items())[:12]) if self.grants.leading else {},
+            "waiting": dict(list(self.settled.why.items())[:12]) if self.quorum.leading else {},
             "halted": {kind.name.lower(): why for kind, why in self.settled.halted.items()}
-            if self.grants.leading
+            if self.quorum.leading
             else {},
         }
--- a/marbleglade/wire/workgrams.py
+++ b/marbleglade/wire/workgrams.py
@@ -8,17 +8,17 @@
 
 import struct
 
-from ..fleet.grants import Claim, Entry, Held, Hold, Vote
+from ..fleet.lease_quorum import Append, AppendReply, Claim, Entry, Vote
 from ..fleet.maintenance_messages import PART_BYTES, Have, MaintenanceMessage, Part, Want
 from ..fleet.order import MOST_OUT
 from ..fleet.table_inquiry import TableQuery, TableReply
 from .cut import Cut, InvalidMessageError, listed, read
 from .datagrams import HEAD, LONGEST, VERSION
 
-CLAIM, VOTE, HOLD, HELD, HAVE, WANT, PART, TABLE_QUERY, TABLE_REPLY = range(16, 25)
-TABLE = struct.Struct("!IHI")  # term, keeper, version
-HOLDS = struct.Struct("!IIII")  # term, version, committed, echo
-HELDS = struct.Struct("!III")
+CLAIM, VOTE, APPEND, APPEND_REPLY, HAVE, WANT, PART, TABLE_QUERY, TABLE_REPLY = range(16, 25)
+TABLE = struct.Struct("!IHI")  # term, leader, version
+APPENDS = struct.Struct("!IIII")  # term, version, committed, echo
+APPEND_REPLIES = struct.Struct("!III")
 ENTRY = struct.Struct("!IQIIB")  # machine, start, number, age, called back
 HAS = struct.Struct("!QII")  # asked_ms, digest, size
 WANTS = struct.Struct("!IB")  # digest, part
@@ -32,13 +32,13 @@
         case Vote(term, (of, by, version), entries):
             data = HEAD.pack(VERSION, VOTE, term) + TABLE.pack(of, by if by >= 0 else NOBODY, version)
             data += _entries(entries)
-        case Hold():
-            data = HEAD.pack(VERSION, HOLD, message.stamp) + HOLDS.pack(
+        case Append():
+            data = HEAD.pack(VERSION, APPEND, message.stamp) + APPENDS.pack(
                 message.term, message.version, message.committed, message.echo
             )
             data += b"" if message.entries is None else _entries(message.entries)
-        case Held():
-            data = HEAD.pack(VERSION, HELD, message.stamp) + HELDS.pack(
+        case AppendReply():
+            data = HEAD.pack(VERSION, APPEND_REPLY, message.stamp) + APPEND_REPLIES.pack(
                 message.term, message.version, message.word
             )
         case Have():
@@ -68,19 +68,19 @@
 
 
 def _message(kind: int, number: int, cut: Cut) -> MaintenanceMessage:
-    if kind in (CLAIM, VOTE, HOLD, HELD) and number >= 2**32:
+    if kind in (CLAIM, VOTE, APPEND, APPEND_REPLY) and number >= 2**32:
         raise InvalidMessageError
     if kind == CLAIM:
         return Claim(number)
     if kind == VOTE:
         of, by, at = cut.one(TABLE)
         return Vote(number, (of, -1 if by == NOBODY else by, at), _table(cut))
-    if kind == HOLD:
-        term, at, committed, echo = cut.one(HOLDS)
-        return Hold(term, at, committed, number, echo, _table(cut) if cut.left else None)
-    if kind == HELD:
-        term, at, word = cut.one(HELDS)
-        return Held(term, at, number, word)
+    if kind == APPEND:
+        term, at, committed, echo = cut.one(APPENDS)
+        return Append(term, at, committed, number, echo, _table(cut) if cut.left else None)
+    if kind == APPEND_REPLY:
+        term, at, word = cut.one(APPEND_REPLIES)
+        return AppendReply(term, at, number, word)
     if kind == HAVE:
         return Have(*cut.one(HAS))
     if kind == WANT:
--- a/tests/test_protocols.py
+++ b/tests/test_protocols.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from marbleglade.fleet import duties, grants
+from marbleglade.fleet import duties, lease_quorum
 from marbleglade.fleet.duties import LEASE, Duty
-from marbleglade.fleet.grants import Grants, Vote
+from marbleglade.fleet.lease_quorum import LeaseQuorum, Vote
 from marbleglade.fleet.members import Out
 from marbleglade.standins.explore import explore
 
@@ -131,7 +131,7 @@
 
     def begin(self, number, now):
         """A front that begins; machines are named by their numbers."""
-        front = Grants(number, self.count, LEASE_NS, now)
+        front = LeaseQuorum(number, self.count, LEASE_NS, now)
         front.numbers = {machine: machine for machine in range(self.count)}
         return front
 
@@ -174,9 +174,9 @@
             self.starts[told[0]] += 1
             self.fronts[told[0]] = self.begin(told[0], self.now)
         elif what == "go":
-            self.fronts[told[0]].let_go(told[1], self.starts[told[1]], self.now)
+            self.fronts[told[0]].grant(told[1], self.starts[told[1]], self.now)
         elif what == "back":
-            self.fronts[told[0]].call_back(told[1], self.now)
+            self.fronts[told[0]].revoke(told[1], self.now)
         elif what == "late":
             sender, to, message = self.late.pop(told[0])
             self.fronts[to].take(sender, message, self.now)
@@ -195,7 +195,7 @@
         for one in self.fronts:  # a front that was called back and heard it, or began anew, is in service
             for machine in [*one.table] if one.leading else ():
                 gone = one.table[machine]
-                if one.heard_back(machine, machine, self.now) or gone.start_ms < self.starts[machine]:
+                if one.heard_revocation(machine, machine, self.now) or gone.start_ms < self.starts[machine]:
                     one.forget(machine, self.now)
 
     def key(self):
@@ -243,7 +243,7 @@
 
 
 def begun(ways, moves=12, count=3):
-    """The search begins where it matters: with a keeper, one that is let go or called back, two keepers."""
+    """The search begins where it matters: with a leader, one that is let go or called back, two leaders."""
     model = Words(moves + len(ways), count=count)
     for move in ways:
         model.do(move)
@@ -260,9 +260,9 @@
 @pytest.fixture
 def learner(monkeypatch):
     """Four fronts of which the last has no vote."""
-    monkeypatch.setattr(grants, "MOST_VOTERS", 3)
-    monkeypatch.setattr(grants, "draw", lambda duty, number: number / 4)
-    assert grants.voters_of(4) == {0, 1, 2}
+    monkeypatch.setattr(lease_quorum, "MOST_VOTERS", 3)
+    monkeypatch.setattr(lease_quorum, "draw", lambda duty, number: number / 4)
+    assert lease_quorum.voters_of(4) == {0, 1, 2}
 
 
 LEARNER_OUT = [*ELECTED, ("go", 0, 3), ("talk", 0, 1, True), ("talk", 0, 3, True), ("talk", 0, 3, True)]
@@ -277,20 +277,20 @@
 def test_a_member_without_a_vote_goes_out_and_gives_none(learner):
     model = begun(LEARNER_OUT, count=4)
     assert model.fronts[3].may_stay_out(3, 1, model.now)
-    assert model.fronts[3].take(1, grants.Claim(99), model.now) == []
+    assert model.fronts[3].take(1, lease_quorum.Claim(99), model.now) == []
     assert model.fronts[0].turn(True, model.now + LEASE_NS)[0].to in {1, 2}
 
 
 def test_the_search_finds_a_keeper_that_counts_who_has_no_vote(learner, monkeypatch):
     """The two voters that it did not ask may choose another one meanwhile."""
-    count = grants.Grants._count
+    count = lease_quorum.LeaseQuorum._count
 
     def count_anyone(self, now):
         voters, self.voters = self.voters, frozenset({self.own, 1, 3})
         count(self, now)
         self.voters = voters
 
-    monkeypatch.setattr(grants.Grants, "_count", count_anyone)
+    monkeypatch.setattr(lease_quorum.LeaseQuorum, "_count", count_anyone)
     found = explore(
         begun([*ELECTED, ("go", 0, 3), ("talk", 0, 3, True), ("talk", 0, 3, True)], count=4), 30_000
     )
@@ -315,7 +315,7 @@
     ],
 )
 def test_whom_one_keeper_called_back_no_later_one_lets_stay(ways, then):
-    """Both found by the search: a later keeper held the union of what its voters told, so a table that was
+    """Both found by the search: a later leader held the union of what its voters told, so a table that was
     long replaced brought a machine back into it."""
     model = begun(ways)
     for move in then:
@@ -325,39 +325,39 @@
 
 FAULTS = {
     "votes at once after a restart": LET_GO,
-    "takes words of an earlier keeper": FOLLOWED,
+    "takes words of an earlier leader": FOLLOWED,
     "stays out without end": CALLED,
-    "a new keeper forgets what others hold": LET_GO,
+    "a new leader forgets what others hold": LET_GO,
 }
 
 
 @pytest.mark.parametrize("fault", FAULTS)
-def test_the_search_finds_a_seeded_fault_in_grants(monkeypatch, fault):
+def test_the_search_finds_a_seeded_fault_in_the_lease_quorum(monkeypatch, fault):
     if fault.startswith("votes"):
-        began = grants.Grants.__post_init__
+        began = lease_quorum.LeaseQuorum.__post_init__
 
         def mute_no_more(self, now):
             began(self, now)
             self.mute = 0
 
-        monkeypatch.setattr(grants.Grants, "__post_init__", mute_no_more)
+        monkeypatch.setattr(lease_quorum.LeaseQuorum, "__post_init__", mute_no_more)
     elif fault.startswith("takes"):
-        told = grants.Grants._told
+        told = lease_quorum.LeaseQuorum._told
 
         def heed(self, sender, message, now):
             self.term, self.by = 0, -1
             return told(self, sender, message, now)
 
-        monkeypatch.setattr(grants.Grants, "_told", heed)
+        monkeypatch.setattr(lease_quorum.LeaseQuorum, "_told", heed)
     elif fault.startswith("stays"):
-        monkeypatch.setattr(grants, "STAYS", 100.0)
+        monkeypatch.setattr(lease_quorum, "STAYS", 100.0)
     else:
-        claimed = grants.Grants._claimed
+        claimed = lease_quorum.LeaseQuorum._claimed
 
         def forget(self, sender, claim, now):
             said = claimed(self, sender, claim, now)
             return [Out(one.to, Vote(one.message.term, (0, -1, 0), ())) for one in said]
 
-        monkeypatch.setattr(grants.Grants, "_claimed", forget)
+        monkeypatch.setattr(lease_quorum.LeaseQuorum, "_claimed", forget)
     found = explore(begun(FAULTS[fault]), 30_000)
     assert found.wrong, found
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -6,9 +6,9 @@
 from google.protobuf import text_format
 
 from benchmarks.simwork import MS, S, SimWork
-from marbleglade.fleet import grants
+from marbleglade.fleet import lease_quorum
 from marbleglade.fleet.drain import Drain, Stage
-from marbleglade.fleet.grants import Claim, Entry, Grants, Held, Hold, Vote
+from marbleglade.fleet.lease_quorum import Append, AppendReply, Claim, Entry, LeaseQuorum, Vote
 from marbleglade.fleet.maintenance_messages import Have, Part, Want
 from marbleglade.fleet.members import Out as Sent
 from marbleglade.fleet.order import (
@@ -230,9 +230,9 @@
     Claim(7),
     Vote(7, (6, -1, 3), ENTRIES),
     Vote(7, (6, 500, 3), ()),
-    Hold(7, 9, 8, 99, 5, ENTRIES),
-    Hold(7, 9, 0, 99, 5, None),
-    Held(1, 2, 3, 4),
+    Append(7, 9, 8, 99, 5, ENTRIES),
+    Append(7, 9, 0, 99, 5, None),
+    AppendReply(1, 2, 3, 4),
     Have(2**41, 2**32 - 1, 900),
     Want(5, 63),
     Part(5, 63, b"x" * 200),
@@ -247,7 +247,7 @@
     assert workgrams.decode(data) == message and len(data) <= 256
     # Cut short it is nothing, but for a table that is left out.
     assert all(
-        workgrams.decode(data[:cut]) in (None, Hold(7, 9, 8, 99, 5, None))
+        workgrams.decode(data[:cut]) in (None, Append(7, 9, 8, 99, 5, None))
         for cut in range(10, len(data) - 200)
     )
     assert workgrams.decode(data + b"x" * 250) is None
@@ -332,8 +332,8 @@
         caps=(Cap(1, Kind.FRONT), Cap(1, Kind.CACHE)),
     )
     world.run(120)
-    keeper = next(one.works for one in world.fronts.values() if one.works.grants.leading)
-    assert keeper.settled.halted[Kind.CACHE].startswith("box2") and Kind.FRONT not in keeper.settled.halted
+    leader = next(one.works for one in world.fronts.values() if one.works.quorum.leading)
+    assert leader.settled.halted[Kind.CACHE].startswith("box2") and Kind.FRONT not in leader.settled.halted
     assert sum(one.start_ms > told.asked_ms for one in world.fronts.values()) == 5
     world.never = set()  # it is seen back after all, and the rest goes on
     world.run(60)
@@ -345,13 +345,13 @@
     world.run(8)
     told = given(world, *(f"front {n}" for n in range(7)), *(f"box{n}" for n in range(4)), deadline_ms=3000)
     world.run(4)
-    keeper = next(n for n, one in world.fronts.items() if one.works.grants.leading)
+    leader = next(n for n, one in world.fronts.items() if one.works.quorum.leading)
     turn = [n for n, one in world.fronts.items() if one.drain.stage is Stage.EMPTYING]
-    for number in {keeper, *turn}:
+    for number in {leader, *turn}:
         world.kill(number, world.now + 5 * 10**9)
     world.run(150)
     assert world.done(told) == 11
-    assert world.out_worst <= 3 + len({keeper, *turn})
+    assert world.out_worst <= 3 + len({leader, *turn})
 
 
 def test_withdrawn_when_half_done_brings_back_at_once_who_still_runs_and_a_later_order_wins():
@@ -387,7 +387,7 @@
 
 
 def test_a_list_of_another_length_makes_another_majority_and_is_waited_out():
-    one = grants.Grants(0, 3, 1000, ERA - 1000)
+    one = lease_quorum.LeaseQuorum(0, 3, 1000, ERA - 1000)
     one.turn(True, ERA)
     one.take(1, Vote(1, (0, -1, 0), ()), ERA)
     assert one.leading
@@ -421,7 +421,7 @@
 
 
 def test_a_front_that_voted_before_it_restarted_gives_no_word_until_a_lease_is_over():
-    one = grants.Grants(1, 3, 1000, ERA)
+    one = lease_quorum.LeaseQuorum(1, 3, 1000, ERA)
     assert one.take(0, Claim(1), ERA + 999) == []
     assert one.take(0, Claim(1), ERA + 1000)[0].message == Vote(1, (0, -1, 0), ())
     assert one.take(0, Claim(1 << 30), ERA + 2000) == []  # no term that far ahead is believed
@@ -430,16 +430,16 @@
 def test_who_answers_nothing_is_sent_the_whole_table_again():
     """A front that began anew is mute for a lease and lacks the table that its earlier start had."""
     now, lease = 100 * S, 6 * S
-    leader = Grants(0, 3, lease, now - lease)
+    leader = LeaseQuorum(0, 3, lease, now - lease)
     leader.turn(True, now)
     leader.take(1, Vote(1, (0, -1, 0), ()), now)
     words = {one.to: one.message for one in leader.turn(True, now)}
     for stamp_of in (1, 2):
-        leader.take(stamp_of, Held(1, 1, words[stamp_of].stamp, 0), now)
+        leader.take(stamp_of, AppendReply(1, 1, words[stamp_of].stamp, 0), now)
     now += lease // 6
     words = {one.to: one.message for one in leader.turn(True, now)}
     assert words[1].entries is None and words[2].entries is None  # both have it
-    leader.take(1, Held(1, 1, words[1].stamp, 0), now)
+    leader.take(1, AppendReply(1, 1, words[1].stamp, 0), now)
     words = {one.to: one.message for one in leader.turn(True, now + lease // 6)}
     assert words[1].entries is None and words[2].entries is not None  # 2 has said nothing
 
@@ -472,20 +472,20 @@
     world = SimWork(5, 1, 3)
     works = world.fronts[2].works
     assert not works.informed(world.now)
-    before = (works.grants.term, works.grants.version, dict(works.grants.table))
+    before = (works.quorum.term, works.quorum.version, dict(works.quorum.table))
     for sender in (1, 3, 4):
         assert works.take(sender, reply("box0"), world.now) == []
     assert works.informed(world.now) and works.resting == {key_of("box0"): 500}
-    assert (works.grants.term, works.grants.version, works.grants.table) == before
+    assert (works.quorum.term, works.quorum.version, works.quorum.table) == before
     assert works.take(1, TableQuery(), world.now) == [Sent(1, TableReply(()))]  # no word of a majority
     assert world.fronts[0].works.take(1, TableQuery(), world.now) == []  # which knows nothing either
 
 
 def test_what_others_claim_is_bounded():
-    one = grants.Grants(1, 3, 1000, ERA - 1000)
-    wild = Hold(1, 5, 5, 7, 0, tuple(Entry(n, 1, 1) for n in range(10)))
+    one = lease_quorum.LeaseQuorum(1, 3, 1000, ERA - 1000)
+    wild = Append(1, 5, 5, 7, 0, tuple(Entry(n, 1, 1) for n in range(10)))
     one.take(0, wild, ERA)
     assert len(one.table) == 10 and not one.may_stay_out(1, 1, ERA)  # it echoes no word of ours
     for n in range(5000):
-        one.take(0, Hold(1, 5, 5, n, 0, ()), ERA + n)
-    assert len(one.stamps) <= grants.STAMPS + 48
+        one.take(0, Append(1, 5, 5, n, 0, ()), ERA + n)
+    assert len(one.stamps) <= lease_quorum.STAMPS + 48
--- a/tests/test_work_command.py
+++ b/tests/test_work_command.py
@@ -70,7 +70,7 @@
                     "event": "work",
                     "front": "f1",
                     "at": 5,
-                    "keeper": True,
+                    "leader": True,
                     "by": 1,
                     "term": 2,
                     "out": ["box1"],
@@ -84,5 +84,5 @@
         + b"\n{cut"
     )
     done = ran("show", str(path))
-    assert "keeper 1 (this one)" in done.output and "box2: 1 cache at once" in done.output
+    assert "leader 1 (this one)" in done.output and "box2: 1 cache at once" in done.output
     assert "emptying" in done.output and done.exit_code == 0
--- a/tests/test_work_processes.py
+++ b/tests/test_work_processes.py
@@ -54,8 +54,8 @@
     fleet.give(0, order(range(5), deadline_ms=4000))
     until(lambda: any(working.stage(n) == "emptying" for n in fleet.processes), 15)
     turn = next(n for n in fleet.processes if working.stage(n) == "emptying")
-    keeper = next(n for n in fleet.processes if fleet.survey(n)["work"]["keeper"])
-    dead = {turn, keeper}
+    leader = next(n for n in fleet.processes if fleet.survey(n)["work"]["leader"])
+    dead = {turn, leader}
     load.went_down(*dead)
     working.loop.kill()
     fleet.kill(*dead)
