A control node that sends load views alone is as good as silent

Seen on reading the change again: NodeConnection._read took any whole line for a sign that the node is current. Load views are made of what fronts say, so a node that hears nothing of its discovery service went on being heard, and fronts would have stayed with it. Now a view is no sign of life: the node is left after the bound on silence, as before views. A test with a scripted node that stops its heartbeats and goes on with views, and one that a report goes to the primary alone and only its view counts.

--- a/marbleglade/control/connection.py
+++ b/marbleglade/control/connection.py
@@ -161,7 +161,6 @@
         lines = LineBuffer()
         for data in self._chunks(sock):
             for line in self._in_turns(lines.feed(data)):
-                self.heard_at = clock.now()
                 self._line(line)
             if clock.now() - self.heard_at > self._silence:
                 raise SilentNodeError("no whole line")
@@ -197,6 +196,9 @@
 
     def _line(self, line: bytes) -> None:
         message = decode_stream_line(line)
+        # A node makes load views of what fronts say, also where it hears nothing of its discovery service.
+        if not isinstance(message, LoadView):
+            self.heard_at = clock.now()
         if not self.greeted:
             self._greeting(message)
         elif isinstance(message, Beat):
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marbleglade.control.client import ConfigurationRefusedError, ControlClient
+from marbleglade.control.messages import LoadView, encode_load_view
 from marbleglade.control.settings import ControlSettings, NodeSettings, RegionSettings
 from marbleglade.runtime.counters import Counters
 from marbleglade.runtime.guard import Guard
@@ -196,6 +197,39 @@
     assert not one.target.limits
 
 
+def test_a_node_that_sends_load_views_alone_is_as_good_as_silent(rig):
+    """It makes them of what fronts say, and hears nothing of its discovery service."""
+    one = rig(3)
+    listed(one)
+    deaf, left = one.primary, one.secondary
+    views = []
+    one.client.on_load_view = views.append
+    deaf.beating = False
+    line = encode_load_view(LoadView(b"view"))
+    telling = gevent.spawn(lambda: [(deaf.write(line), gevent.sleep(0.05)) for _ in range(400)])
+    wait(lambda: len(views) > 3)
+    wait(lambda: one.client.primary == left.name)
+    telling.kill()
+    assert any("SilentNodeError" in reason for reason in one.ended())
+
+
+def test_a_report_goes_to_the_primary_and_only_its_view_counts(rig):
+    one = rig()
+    listed(one)
+    views = []
+    one.client.on_load_view = views.append
+    assert one.client.report(b"what it saw")
+    wait(lambda: any(line.startswith("report ") for line in one.primary.heard))
+    assert not any(line.startswith("report ") for line in one.secondary.heard)
+    one.secondary.write(encode_load_view(LoadView(b"another's")))
+    one.primary.write(encode_load_view(LoadView(b"its own")))
+    wait(lambda: views)
+    gevent.sleep(0.1)
+    assert views == [b"its own"]
+    one.client.leave()
+    assert not one.client.report(b"what it saw")
+
+
 def test_the_list_of_the_other_node_is_in_force_at_once_when_the_primary_is_lost(rig):
     one = rig()
     listed(one)
