--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -76,6 +76,14 @@
     return "fleets" if module in FLEETS else "by the clock"
 
 
+LINES = ("fleets", "by the clock", "held by stand-ins", "timeless")  # the longest first
+
+
+def pytest_collection_modifyitems(items):
+    """Lines begin in this order, so that none of the long ones is left over for one worker alone."""
+    items.sort(key=lambda item: LINES.index(_line_of_tests(item.path.stem)))
+
+
 @pytest.hookimpl(optionalhook=True)
 def pytest_xdist_make_scheduler(config, log):
     """Gives each line of tests to one worker.
