--- a/marbleglade/command/control.py
+++ b/marbleglade/command/control.py
@@ -55,6 +55,14 @@
         f"a configuration within {settings.configuration_deadline / 1e9:g} s, "
         f"{settings.catch_up_bytes_per_s} bytes a second to a front that catches up"
     )
+    click.echo(f"load views: {_load_views(settings)}")
+
+
+def _load_views(settings: ControlSettings) -> str:
+    """Who makes them, and how often."""
+    if not settings.view_period:
+        return "made by fronts among themselves"
+    return f"made by the nodes every {settings.view_period / 1e9:g} s"
 
 
 def _address(address: tuple[str, int]) -> str:
--- a/tests/test_load_views.py
+++ b/tests/test_load_views.py
@@ -3,11 +3,13 @@
 from dataclasses import replace
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
 from benchmarks.capacity import load_views
 from benchmarks.simfleet import ground
+from marbleglade.command.line import line
 from marbleglade.control.event_log import EventLog
 from marbleglade.control.load_view_service import LoadViewService
 from marbleglade.control.messages import (
@@ -301,3 +303,16 @@
         assert 0 < figures[name, 96] < 1.2 * figures[name, 24]
         name = f"load view control machine bytes {way}"
         assert figures[name, 96] < 4 * figures[name, 24]
+
+
+@pytest.mark.parametrize(
+    "more, says",
+    [
+        ("", "load views: made by fronts among themselves"),
+        ("view_period_ms: 250", "made by the nodes every 0.25 s"),
+    ],
+)
+def test_the_check_of_the_settings_says_who_makes_the_view(tmp_path, more, says):
+    settings(tmp_path, more)
+    done = CliRunner().invoke(line, ["control", "check", str(tmp_path / "control.textproto")])
+    assert done.exit_code == 0 and says in done.output
