--- a/review/regions.py
+++ b/review/regions.py
@@ -1,5 +1,7 @@
 """Two regions for the cases: gateways as separate processes, and small stand-ins on loopback.
 
+`run_case` runs a case and exits with its status; it is used by all cases.
+
 The discovery service, the TCP proxies and the client are the project's own stand-ins
 (`marbleglade/testing`). `Ledger` is a stand-in server of the caches' protocol that runs work.
 """
@@ -9,14 +11,17 @@
 import hashlib
 import os
 import random
+import shutil
 import signal
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
+from typing import NoReturn
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
@@ -38,10 +43,12 @@
 from marbleglade.testing.tcp_proxy import TcpProxy  # noqa: E402
 
 READY_SECONDS = 20.0
+CASE_SECONDS = 100.0
+EXIT_CODE_OF_OK = 10
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt` beside the script, with seconds since the start."""
+    """Writes what was sent, answered and run to `record.txt` beside the script, in seconds from the start."""
 
     def __init__(self, folder: Path) -> None:
         self.started = time.monotonic()
@@ -53,11 +60,11 @@
 
 
 class Ledger:
-    """One machine of a region that runs the work it is sent; machines of a region may share `runs`.
+    """One machine of a region that runs the work it is sent.
 
-    Attributes:
-        runs: For each order (its body), the times at which it was run.
-        handle: Decides on a request; returns the bytes of the answer, None for no answer, or raises
+    Args:
+        id: Name of the machine in the endpoint list.
+        handle: Runs a request and returns the bytes of the answer, None for no answer, or raises
             `ConnectionResetError` to reset the connection in place of the answer.
     """
 
@@ -162,7 +169,9 @@
 
     def start(self, name: str) -> None:
         """Start a gateway with the command of the README, as a process of its own."""
-        python = f"exec .venv/bin/python -O -m marbleglade gateway --deployment {self.deployment} --name {name}"
+        python = (
+            f"exec .venv/bin/python -O -m marbleglade gateway --deployment {self.deployment} --name {name}"
+        )
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(["/bin/sh", "-c", python], cwd=ROOT, stderr=log, stdout=log)
         self.record(f"start gateway {name}")
@@ -206,6 +215,19 @@
         for one in (*self.discovery.values(), *self.proxies.values(), *stand_ins):
             with suppress(OSError):
                 one.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_case(main: Callable[[], int], record: Record) -> NoReturn:
+    """Run a case for `CASE_SECONDS` at most, and exit with its status; 2 if it could not run."""
+    status = 2
+    try:
+        with gevent.Timeout(CASE_SECONDS):
+            status = main()
+    except (Exception, gevent.Timeout):
+        record(traceback.format_exc())
+        traceback.print_exc()
+    os._exit(EXIT_CODE_OF_OK + status)  # run.sh tells it from the status 1 of an uncaught exception
 
 
 __all__ = [
@@ -219,6 +241,7 @@
     "encode_response",
     "gevent",
     "os",
+    "run_case",
     "served",
     "signal",
     "time",
