--- a/review/regions.py
+++ b/review/regions.py
@@ -218,9 +218,18 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class EndedError(Exception):
+    """The script was told to end."""
+
+
 def run_case(main: Callable[[], int], record: Record) -> NoReturn:
-    """Run a case for `CASE_SECONDS` at most, and exit with its status; 2 if it could not run."""
+    """Run a case for `CASE_SECONDS` at most, and exit with its status; 2 if it could not run.
+
+    SIGTERM and SIGINT end the case as its time limit does, so that it ends the processes that it started.
+    """
     status = 2
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, gevent.kill, gevent.getcurrent(), EndedError("told to end"))
     try:
         with gevent.Timeout(CASE_SECONDS):
             status = main()
