--- a/review/shared2.py
+++ b/review/shared2.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import os
 import shlex
 import signal
@@ -23,10 +24,15 @@
 from marbleglade.testing.cache_server import StandInUpstream  # noqa: E402
 from marbleglade.testing.client import Client  # noqa: E402
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 20, 21, 22  # `run.sh` turns them into 0, 1 and 2
+PR_SET_PDEATHSIG = 1
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+def _end_with_parent() -> None:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CouldNotRunError(Exception):
     """The case could not be set up; says nothing about the rule."""
 
@@ -66,6 +72,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_end_with_parent,
             )
         self.note(f"start {name}: {command}")
 
@@ -97,7 +104,7 @@
 
 
 def main(folder: Path, case) -> None:
-    """Run `case(run)` and exit with 1 if it recorded a breach, 0 if not, and 2 if it could not run."""
+    """Run `case(run)` and exit with a code of those above."""
     run = Run(folder)
     code = COULD_NOT_RUN
     try:
@@ -107,9 +114,9 @@
     except (CouldNotRunError, OSError, gevent.Timeout) as error:
         run.note(f"could not run: {error!r}")
     finally:
-        run.note(f"exit {code}, {len(run.broken)} breaches")
+        run.note(f"{len(run.broken)} breaches")
         run.close()
-    print(("held", "BROKEN", "could not run")[code], f"({len(run.broken)} breaches)")
+    print({HELD: "held", BROKEN: "BROKEN"}.get(code, "could not run"), f"({len(run.broken)} breaches)", flush=True)
     os._exit(code)
 
 
