--- a/review/shared2.py
+++ b/review/shared2.py
@@ -107,6 +107,9 @@
     """Run `case(run)` and exit with a code of those above."""
     run = Run(folder)
     code = COULD_NOT_RUN
+    runner = gevent.getcurrent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: runner.throw(CouldNotRunError("ended by a signal")))
     try:
         with gevent.Timeout(110):
             case(run)
