--- a/review/shared2.py
+++ b/review/shared2.py
@@ -29,7 +29,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def _end_with_parent() -> None:
+def end_with_parent() -> None:
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
@@ -72,7 +72,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_end_with_parent,
+                preexec_fn=end_with_parent,
             )
         self.note(f"start {name}: {command}")
 
