--- a/review/shared3.py
+++ b/review/shared3.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -125,11 +126,7 @@
             print(case.folder)
         case.end()
         if not os.environ.get("KEEP"):
-            for path in case.folder.iterdir():
-                with suppress(OSError):
-                    path.unlink()
-            with suppress(OSError):
-                case.folder.rmdir()
+            shutil.rmtree(case.folder, ignore_errors=True)
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(code)
