Review cases end all that they started on SIGTERM, and when their loop hangs

Cause: a script that got SIGTERM left its programs running. Change: review/shared3.py ends them on SIGTERM and SIGINT, and after 117 s from a thread. No program file is changed.

--- a/review/shared3.py
+++ b/review/shared3.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 import gevent  # noqa: E402
 
 LIMIT_SECONDS = 112
+HARD_LIMIT_SECONDS = 117  # ends a run whose event loop hangs
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -107,10 +109,25 @@
         self._record.close()
 
 
+def _end_at_once(case: Case) -> None:
+    """Kill all started programs and exit, whatever the event loop does."""
+    for process in list(case.processes.values()):
+        with suppress(OSError):
+            os.kill(process.pid, signal.SIGKILL)
+    shutil.rmtree(case.folder, ignore_errors=True)
+    os._exit(NOT_RUN)
+
+
 def run_case(file: str, body: Callable[[Case], bool]) -> None:
     """Run a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     case = Case(Path(file).resolve().parent)
     code = NOT_RUN
+    watchdog = threading.Timer(HARD_LIMIT_SECONDS, _end_at_once, [case])
+    watchdog.daemon = True
+    watchdog.start()
+    ended = CaseNotRunError("ended by a signal")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, gevent.kill, gevent.getcurrent(), ended)
     try:
         with gevent.Timeout(LIMIT_SECONDS):
             code = HELD if body(case) else BROKEN
